Serve one request from caller to a chain of upstreams and back

Cause: there was nothing yet; the first aim is one request end to end through an entry that has callers', operators' and peers' listeners, takes its declared set from the platform's object API and relays tokens from a chain of three engines.

Change: the whole path, thin. Decisions (route, admission, ejection, quarantine, retry budget, answer ledger, membership) are plain structs that are given the time; one goroutine owns them. Claims, configuration and withdrawals live in the platform and survive lost answers and stale reads by conditional updates. Stand-ins for platform, engine, service and network.

Seen: `lovageport dev`, then curl: a streamed answer over three upstreams, a booking that runs once and is replayed for its repeat, a withdrawal in force at once. No tests yet; they come next.

--- /dev/null
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -0,0 +1,480 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"lovageport.example/internal/coordination/admission"
+	"lovageport.example/internal/coordination/ejection"
+	"lovageport.example/internal/coordination/quarantine"
+	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/coordination/route"
+	"lovageport.example/internal/state/catalog"
+	"lovageport.example/pkg/declaration"
+	"lovageport.example/pkg/verdict"
+)
+
+// Limits and times of dispatching.
+const (
+	// MaxAttempts bounds the placements of a request.
+	MaxAttempts = 6
+	// busyTime is how long an upstream that said it is full gets nothing new.
+	busyTime = 50 * time.Millisecond
+	// leavingTime is how long an upstream's own word that it leaves counts.
+	leavingTime = 30 * time.Second
+	// minRetryAfter is the least time after which a caller is told to return.
+	minRetryAfter = time.Second
+	// noChainRetryAfter is when a caller is told to return if no chain exists.
+	noChainRetryAfter = 5 * time.Second
+	// reportMemory is the age at which a load report counts for nothing.
+	reportMemory = 2 * time.Second
+)
+
+// load is what runs on an upstream.
+type load struct {
+	inFlight int
+	// suspects counts the requests in flight that crashed another upstream.
+	suspects  int
+	busyUntil time.Time
+	leaving   time.Time
+	// others is what the engine last reported beyond our own requests.
+	others   float64
+	reported time.Time
+}
+
+// flight is a placement that has not ended.
+type flight struct {
+	request *Request
+	chain   route.Chain
+	suspect bool
+}
+
+// Dispatcher places requests on upstreams. Set its exported fields before use.
+type Dispatcher struct {
+	// Zone is the entry's availability zone.
+	Zone string
+	// Chooser finds chains.
+	Chooser route.Chooser
+	// Queue holds the requests that wait.
+	Queue admission.Queue[*Request]
+	// Ejections and Suspicions are those known here.
+	Ejections  ejection.Register
+	Suspicions quarantine.Register
+	// Confirmed says whether there is word about the upstreams of another
+	// availability zone that is younger than term. Nil confirms all.
+	Confirmed func(zone string, term time.Duration, now time.Time) bool
+
+	catalog   *catalog.Catalog
+	withdrawn map[string]bool
+	listed    map[string]bool
+	loads     map[string]*load
+	flights   map[uint64]*flight
+	lastID    uint64
+	open      map[string]int
+	limiters  map[string]*rate.Limiter
+	rates     map[string]*admission.Rate
+	retries   []*Request
+	budget    retry.Budget
+}
+
+// SetCatalog puts a configuration in force.
+func (d *Dispatcher) SetCatalog(c *catalog.Catalog) { d.catalog = c }
+
+// SetWithdrawn sets the upstreams that their owners have taken back.
+func (d *Dispatcher) SetWithdrawn(withdrawn map[string]bool) { d.withdrawn = withdrawn }
+
+// SetLeaving sets the upstreams that the VM list shows as leaving.
+func (d *Dispatcher) SetLeaving(leaving map[string]bool) { d.listed = leaving }
+
+// Open takes in a caller's request, or refuses it by its account's limits.
+func (d *Dispatcher) Open(r *Request, now time.Time) error {
+	if left := d.Suspicions.Quarantined(r.Fingerprint, now); left > 0 {
+		return verdict.RefuseUntil(left, verdict.Quarantined, "this request has crashed upstreams before")
+	}
+	a := r.Account
+	if a.MaxInFlight > 0 && d.open[a.Name] >= a.MaxInFlight {
+		return verdict.RefuseUntil(minRetryAfter, verdict.RateLimited, "account has %d requests in flight", a.MaxInFlight)
+	}
+	if wait := d.overRate(a, now); wait > 0 {
+		return verdict.RefuseUntil(wait, verdict.RateLimited, "account is above %g requests a second", a.RequestsPerSecond)
+	}
+	if d.open == nil {
+		d.open = make(map[string]int)
+	}
+	d.open[a.Name]++
+	d.budget.Fresh()
+	return nil
+}
+
+// overRate returns how long an account must wait to be within its rate.
+func (d *Dispatcher) overRate(a *declaration.Account, now time.Time) time.Duration {
+	if a.RequestsPerSecond == 0 {
+		return 0
+	}
+	limiter := d.limiters[a.Name]
+	if limiter == nil {
+		limiter = rate.NewLimiter(rate.Limit(a.RequestsPerSecond), int(max(1, a.RequestsPerSecond)))
+		if d.limiters == nil {
+			d.limiters = make(map[string]*rate.Limiter)
+		}
+		d.limiters[a.Name] = limiter
+	}
+	if limiter.Limit() != rate.Limit(a.RequestsPerSecond) {
+		limiter.SetLimitAt(now, rate.Limit(a.RequestsPerSecond))
+		limiter.SetBurstAt(now, int(max(1, a.RequestsPerSecond)))
+	}
+	reservation := limiter.ReserveN(now, 1)
+	wait := reservation.DelayFrom(now)
+	if wait > 0 {
+		reservation.CancelAt(now)
+		return max(wait, minRetryAfter)
+	}
+	return 0
+}
+
+// Close ends a request that Open has taken in.
+func (d *Dispatcher) Close(r *Request) {
+	d.Cancel(r)
+	if d.open[r.Account.Name]--; d.open[r.Account.Name] <= 0 {
+		delete(d.open, r.Account.Name)
+	}
+}
+
+// Cancel withdraws the submission of a request, if it waits.
+func (d *Dispatcher) Cancel(r *Request) {
+	d.retries = slices.DeleteFunc(d.retries, func(other *Request) bool { return other == r })
+	if d.Queue.Len(r.Pool) > 0 {
+		d.Queue.Remove(func(_ admission.Item, other *Request) bool { return other == r })
+	}
+}
+
+// Submit asks for the place of an attempt.
+func (d *Dispatcher) Submit(r *Request, now time.Time) {
+	if err := d.refusal(r, now); err != nil {
+		r.Reply(Placement{}, err)
+		return
+	}
+	if r.Attempts > 0 || len(r.Avoid) > 0 {
+		d.retries = append(d.retries, r)
+		d.dispatch(now)
+		return
+	}
+	item := admission.Item{
+		Pool:     r.Pool,
+		Account:  r.Account.Name,
+		Priority: r.Account.Priority,
+		Cost:     r.Cost,
+		Deadline: r.QueueDeadline,
+	}
+	if err := d.Queue.Push(item, r); err != nil {
+		r.Reply(Placement{}, verdict.RefuseUntil(d.retryAfter(r.Pool, now), verdict.QueueFull, "too many requests wait"))
+		return
+	}
+	d.dispatch(now)
+	d.refuseHopeless(r, now)
+}
+
+// refusal says why a submission can't be served whatever the load.
+func (d *Dispatcher) refusal(r *Request, now time.Time) error {
+	pool, ok := d.pool(r.Pool)
+	switch {
+	case !ok:
+		return verdict.Refuse(verdict.NoChain, "%s is not served any more", r.Pool)
+	case !now.Before(r.Deadline):
+		return verdict.RefuseUntil(minRetryAfter, verdict.DeadlineExceeded, "deadline exceeded")
+	case r.Attempts >= MaxAttempts:
+		return verdict.RefuseUntil(minRetryAfter, verdict.RetryLimit, "given up after %d attempts", r.Attempts)
+	}
+	if left := d.Suspicions.Quarantined(r.Fingerprint, now); left > 0 {
+		return verdict.RefuseUntil(left, verdict.Quarantined, "this request has crashed upstreams")
+	}
+	if r.Repeated && !d.budget.Take(now) {
+		return verdict.RefuseUntil(minRetryAfter, verdict.RetryBudget, "too many retries are under way")
+	}
+	if d.Chooser.Choose(pool, d.idleState(r, now), nil) == nil {
+		return verdict.RefuseUntil(noChainRetryAfter, verdict.NoChain, "no upstreams in service cover %s", r.Pool)
+	}
+	return nil
+}
+
+func (d *Dispatcher) pool(name string) (*catalog.Pool, bool) {
+	if d.catalog == nil {
+		return nil, false
+	}
+	return d.catalog.Pool(name)
+}
+
+// refuseHopeless refuses a request that waits, if its turn will come too late.
+func (d *Dispatcher) refuseHopeless(r *Request, now time.Time) {
+	waiting := d.Queue.Ahead(r.Pool, r.Account.Priority)
+	if waiting == 0 {
+		return
+	}
+	wait, known := d.rate(r.Pool).Wait(waiting, now)
+	if !known || !now.Add(wait).After(r.QueueDeadline) {
+		return
+	}
+	removed := d.Queue.Remove(func(_ admission.Item, other *Request) bool { return other == r })
+	if len(removed) == 0 {
+		return
+	}
+	after := max(wait-r.QueueDeadline.Sub(now), minRetryAfter)
+	r.Reply(Placement{}, verdict.RefuseUntil(after, verdict.DeadlineUnmeetable, "the queue is longer than the request may wait"))
+}
+
+func (d *Dispatcher) rate(pool string) *admission.Rate {
+	if d.rates == nil {
+		d.rates = make(map[string]*admission.Rate)
+	}
+	if d.rates[pool] == nil {
+		d.rates[pool] = &admission.Rate{}
+	}
+	return d.rates[pool]
+}
+
+// retryAfter returns when the queue of a pool will have drained.
+func (d *Dispatcher) retryAfter(pool string, now time.Time) time.Duration {
+	wait, known := d.rate(pool).Wait(d.Queue.Len(pool), now)
+	if !known {
+		return minRetryAfter
+	}
+	return max(wait, minRetryAfter)
+}
+
+// Tick refuses requests whose time is up and places those that now fit.
+func (d *Dispatcher) Tick(now time.Time) {
+	late := d.Queue.Remove(func(item admission.Item, r *Request) bool {
+		return !now.Before(item.Deadline) || !now.Before(r.Deadline)
+	})
+	d.retries = slices.DeleteFunc(d.retries, func(r *Request) bool {
+		if now.Before(r.Deadline) && now.Before(r.QueueDeadline) {
+			return false
+		}
+		late = append(late, r)
+		return true
+	})
+	for _, r := range late {
+		r.Reply(Placement{}, verdict.RefuseUntil(d.retryAfter(r.Pool, now), verdict.DeadlineExceeded, "no place became free in time"))
+	}
+	d.dispatch(now)
+	d.Ejections.Prune(now)
+}
+
+// dispatch places as many waiting requests as fit: retries first, since they
+// hold work that is partly done.
+func (d *Dispatcher) dispatch(now time.Time) {
+	d.retries = slices.DeleteFunc(d.retries, func(r *Request) bool { return d.place(r, now) })
+	for _, pool := range d.Queue.Pools() {
+		for {
+			r, ok := d.Queue.Peek(pool)
+			if !ok || !d.place(r, now) {
+				break
+			}
+			d.Queue.Pop(pool)
+			d.rate(pool).Note(now)
+		}
+	}
+}
+
+// place gives a request its place if there is one.
+func (d *Dispatcher) place(r *Request, now time.Time) bool {
+	pool, ok := d.pool(r.Pool)
+	if !ok {
+		return false
+	}
+	suspect := d.Suspicions.Suspect(r.Fingerprint, now)
+	chain := d.Chooser.Choose(pool, d.state(r, suspect, now), r.Prefer)
+	if chain == nil {
+		return false
+	}
+	d.lastID++
+	if d.flights == nil {
+		d.flights = make(map[uint64]*flight)
+	}
+	d.flights[d.lastID] = &flight{r, chain, suspect}
+	for _, s := range chain {
+		l := d.load(s.Upstream.Name)
+		l.inFlight++
+		if suspect {
+			l.suspects++
+		}
+	}
+	r.Attempts++
+	r.Reply(Placement{d.lastID, chain, d.catalog.Generation()}, nil)
+	return true
+}
+
+func (d *Dispatcher) load(upstream string) *load {
+	if d.loads == nil {
+		d.loads = make(map[string]*load)
+	}
+	l := d.loads[upstream]
+	if l == nil {
+		l = &load{}
+		d.loads[upstream] = l
+	}
+	return l
+}
+
+// Finish ends a placement.
+func (d *Dispatcher) Finish(ticket uint64, outcome Outcome, now time.Time) {
+	f := d.flights[ticket]
+	if f == nil {
+		return
+	}
+	if outcome.Fault == Crashed {
+		d.crash(outcome.Upstream, now)
+	}
+	delete(d.flights, ticket)
+	for _, s := range f.chain {
+		l := d.load(s.Upstream.Name)
+		l.inFlight--
+		if f.suspect {
+			l.suspects--
+		}
+		if outcome.Fault == None {
+			d.Ejections.Succeed(s.Upstream.Name, s.Upstream.Slots)
+		}
+	}
+	d.blame(f.request, outcome, now)
+	d.dispatch(now)
+}
+
+// crash makes suspects of all requests in flight on an upstream.
+func (d *Dispatcher) crash(upstream string, now time.Time) {
+	crashes := []quarantine.Crash{{Upstream: upstream, At: now}}
+	for _, f := range d.flights {
+		if f.chain.Has(upstream) {
+			d.Suspicions.Add(f.request.Fingerprint, crashes, now)
+		}
+	}
+}
+
+// blame draws the consequences of a fault for the upstream.
+func (d *Dispatcher) blame(r *Request, outcome Outcome, now time.Time) {
+	switch outcome.Fault {
+	case Busy:
+		d.load(outcome.Upstream).busyUntil = now.Add(busyTime)
+	case Leaving:
+		d.load(outcome.Upstream).leaving = now.Add(leavingTime)
+	case Rejected:
+		r.avoid(outcome.Upstream)
+	case Unreachable, Lost, Crashed, Silent, Protocol:
+		r.avoid(outcome.Upstream)
+		d.Ejections.Fail(outcome.Upstream, now)
+	}
+}
+
+// Report takes in an engine's report of its load.
+func (d *Dispatcher) Report(upstream string, running int, leaving bool, now time.Time) {
+	l := d.load(upstream)
+	l.others = max(0, float64(running-l.inFlight))
+	l.reported = now
+	if leaving {
+		l.leaving = now.Add(leavingTime)
+	}
+}
+
+// state returns what the chooser sees on behalf of a request.
+func (d *Dispatcher) state(r *Request, suspect bool, now time.Time) func(*catalog.Candidate) route.State {
+	return func(c *catalog.Candidate) route.State {
+		u := c.Upstream
+		l := d.load(u.Name)
+		if !d.usable(c, l, now) || r.Avoid[u.Name] || now.Before(l.busyUntil) || suspect && l.suspects > 0 {
+			return route.State{}
+		}
+		others := l.others * max(0, 1-now.Sub(l.reported).Seconds()/reportMemory.Seconds())
+		used := float64(l.inFlight) + others
+		room := float64(d.Ejections.Room(u.Name, u.Slots, now))
+		return route.State{Free: room - used, Used: used}
+	}
+}
+
+// idleState is the state if nothing were in flight and no upstream ejected.
+func (d *Dispatcher) idleState(r *Request, now time.Time) func(*catalog.Candidate) route.State {
+	return func(c *catalog.Candidate) route.State {
+		if !d.usable(c, d.load(c.Upstream.Name), now) || r.Avoid[c.Upstream.Name] {
+			return route.State{}
+		}
+		return route.State{Free: float64(c.Upstream.Slots)}
+	}
+}
+
+// usable says whether an upstream may get new work.
+func (d *Dispatcher) usable(c *catalog.Candidate, l *load, now time.Time) bool {
+	return d.status(c.Upstream, c.UnconfirmedUse, l, now) == InService
+}
+
+// Status is whether an upstream may get new work, and why not.
+type Status string
+
+// The statuses.
+const (
+	InService   Status = "in_service"
+	Withdrawn   Status = "withdrawn"
+	LeavingVM   Status = "leaving"
+	Ejected     Status = "ejected"
+	Unconfirmed Status = "unconfirmed"
+)
+
+func (d *Dispatcher) status(u *declaration.Upstream, term time.Duration, l *load, now time.Time) Status {
+	switch {
+	case d.withdrawn[u.Name]:
+		return Withdrawn
+	case d.listed[u.Name] || now.Before(l.leaving):
+		return LeavingVM
+	case u.Zone != d.Zone && d.Confirmed != nil && !d.Confirmed(u.Zone, term, now):
+		return Unconfirmed
+	}
+	return InService
+}
+
+// MayUse says whether every upstream of a chain may still get new work. It is
+// asked right before an attempt is sent.
+func (d *Dispatcher) MayUse(chain route.Chain) bool {
+	for _, s := range chain {
+		if d.withdrawn[s.Upstream.Name] || d.listed[s.Upstream.Name] {
+			return false
+		}
+	}
+	return true
+}
+
+// UpstreamStatus is what an operator is told of an upstream.
+type UpstreamStatus struct {
+	Upstream *declaration.Upstream
+	Status   Status
+	InFlight int
+}
+
+// Upstreams returns the status of all declared upstreams.
+func (d *Dispatcher) Upstreams(now time.Time) []UpstreamStatus {
+	if d.catalog == nil {
+		return nil
+	}
+	set := &d.catalog.Accepted.Set
+	all := make([]UpstreamStatus, 0, len(set.Upstreams))
+	for i := range set.Upstreams {
+		u := &set.Upstreams[i]
+		l := d.load(u.Name)
+		status := d.status(u, declaration.DefaultUnconfirmedUse, l, now)
+		if status == InService && d.Ejections.Ejected(u.Name, now) {
+			status = Ejected
+		}
+		all = append(all, UpstreamStatus{u, status, l.inFlight})
+	}
+	return all
+}
+
+// Counts returns how many requests are open and how many wait.
+func (d *Dispatcher) Counts() (open, queued int) {
+	for _, n := range d.open {
+		open += n
+	}
+	for _, pool := range d.Queue.Pools() {
+		queued += d.Queue.Len(pool)
+	}
+	return open, queued + len(d.retries)
+}
--- /dev/null
+++ b/internal/coordination/quarantine/quarantine.go
@@ -0,0 +1,135 @@
+// Package quarantine finds requests that crash the upstreams that run them.
+//
+// When an upstream crashes, each request in flight there is a suspect. A
+// suspect's next try runs where no other suspect runs, so that a second crash
+// names the culprit: it and every copy of it are refused for [Time].
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+)
+
+// Times and limits of quarantines.
+const (
+	// Time is how long a culprit is refused.
+	Time = 10 * time.Minute
+	// SuspectTime is how long a suspicion lasts.
+	SuspectTime = 2 * time.Minute
+	// Limit is the count of crashes that makes a suspect a culprit.
+	Limit = 2
+	// sameCrash is the time within which two reports of an upstream's crash
+	// mean the same one.
+	sameCrash = 5 * time.Second
+)
+
+// Fingerprint names a request of a client account by its content, so that a
+// copy sent again has the same one.
+func Fingerprint(account, pool string, body []byte) string {
+	sum := sha256.New()
+	fmt.Fprintf(sum, "%q %q\n", account, pool)
+	sum.Write(body)
+	return hex.EncodeToString(sum.Sum(nil)[:16])
+}
+
+// Crash is the loss of an upstream.
+type Crash struct {
+	Upstream string
+	At       time.Time
+}
+
+// Suspicion lists the crashes with a request in flight.
+type Suspicion struct {
+	Fingerprint string
+	Crashes     []Crash
+}
+
+// until returns when the suspicion ends.
+func (s *Suspicion) until() time.Time {
+	var last time.Time
+	for _, c := range s.Crashes {
+		if c.At.After(last) {
+			last = c.At
+		}
+	}
+	if len(s.Crashes) >= Limit {
+		return last.Add(Time)
+	}
+	return last.Add(SuspectTime)
+}
+
+// has says whether the suspicion counts a crash already.
+func (s *Suspicion) has(c Crash) bool {
+	for _, known := range s.Crashes {
+		if known.Upstream == c.Upstream && c.At.Sub(known.At).Abs() < sameCrash {
+			return true
+		}
+	}
+	return false
+}
+
+// Register holds suspicions. Its zero value holds none.
+type Register struct {
+	suspicions map[string]Suspicion
+}
+
+// Add notes crashes with a request in flight, from here or from a peer. It
+// says whether one of them was news.
+func (r *Register) Add(fingerprint string, crashes []Crash, now time.Time) bool {
+	s := r.current(fingerprint, now)
+	s.Fingerprint = fingerprint
+	news := false
+	for _, c := range crashes {
+		if s.has(c) {
+			continue
+		}
+		s.Crashes = append(s.Crashes[:len(s.Crashes):len(s.Crashes)], c)
+		news = true
+	}
+	if !news || now.After(s.until()) {
+		return false
+	}
+	if r.suspicions == nil {
+		r.suspicions = make(map[string]Suspicion)
+	}
+	r.suspicions[fingerprint] = s
+	return true
+}
+
+// current returns the suspicion of a fingerprint that still lasts.
+func (r *Register) current(fingerprint string, now time.Time) Suspicion {
+	s := r.suspicions[fingerprint]
+	if now.After(s.until()) {
+		return Suspicion{}
+	}
+	return s
+}
+
+// Suspect says whether a request must run apart from other suspects.
+func (r *Register) Suspect(fingerprint string, now time.Time) bool {
+	return len(r.current(fingerprint, now).Crashes) > 0
+}
+
+// Quarantined returns how long a request is refused; 0 if it is not.
+func (r *Register) Quarantined(fingerprint string, now time.Time) time.Duration {
+	s := r.current(fingerprint, now)
+	if len(s.Crashes) < Limit {
+		return 0
+	}
+	return s.until().Sub(now)
+}
+
+// All returns the suspicions that last.
+func (r *Register) All(now time.Time) []Suspicion {
+	var all []Suspicion
+	for f, s := range r.suspicions {
+		if now.After(s.until()) {
+			delete(r.suspicions, f)
+			continue
+		}
+		all = append(all, s)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"lovageport.example/internal/coordination/dispatch"
+	"lovageport.example/internal/coordination/membership"
+	"lovageport.example/internal/state/catalog"
+	"lovageport.example/internal/state/configuration"
+	"lovageport.example/internal/state/withdrawal"
+)
+
+// Times of the control loop.
+const (
+	// tickInterval is how often waiting requests are looked at.
+	tickInterval = 20 * time.Millisecond
+	// pruneInterval is how often old state is forgotten.
+	pruneInterval = 10 * time.Second
+	// eventBuffer is how many functions may wait for the loop.
+	eventBuffer = 1024
+)
+
+// state is the control state. Only the control loop touches it.
+type state struct {
+	dispatcher dispatch.Dispatcher
+	adopter    configuration.Adopter
+	register   withdrawal.Register
+	members    membership.Table
+	// vmsLeaving are the upstreams that the VM list shows as leaving.
+	vmsLeaving map[string]bool
+	// confirmedAt is when there was last word of the platform, directly or
+	// through peers.
+	confirmedAt time.Time
+	// platformAt is when this entry itself last reached the platform.
+	platformAt time.Time
+	// withdrawalsRead says that the stored withdrawals, or a peer's, are known.
+	withdrawalsRead bool
+	// vmsRead says that the VM list has been asked for, with or without success.
+	vmsRead  bool
+	ready    bool
+	draining bool
+	pruned   time.Time
+}
+
+// view is what requests see of the control state. It never changes.
+type view struct {
+	catalog *catalog.Catalog
+	// withdrawn and leaving get no new work.
+	withdrawn map[string]bool
+	leaving   map[string]bool
+	ready     bool
+	draining  bool
+}
+
+// control runs functions on the control state, one at a time.
+type control struct {
+	events chan func(*state)
+	view   atomic.Pointer[view]
+	state  state
+	// done is closed when the loop has ended.
+	done chan struct{}
+	// changed is told of each new view.
+	changed func(*view)
+}
+
+func newControl() *control {
+	c := &control{events: make(chan func(*state), eventBuffer), done: make(chan struct{})}
+	c.view.Store(&view{catalog: catalog.New(configuration.Accepted{})})
+	return c
+}
+
+// run runs the loop until ctx ends.
+func (c *control) run(ctx context.Context) error {
+	defer close(c.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-c.events:
+			event(&c.state)
+		case now := <-ticker.C:
+			c.tick(now)
+		}
+	}
+}
+
+func (c *control) tick(now time.Time) {
+	s := &c.state
+	s.dispatcher.Tick(now)
+	if now.Sub(s.pruned) < pruneInterval {
+		return
+	}
+	s.pruned = now
+	s.register.Prune(now)
+	s.members.Prune(now)
+}
+
+// do runs f on the control state and waits for it. It says whether f ran.
+func (c *control) do(f func(*state)) bool {
+	ran := make(chan struct{})
+	event := func(s *state) {
+		f(s)
+		close(ran)
+	}
+	select {
+	case c.events <- event:
+	case <-c.done:
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// send runs f on the control state without waiting for it.
+func (c *control) send(f func(*state)) {
+	select {
+	case c.events <- f:
+	case <-c.done:
+	}
+}
+
+// publish makes the state's changes visible to requests. It runs in the loop.
+func (c *control) publish(s *state) {
+	old := c.view.Load()
+	next := &view{
+		catalog:   old.catalog,
+		withdrawn: s.register.Active(),
+		leaving:   s.vmsLeaving,
+		draining:  s.draining,
+	}
+	if s.adopter.Generation() != old.catalog.Generation() {
+		next.catalog = catalog.New(s.adopter.Accepted())
+		s.dispatcher.SetCatalog(next.catalog)
+	}
+	s.dispatcher.SetWithdrawn(next.withdrawn)
+	s.dispatcher.SetLeaving(next.leaving)
+	// An entry that has once been ready stays so: what it does not know yet
+	// comes to it within seconds, and health must not flap meanwhile.
+	s.ready = s.ready || s.adopter.Ready() && s.withdrawalsRead && s.vmsRead && s.members.AllTried()
+	next.ready = s.ready
+	c.view.Store(next)
+	if c.changed != nil {
+		c.changed(next)
+	}
+}
+
+// confirm notes word of the platform that is age old.
+func (s *state) confirm(age time.Duration, now time.Time) {
+	if at := now.Add(-age); at.After(s.confirmedAt) {
+		s.confirmedAt = at
+	}
+}
+
+// confirmed says whether there is word of an availability zone that is younger
+// than term: of the platform, and of an entry in that zone if any is listed. A
+// lender may have told its own zone's entries alone.
+func (s *state) confirmed(zone string, term time.Duration, now time.Time) bool {
+	if now.Sub(s.confirmedAt) > term {
+		return false
+	}
+	heard, listed := s.members.ZoneHeard(zone)
+	return !listed || now.Sub(heard) <= term
+}
--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// drainPoll is how often a drain looks whether all requests have ended.
+const drainPoll = 20 * time.Millisecond
+
+// drainWhenAsked waits for the wish to stop, then turns health, gives the
+// balancer time to notice, and returns once the requests in flight have ended.
+// Its return ends the whole entry.
+func (e *Entry) drainWhenAsked(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-e.Drain:
+	case <-e.drainAsked:
+	}
+	e.Log.Info("draining", zap.Int64("in_flight", e.inFlight.Load()))
+	e.control.do(func(s *state) {
+		s.draining = true
+		e.control.publish(s)
+	})
+	// New requests are served during the notice: the balancer still sends some.
+	if !wait(ctx, time.Duration(e.Settings.Drain.Notice)) {
+		return nil
+	}
+	end := time.Now().Add(time.Duration(e.Settings.Drain.Timeout))
+	for e.inFlight.Load() > 0 && time.Now().Before(end) {
+		if !wait(ctx, drainPoll) {
+			return nil
+		}
+	}
+	e.later.flush(ctx)
+	if left := e.inFlight.Load(); left > 0 {
+		e.Log.Warn("drain timed out", zap.Int64("in_flight", left))
+	}
+	return nil
+}
+
+// askDrain starts the drain on behalf of an operator.
+func (e *Entry) askDrain() {
+	if e.drainOnce.CompareAndSwap(false, true) {
+		close(e.drainAsked)
+	}
+}
+
+// wait waits for d. It says false if ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/entry/generate.go
@@ -0,0 +1,275 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/coordination/dispatch"
+	"lovageport.example/internal/coordination/generation"
+	"lovageport.example/internal/coordination/quarantine"
+	"lovageport.example/internal/coordination/route"
+	"lovageport.example/internal/protocol/engine"
+	"lovageport.example/internal/transport/caller"
+	"lovageport.example/internal/transport/upstream"
+	"lovageport.example/pkg/verdict"
+)
+
+// generate makes an answer, over as many attempts as it takes.
+func (e *Entry) generate(ctx context.Context, g *caller.Generation, sink func(token string) error) (caller.Result, error) {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	model, pool, ok := e.control.view.Load().catalog.Model(g.Body.Model)
+	if !ok {
+		return caller.Result{}, verdict.Refuse(verdict.UnknownModel, "no model %q", g.Body.Model)
+	}
+	maxTokens := min(g.MaxTokens, model.MaxOutputTokens)
+	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
+	defer cancel()
+	content := fmt.Appendf(nil, "%d %s", maxTokens, g.Prompt)
+	r := &relay{
+		entry:  e,
+		caller: g,
+		sink:   sink,
+		watch:  e.metrics.startWatch(g.Body.Model),
+		ledger: generation.Ledger{Request: g.Request, Layers: model.Layers, MaxTokens: maxTokens},
+		placer: e.newPlacer(&dispatch.Request{
+			ID:          g.Request,
+			Pool:        pool.Name,
+			Account:     g.Account,
+			Fingerprint: quarantine.Fingerprint(g.Account.Name, pool.Name, content),
+			Cost:        maxTokens,
+		}, g.Timeout),
+	}
+	if err := r.placer.open(); err != nil {
+		return caller.Result{}, err
+	}
+	defer r.placer.close()
+	return r.run(ctx)
+}
+
+// relay carries one answer from chains of engines to its caller.
+type relay struct {
+	entry  *Entry
+	caller *caller.Generation
+	sink   func(token string) error
+	watch  *stopwatch
+	ledger generation.Ledger
+	placer *placer
+	// mayHaveRun says that an attempt that failed may have run.
+	mayHaveRun bool
+}
+
+// run makes attempts until the answer is whole or can't become so.
+func (r *relay) run(ctx context.Context) (caller.Result, error) {
+	for {
+		place, err := r.placer.place(ctx)
+		if err != nil {
+			return caller.Result{}, r.final(err)
+		}
+		outcome, err := r.attempt(ctx, place)
+		r.placer.finish(ctx, place, outcome)
+		if err == nil {
+			r.entry.metrics.dropped.Add(float64(r.ledger.Dropped))
+			return caller.Result{Tokens: len(r.ledger.Tokens()), FinishReason: r.ledger.FinishReason}, nil
+		}
+		e := verdict.Of(err)
+		r.mayHaveRun = r.mayHaveRun || e.Run != verdict.NotRun
+		r.logAttempt(place, e)
+		if e.Reason == verdict.CallerGone || e.Reason == verdict.DeadlineExceeded {
+			return caller.Result{}, r.final(e)
+		}
+		r.entry.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
+		r.preferSurvivors(place.Chain, outcome)
+	}
+}
+
+// final gives a refusal the verdict over all attempts.
+func (r *relay) final(err error) error {
+	e := *verdict.Of(err)
+	if r.mayHaveRun {
+		e.Run = verdict.MayHaveRun
+	}
+	return &e
+}
+
+func (r *relay) logAttempt(place dispatch.Placement, e *verdict.Error) {
+	r.entry.Log.Info("attempt failed",
+		zap.String("request", r.caller.Request),
+		zap.Int("attempt", r.placer.request.Attempts),
+		zap.String("account", r.caller.Account.Name),
+		zap.String("upstream", e.Upstream),
+		zap.Stringer("verdict", e.Run),
+		zap.String("reason", string(e.Reason)),
+		zap.Int("tokens", len(r.ledger.Tokens())),
+		zap.Int64("generation", place.Generation),
+		zap.Error(e.Err))
+}
+
+// preferSurvivors has the next attempt resume where the KV cache still is.
+func (r *relay) preferSurvivors(chain route.Chain, outcome dispatch.Outcome) {
+	prefer := make(map[string]bool, len(chain))
+	for _, s := range chain {
+		prefer[s.Upstream.Name] = s.Upstream.Name != outcome.Upstream
+	}
+	r.placer.request.Prefer = prefer
+}
+
+// attempt runs one attempt. Without an error the answer is whole.
+func (r *relay) attempt(ctx context.Context, place dispatch.Placement) (dispatch.Outcome, error) {
+	abandoned := dispatch.Outcome{Fault: dispatch.Abandoned}
+	run := r.runRequest(ctx, place)
+	if err := r.ledger.Begin(run.Attempt, spans(run.Route)); err != nil {
+		return abandoned, verdict.Refuse(verdict.Internal, "%v", err)
+	}
+	if !r.entry.mayUse(place.Chain) {
+		return abandoned, verdict.Refuse(verdict.UpstreamWithdrawn, "an upstream was withdrawn")
+	}
+	stream, err := r.entry.engines.Run(ctx, run)
+	if err != nil {
+		return r.explain(ctx, place, err, false)
+	}
+	defer stream.Close()
+	return r.read(ctx, place, stream)
+}
+
+func (r *relay) runRequest(ctx context.Context, place dispatch.Placement) *engine.RunRequest {
+	run := &engine.RunRequest{
+		Request:   r.caller.Request,
+		Attempt:   fmt.Sprintf("%s-%d", r.caller.Request, r.placer.request.Attempts),
+		Model:     r.placer.request.Pool,
+		Prompt:    r.caller.Prompt,
+		Resume:    r.ledger.Tokens(),
+		MaxTokens: r.ledger.MaxTokens,
+		Priority:  r.caller.Account.Priority,
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		run.TimeoutMillis = time.Until(deadline).Milliseconds()
+	}
+	for _, s := range place.Chain {
+		run.Route = append(run.Route, engine.Stage{
+			Span:    engine.Span{Upstream: s.Upstream.Name, From: s.Range.From, To: s.Range.To},
+			Address: s.Upstream.Address,
+		})
+	}
+	return run
+}
+
+func spans(stages []engine.Stage) []engine.Span {
+	all := make([]engine.Span, len(stages))
+	for i, s := range stages {
+		all[i] = s.Span
+	}
+	return all
+}
+
+// read takes the frames of an attempt until its end.
+func (r *relay) read(ctx context.Context, place dispatch.Placement, stream *upstream.Stream) (dispatch.Outcome, error) {
+	heard := false
+	for {
+		frame, err := stream.Next()
+		if err != nil {
+			return r.explain(ctx, place, err, heard)
+		}
+		heard = true
+		event, err := r.ledger.Accept(&frame)
+		if err != nil {
+			e := verdict.Of(err)
+			e.Upstream = place.Chain[0].Upstream.Name
+			return dispatch.Outcome{Fault: dispatch.Protocol, Upstream: e.Upstream}, e
+		}
+		switch {
+		case event == generation.Finished:
+			return dispatch.Outcome{Fault: dispatch.None}, nil
+		case event == generation.Accepted:
+			r.watch.token(len(r.ledger.Tokens()))
+			if err := r.sink(frame.Text); err != nil {
+				return dispatch.Outcome{Fault: dispatch.Abandoned}, &verdict.Error{Reason: verdict.CallerGone, Err: err}
+			}
+		case frame.Kind == engine.Heartbeat && frame.Load != nil:
+			r.entry.report(frame.Upstream, frame.Load)
+		case frame.Kind == engine.Failed:
+			return r.explain(ctx, place, failure(&frame), heard)
+		}
+	}
+}
+
+func (e *Entry) report(name string, load *engine.Load) {
+	e.control.send(func(s *state) {
+		s.dispatcher.Report(name, load.Running, load.Leaving, time.Now())
+	})
+}
+
+// failure turns a stage's report of a fault into an error.
+func failure(f *engine.Frame) error {
+	e := &verdict.Error{Run: verdict.MayHaveRun, Reason: upstream.ReasonOf(f.Fault), Upstream: f.Upstream}
+	if f.NotRun {
+		e.Run = verdict.NotRun
+	}
+	return e
+}
+
+// explain finds out whose fault a failed attempt is. A fresh connection tells
+// a lost connection from a lost upstream. heard says that the attempt had
+// brought frames.
+func (r *relay) explain(ctx context.Context, place dispatch.Placement, err error, heard bool) (dispatch.Outcome, error) {
+	e := verdict.Of(err)
+	if gone := goneError(ctx, e); gone != nil {
+		return dispatch.Outcome{Fault: dispatch.Abandoned}, gone
+	}
+	outcome := dispatch.Outcome{Upstream: e.Upstream}
+	switch e.Reason {
+	case verdict.UpstreamBusy:
+		outcome.Fault = dispatch.Busy
+	case verdict.UpstreamWithdrawn:
+		outcome.Fault = dispatch.Leaving
+	case verdict.UpstreamProtocol:
+		outcome.Fault = dispatch.Protocol
+	case verdict.UpstreamRefused:
+		outcome.Fault = dispatch.Unreachable
+	case verdict.UpstreamLost:
+		outcome.Fault = r.probe(ctx, place, e.Upstream, heard)
+	case verdict.UpstreamSilent:
+		// Even frames before do not make an upstream faulty that answers now.
+		outcome.Fault = r.probe(ctx, place, e.Upstream, false)
+		if outcome.Fault == dispatch.ConnectionSilent {
+			e.Reason = verdict.ConnectionSilent
+		}
+	default:
+		outcome.Fault = dispatch.Rejected
+	}
+	return outcome, e
+}
+
+// goneError says whether an attempt ended because its request did.
+func goneError(ctx context.Context, e *verdict.Error) error {
+	switch ctx.Err() {
+	case nil:
+		return nil
+	case context.DeadlineExceeded:
+		return &verdict.Error{Run: e.Run, Reason: verdict.DeadlineExceeded, Message: "deadline exceeded", RetryAfter: time.Second, Err: e.Err}
+	}
+	return &verdict.Error{Run: e.Run, Reason: verdict.CallerGone, Message: "caller has gone", Err: e.Err}
+}
+
+// probe asks an upstream on a fresh connection why another one broke.
+func (r *relay) probe(ctx context.Context, place dispatch.Placement, name string, heard bool) dispatch.Fault {
+	for _, s := range place.Chain {
+		if s.Upstream.Name != name {
+			continue
+		}
+		switch r.entry.engines.Probe(ctx, s.Upstream.Address) {
+		case upstream.Gone:
+			return dispatch.Crashed
+		case upstream.Unanswered:
+			return dispatch.Silent
+		}
+		if heard {
+			return dispatch.Lost
+		}
+		return dispatch.ConnectionSilent
+	}
+	return dispatch.Protocol
+}
--- /dev/null
+++ b/internal/entry/place.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"lovageport.example/internal/coordination/dispatch"
+	"lovageport.example/internal/coordination/route"
+	"lovageport.example/pkg/verdict"
+)
+
+// placer gets the places of one request's attempts.
+type placer struct {
+	entry   *Entry
+	request *dispatch.Request
+	replies chan reply
+}
+
+// reply is the dispatcher's answer to a submission.
+type reply struct {
+	place dispatch.Placement
+	err   error
+}
+
+func (e *Entry) newPlacer(r *dispatch.Request, timeout time.Duration) *placer {
+	p := &placer{entry: e, request: r, replies: make(chan reply, 1)}
+	now := time.Now()
+	r.Deadline = now.Add(timeout)
+	r.QueueDeadline = now.Add(min(timeout, time.Duration(e.Settings.Requests.QueueTimeout)))
+	r.Reply = func(place dispatch.Placement, err error) { p.replies <- reply{place, err} }
+	return p
+}
+
+var errStopped = verdict.RefuseUntil(time.Second, verdict.Draining, "entry has stopped")
+
+// open takes the request in.
+func (p *placer) open() error {
+	var err error
+	if !p.entry.control.do(func(s *state) { err = s.dispatcher.Open(p.request, time.Now()) }) {
+		return errStopped
+	}
+	return err
+}
+
+// close lets the request go.
+func (p *placer) close() {
+	p.entry.control.do(func(s *state) { s.dispatcher.Close(p.request) })
+}
+
+// place waits for the place of the next attempt.
+func (p *placer) place(ctx context.Context) (dispatch.Placement, error) {
+	sent := p.entry.control.do(func(s *state) {
+		now := time.Now()
+		if p.request.Attempts > 0 {
+			// A retry may wait as long as a fresh request.
+			p.request.QueueDeadline = now.Add(time.Duration(p.entry.Settings.Requests.QueueTimeout))
+		}
+		s.dispatcher.Submit(p.request, now)
+	})
+	if !sent {
+		return dispatch.Placement{}, errStopped
+	}
+	select {
+	case r := <-p.replies:
+		return r.place, r.err
+	case <-ctx.Done():
+	}
+	p.entry.control.do(func(s *state) { s.dispatcher.Cancel(p.request) })
+	select {
+	case r := <-p.replies:
+		// The place came in the same moment; nothing was sent there.
+		if r.err == nil {
+			p.finish(ctx, r.place, dispatch.Outcome{Fault: dispatch.Abandoned})
+		}
+	default:
+	}
+	return dispatch.Placement{}, goneError(ctx, &verdict.Error{Run: verdict.NotRun})
+}
+
+// finish ends an attempt. A crash is told to the peers before the request goes
+// on.
+func (p *placer) finish(ctx context.Context, place dispatch.Placement, outcome dispatch.Outcome) {
+	p.entry.control.do(func(s *state) {
+		// What was refused before it ran adds no load when it is sent again.
+		switch outcome.Fault {
+		case dispatch.Busy, dispatch.Leaving, dispatch.Abandoned, dispatch.Unreachable:
+		default:
+			p.request.Repeated = true
+		}
+		s.dispatcher.Finish(place.Ticket, outcome, time.Now())
+	})
+	if outcome.Fault == dispatch.Crashed {
+		p.entry.alarm(ctx)
+	}
+}
+
+// mayUse says whether all upstreams of a chain may still get new work.
+func (e *Entry) mayUse(chain route.Chain) bool {
+	v := e.control.view.Load()
+	for _, s := range chain {
+		if v.withdrawn[s.Upstream.Name] || v.leaving[s.Upstream.Name] {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/declaration/parse.go
@@ -0,0 +1,175 @@
+package declaration
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// File is a named TOML text.
+type File struct {
+	Name string
+	Text []byte
+}
+
+// Fault is one thing wrong with a set.
+type Fault struct {
+	// File and Line say where; Line is 0 where only the file is known.
+	File string
+	Line int
+	// Path is the field, such as Models[0].Layers.
+	Path string
+	// Message says what is wrong.
+	Message string
+}
+
+// String returns the fault in the form file:line: path: message.
+func (f Fault) String() string {
+	var b strings.Builder
+	if f.File != "" {
+		fmt.Fprintf(&b, "%s:", f.File)
+	}
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "%d:", f.Line)
+	}
+	if b.Len() > 0 {
+		b.WriteByte(' ')
+	}
+	if f.Path != "" {
+		fmt.Fprintf(&b, "%s: ", f.Path)
+	}
+	b.WriteString(f.Message)
+	return b.String()
+}
+
+// origin is where an object of a joined set came from.
+type origin struct {
+	file  *File
+	index int
+}
+
+// Parse decodes and joins files and checks the whole set. The set is valid
+// only if there are no faults.
+func Parse(files []File) (Set, []Fault) {
+	var (
+		set     Set
+		faults  []Fault
+		origins = make(map[string][]origin)
+	)
+	for i := range files {
+		part, bad := decodeFile(&files[i])
+		faults = append(faults, bad...)
+		join(&set, part, &files[i], origins)
+	}
+	if len(faults) > 0 {
+		return set, faults
+	}
+	for _, f := range set.Check() {
+		faults = append(faults, locate(f, origins))
+	}
+	return set, faults
+}
+
+func decodeFile(file *File) (Set, []Fault) {
+	var part Set
+	decoder := toml.NewDecoder(bytes.NewReader(file.Text)).DisallowUnknownFields()
+	err := decoder.Decode(&part)
+	return part, tomlFaults(file.Name, err)
+}
+
+// tomlFaults turns the errors of the TOML library into faults with lines.
+func tomlFaults(name string, err error) []Fault {
+	if err == nil {
+		return nil
+	}
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		faults := make([]Fault, 0, len(strict.Errors))
+		for i := range strict.Errors {
+			row, _ := strict.Errors[i].Position()
+			faults = append(faults, Fault{name, row, strings.Join(strict.Errors[i].Key(), "."), "unknown key"})
+		}
+		return faults
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		row, _ := decode.Position()
+		return []Fault{{name, row, strings.Join(decode.Key(), "."), decode.Error()}}
+	}
+	return []Fault{{File: name, Message: err.Error()}}
+}
+
+// DecodeStrict decodes a single TOML text into v and returns its faults. It
+// serves other formats of the project, such as the settings of a process.
+func DecodeStrict(file File, v any) []Fault {
+	err := toml.NewDecoder(bytes.NewReader(file.Text)).DisallowUnknownFields().Decode(v)
+	return tomlFaults(file.Name, err)
+}
+
+// join appends part to set and notes where each object came from.
+func join(set *Set, part Set, file *File, origins map[string][]origin) {
+	whole := reflect.ValueOf(set).Elem()
+	piece := reflect.ValueOf(part)
+	for i := range whole.NumField() {
+		kind := whole.Type().Field(i).Name
+		objects := piece.Field(i)
+		for j := range objects.Len() {
+			origins[kind] = append(origins[kind], origin{file, j})
+		}
+		whole.Field(i).Set(reflect.AppendSlice(whole.Field(i), objects))
+	}
+}
+
+// locate adds file and line to a fault whose path starts with Kind[index].
+func locate(f Fault, origins map[string][]origin) Fault {
+	kind, rest, ok := strings.Cut(f.Path, "[")
+	if !ok {
+		return f
+	}
+	var index int
+	if _, err := fmt.Sscanf(rest, "%d]", &index); err != nil || index >= len(origins[kind]) {
+		return f
+	}
+	from := origins[kind][index]
+	f.File = from.file.Name
+	_, field, _ := strings.Cut(rest, "].")
+	field, _, _ = strings.Cut(field, "[")
+	f.Line = LineOf(from.file.Text, "[["+kind+"]]", from.index, field)
+	return f
+}
+
+// LineOf returns the line, from 1, of key field below the index-th header, or
+// of the header where the field is not written. It returns 0 if there is no
+// such header.
+func LineOf(text []byte, header string, index int, field string) int {
+	found := 0
+	headerLine := 0
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, header) {
+			found++
+			if found == index+1 {
+				headerLine = i + 1
+				continue
+			}
+		}
+		if headerLine == 0 {
+			continue
+		}
+		if strings.HasPrefix(line, "[") && !strings.HasPrefix(line, strings.TrimRight(header, "]")+".") {
+			break
+		}
+		key, _, assigned := strings.Cut(line, "=")
+		if assigned && field != "" && strings.TrimSpace(key) == field {
+			return i + 1
+		}
+	}
+	return headerLine
+}
+
+// Format returns the set as TOML.
+func Format(set Set) ([]byte, error) { return toml.Marshal(set) }
