Find the stage at fault in a chain, and prove configuration under failure

Cause: tests with engines that break the protocol were red. A connection reset before any frame came from an upstream that answers a probe was taken for a silent connection, and the same upstream was taken again at once until the limit of retries.

Ruled out: ejecting the whole chain (two of three stages are innocent); asking the engines (the one at fault would be asked too).

Change: a trace that departs from the route names the stage where it departs. Any other fault puts the whole chain in doubt: the request shuns its stages where others cover the layers, and a stage doubted three times in a row without a success between is ejected.

Also red before: an entry that started during an outage never became ready, since it waited for the stored withdrawals even if a peer had the same digest.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -18,8 +18,8 @@
 
 // Limits and times of dispatching.
 const (
-	// MaxAttempts bounds the placements of a request.
-	MaxAttempts = 6
+	// MaxFailures bounds the attempts of a request that may fail.
+	MaxFailures = 6
 	// busyTime is how long an upstream that said it is full gets nothing new.
 	busyTime = 50 * time.Millisecond
 	// leavingTime is how long an upstream's own word that it leaves counts.
@@ -184,8 +184,8 @@
 		return verdict.Refuse(verdict.NoChain, "%s is not served any more", r.Pool)
 	case !now.Before(r.Deadline):
 		return verdict.RefuseUntil(minRetryAfter, verdict.DeadlineExceeded, "deadline exceeded")
-	case r.Attempts >= MaxAttempts:
-		return verdict.RefuseUntil(minRetryAfter, verdict.RetryLimit, "given up after %d attempts", r.Attempts)
+	case r.Failures >= MaxFailures:
+		return verdict.RefuseUntil(minRetryAfter, verdict.RetryLimit, "given up after %d attempts that failed", r.Failures)
 	}
 	if left := d.Suspicions.Quarantined(r.Fingerprint, now); left > 0 {
 		return verdict.RefuseUntil(left, verdict.Quarantined, "this request has crashed upstreams")
@@ -285,7 +285,7 @@
 		return false
 	}
 	suspect := d.Suspicions.Suspect(r.Fingerprint, now)
-	chain := d.Chooser.Choose(pool, d.state(r, suspect, now), r.Prefer)
+	chain := d.choose(pool, r, suspect, now)
 	if chain == nil {
 		return false
 	}
@@ -306,6 +306,23 @@
 	return true
 }
 
+// choose finds a chain without the upstreams in doubt if there can be one.
+func (d *Dispatcher) choose(pool *catalog.Pool, r *Request, suspect bool, now time.Time) route.Chain {
+	without := func(state func(*catalog.Candidate) route.State) func(*catalog.Candidate) route.State {
+		return func(c *catalog.Candidate) route.State {
+			if r.Shun[c.Upstream.Name] {
+				return route.State{}
+			}
+			return state(c)
+		}
+	}
+	state := d.state(r, suspect, now)
+	if len(r.Shun) > 0 && d.Chooser.Choose(pool, without(d.idleState(r, now)), nil) != nil {
+		state = without(state)
+	}
+	return d.Chooser.Choose(pool, state, r.Prefer)
+}
+
 func (d *Dispatcher) load(upstream string) *load {
 	if d.loads == nil {
 		d.loads = make(map[string]*load)
@@ -338,7 +355,7 @@
 			d.Ejections.Succeed(s.Upstream.Name, s.Upstream.Slots)
 		}
 	}
-	d.blame(f.request, outcome, now)
+	d.blame(f, outcome, now)
 	d.dispatch(now)
 }
 
@@ -353,12 +370,23 @@
 }
 
 // blame draws the consequences of a fault for the upstream.
-func (d *Dispatcher) blame(r *Request, outcome Outcome, now time.Time) {
+func (d *Dispatcher) blame(f *flight, outcome Outcome, now time.Time) {
+	r := f.request
+	if outcome.Fault != None && !outcome.Fault.Harmless() {
+		r.Failures++
+	}
 	switch outcome.Fault {
 	case Busy:
 		d.load(outcome.Upstream).busyUntil = now.Add(busyTime)
 	case Leaving:
 		d.load(outcome.Upstream).leaving = now.Add(leavingTime)
+	case Doubtful:
+		for _, s := range f.chain {
+			if name := s.Upstream.Name; outcome.Upstream == "" || outcome.Upstream == name {
+				r.shun(name)
+				d.Ejections.Doubt(name, now)
+			}
+		}
 	case Rejected:
 		r.avoid(outcome.Upstream)
 	case Unreachable, Lost, Crashed, Silent, Protocol:
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -28,10 +28,16 @@
 
 	// Avoid names the upstreams that failed this request.
 	Avoid map[string]bool
+	// Shun names the upstreams that may have failed this request; they are
+	// used only where no others cover the layers.
+	Shun map[string]bool
 	// Prefer names the upstreams that hold its KV cache.
 	Prefer map[string]bool
 	// Attempts is how many placements it has had.
 	Attempts int
+	// Failures is how many of them failed, which does not count those that
+	// were refused before they ran.
+	Failures int
 	// Repeated says that the next submission adds to the retries.
 	Repeated bool
 }
@@ -44,6 +50,14 @@
 	r.Avoid[upstream] = true
 }
 
+// shun adds an upstream to Shun.
+func (r *Request) shun(upstream string) {
+	if r.Shun == nil {
+		r.Shun = make(map[string]bool)
+	}
+	r.Shun[upstream] = true
+}
+
 // Placement is the place of one attempt.
 type Placement struct {
 	// Ticket names the placement when it ends.
@@ -80,10 +94,19 @@
 	ConnectionSilent
 	// Protocol says that the upstream answered against the protocol.
 	Protocol
+	// Doubtful says that the attempt failed by a fault of one of several
+	// upstreams, all alive: the one named, or any of the chain if none is.
+	Doubtful
 	// Rejected says that the upstream can't serve such a request.
 	Rejected
 )
 
+// Harmless says whether an attempt that ended so has cost nothing and proves
+// nothing: sent again, it adds no load.
+func (f Fault) Harmless() bool {
+	return f == Abandoned || f == Busy || f == Leaving
+}
+
 // Outcome is how an attempt ended.
 type Outcome struct {
 	Fault Fault
--- a/internal/coordination/ejection/ejection.go
+++ b/internal/coordination/ejection/ejection.go
@@ -13,6 +13,9 @@
 	MaxTime = 30 * time.Second
 	// ForgetAfter is how long without failure an upstream's past counts.
 	ForgetAfter = time.Minute
+	// maxDoubts is how many attempts in a row may fail by a fault that may be
+	// an upstream's or another's, before it counts as the upstream's.
+	maxDoubts = 3
 	// firstRoom is how many requests a returning upstream gets at first; each
 	// success adds as much again.
 	firstRoom = 1
@@ -23,6 +26,8 @@
 	until    time.Time
 	failedAt time.Time
 	failures int
+	// doubts counts the faults since the last success that may be another's.
+	doubts int
 	// room bounds the requests in flight on return.
 	room int
 	// returning says that room counts.
@@ -34,16 +39,33 @@
 	records map[string]*record
 }
 
-// Fail ejects an upstream that failed at now.
-func (r *Register) Fail(upstream string, now time.Time) {
+// record returns what is known of an upstream that counts still.
+func (r *Register) record(upstream string, now time.Time) *record {
 	if r.records == nil {
 		r.records = make(map[string]*record)
 	}
 	rec := r.records[upstream]
 	if rec == nil || now.Sub(rec.failedAt) > ForgetAfter {
-		rec = &record{}
+		rec = &record{failedAt: now}
 		r.records[upstream] = rec
 	}
+	return rec
+}
+
+// Doubt notes a fault that may be the upstream's or another's.
+func (r *Register) Doubt(upstream string, now time.Time) {
+	rec := r.record(upstream, now)
+	rec.doubts++
+	if rec.doubts < maxDoubts {
+		return
+	}
+	rec.doubts = 0
+	r.Fail(upstream, now)
+}
+
+// Fail ejects an upstream that failed at now.
+func (r *Register) Fail(upstream string, now time.Time) {
+	rec := r.record(upstream, now)
 	if now.Before(rec.until) {
 		rec.failedAt = now
 		return
@@ -63,7 +85,7 @@
 	if age > BaseTime {
 		return false
 	}
-	if rec := r.records[upstream]; rec != nil && !rec.failedAt.Before(at) {
+	if rec := r.records[upstream]; rec != nil && rec.failures > 0 && !rec.failedAt.Before(at) {
 		return false
 	}
 	if r.Ejected(upstream, now) {
@@ -76,7 +98,11 @@
 // Succeed notes that an upstream served a request to its end.
 func (r *Register) Succeed(upstream string, slots int) {
 	rec := r.records[upstream]
-	if rec == nil || !rec.returning {
+	if rec == nil {
+		return
+	}
+	rec.doubts = 0
+	if !rec.returning {
 		return
 	}
 	rec.room *= 2
@@ -116,7 +142,7 @@
 func (r *Register) Recent(since time.Time) []Failure {
 	var recent []Failure
 	for name, rec := range r.records {
-		if rec.failedAt.After(since) {
+		if rec.failures > 0 && rec.failedAt.After(since) {
 			recent = append(recent, Failure{name, rec.failedAt})
 		}
 	}
--- a/internal/coordination/generation/ledger.go
+++ b/internal/coordination/generation/ledger.go
@@ -67,7 +67,8 @@
 }
 
 // Accept decides on a frame. An error means that the stream can't be trusted
-// any more; it carries a verdict.
+// any more; it carries a verdict, and names the upstream at fault where that
+// can be told.
 func (l *Ledger) Accept(f *engine.Frame) (Event, error) {
 	if f.Request != l.Request {
 		return Ignored, l.fault("frame of another request")
@@ -98,24 +99,28 @@
 	if len(l.tokens) >= l.MaxTokens {
 		return Ignored, l.fault("more tokens than asked for")
 	}
-	if !l.followsRoute(f.Trace) {
-		return Ignored, l.fault(fmt.Sprintf("token %d was not made by the layers of its route", f.Index))
+	if culprit, ok := l.departure(f.Trace); ok {
+		err := l.fault(fmt.Sprintf("token %d was not made by the layers of its route", f.Index))
+		err.Upstream = culprit
+		return Ignored, err
 	}
 	l.tokens = append(l.tokens, f.Text)
 	return Accepted, nil
 }
 
-// followsRoute says whether a trace is the route, span by span.
-func (l *Ledger) followsRoute(trace []engine.Span) bool {
-	if len(trace) != len(l.route) {
-		return false
-	}
-	for i, s := range trace {
-		if s != l.route[i] {
-			return false
+// departure returns the first stage of the route that a trace leaves out or
+// changes. It says whether there is one; a trace that goes on behind the route
+// departs at the last stage.
+func (l *Ledger) departure(trace []engine.Span) (string, bool) {
+	for i, s := range l.route {
+		if i >= len(trace) || trace[i] != s {
+			return s.Upstream, true
 		}
 	}
-	return true
+	if len(trace) > len(l.route) {
+		return l.route[len(l.route)-1].Upstream, true
+	}
+	return "", false
 }
 
 func (l *Ledger) acceptDone(f *engine.Frame) (Event, error) {
@@ -127,6 +132,6 @@
 	return Finished, nil
 }
 
-func (l *Ledger) fault(message string) error {
+func (l *Ledger) fault(message string) *verdict.Error {
 	return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamProtocol, Message: message}
 }
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -176,9 +177,7 @@
 		heard = true
 		event, err := r.ledger.Accept(&frame)
 		if err != nil {
-			e := verdict.Of(err)
-			e.Upstream = place.Chain[0].Upstream.Name
-			return dispatch.Outcome{Fault: dispatch.Protocol, Upstream: e.Upstream}, e
+			return protocolOutcome(err), err
 		}
 		switch {
 		case event == generation.Finished:
@@ -196,6 +195,16 @@
 	}
 }
 
+// protocolOutcome blames the upstream that an error names, or else the whole
+// chain: every stage passes on the frames of those behind it.
+func protocolOutcome(err error) dispatch.Outcome {
+	name := verdict.Of(err).Upstream
+	if name == "" {
+		return dispatch.Outcome{Fault: dispatch.Doubtful}
+	}
+	return dispatch.Outcome{Fault: dispatch.Protocol, Upstream: name}
+}
+
 func (e *Entry) report(name string, load *engine.Load) {
 	e.control.send(func(s *state) {
 		s.dispatcher.Report(name, load.Running, load.Leaving, time.Now())
@@ -226,14 +235,14 @@
 	case verdict.UpstreamWithdrawn:
 		outcome.Fault = dispatch.Leaving
 	case verdict.UpstreamProtocol:
-		outcome.Fault = dispatch.Protocol
+		outcome = protocolOutcome(e)
 	case verdict.UpstreamRefused:
 		outcome.Fault = dispatch.Unreachable
 	case verdict.UpstreamLost:
 		outcome.Fault = r.probe(ctx, place, e.Upstream, heard)
 	case verdict.UpstreamSilent:
-		// Even frames before do not make an upstream faulty that answers now.
-		outcome.Fault = r.probe(ctx, place, e.Upstream, false)
+		outcome.Fault, outcome.Upstream = r.blameSilence(ctx, place, e.Upstream)
+		e.Upstream = outcome.Upstream
 		if outcome.Fault == dispatch.ConnectionSilent {
 			e.Reason = verdict.ConnectionSilent
 		}
@@ -260,16 +269,45 @@
 		if s.Upstream.Name != name {
 			continue
 		}
-		switch r.entry.engines.Probe(ctx, s.Upstream.Address) {
-		case upstream.Gone:
-			return dispatch.Crashed
-		case upstream.Unanswered:
-			return dispatch.Silent
-		}
-		if heard {
+		fault := r.probeStage(ctx, s)
+		switch {
+		case fault != dispatch.ConnectionSilent:
+			return fault
+		case heard:
 			return dispatch.Lost
 		}
-		return dispatch.ConnectionSilent
+		// A kept connection may have ended just when it was used.
+		return dispatch.Doubtful
+	}
+	return dispatch.Doubtful
+}
+
+// probeStage returns ConnectionSilent for an upstream that answers.
+func (r *relay) probeStage(ctx context.Context, s route.Stage) dispatch.Fault {
+	switch r.entry.engines.Probe(ctx, s.Upstream.Address) {
+	case upstream.Gone:
+		return dispatch.Crashed
+	case upstream.Unanswered:
+		return dispatch.Silent
+	}
+	return dispatch.ConnectionSilent
+}
+
+// blameSilence finds out which stage of a chain is behind the silence of one:
+// a stage that waits for a later one may have nothing to say itself. All are
+// asked at once, and the first in order that does not answer is to blame; if
+// all answer, a connection has gone silent, and no upstream is.
+func (r *relay) blameSilence(ctx context.Context, place dispatch.Placement, name string) (dispatch.Fault, string) {
+	faults := make([]dispatch.Fault, len(place.Chain))
+	var group sync.WaitGroup
+	for i, s := range place.Chain {
+		group.Go(func() { faults[i] = r.probeStage(ctx, s) })
+	}
+	group.Wait()
+	for i, fault := range faults {
+		if fault != dispatch.ConnectionSilent {
+			return fault, place.Chain[i].Upstream.Name
+		}
 	}
-	return dispatch.Protocol
+	return dispatch.ConnectionSilent, name
 }
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -144,6 +144,7 @@
 			hearSuspicion(s, suspicion, now)
 		}
 		differ = said.Withdrawals != s.register.Digest()
+		s.withdrawalsRead = s.withdrawalsRead || !differ
 		behind = s.adopter.Behind()
 	})
 	if behind {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -50,12 +50,7 @@
 // place waits for the place of the next attempt.
 func (p *placer) place(ctx context.Context) (dispatch.Placement, error) {
 	sent := p.entry.control.do(func(s *state) {
-		now := time.Now()
-		if p.request.Attempts > 0 {
-			// A retry may wait as long as a fresh request.
-			p.request.QueueDeadline = now.Add(time.Duration(p.entry.Settings.Requests.QueueTimeout))
-		}
-		s.dispatcher.Submit(p.request, now)
+		s.dispatcher.Submit(p.request, time.Now())
 	})
 	if !sent {
 		return dispatch.Placement{}, errStopped
@@ -81,13 +76,14 @@
 // on.
 func (p *placer) finish(ctx context.Context, place dispatch.Placement, outcome dispatch.Outcome) {
 	p.entry.control.do(func(s *state) {
-		// What was refused before it ran adds no load when it is sent again.
-		switch outcome.Fault {
-		case dispatch.Busy, dispatch.Leaving, dispatch.Abandoned, dispatch.Unreachable:
-		default:
-			p.request.Repeated = true
+		now := time.Now()
+		if !outcome.Fault.Harmless() {
+			// The next attempt may wait as long as a fresh request. One that was
+			// refused before it ran is still in its first wait.
+			p.request.QueueDeadline = now.Add(time.Duration(p.entry.Settings.Requests.QueueTimeout))
+			p.request.Repeated = outcome.Fault != dispatch.Unreachable
 		}
-		s.dispatcher.Finish(place.Ticket, outcome, time.Now())
+		s.dispatcher.Finish(place.Ticket, outcome, now)
 	})
 	if outcome.Fault == dispatch.Crashed {
 		p.entry.alarm(ctx)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -77,6 +77,7 @@
 	// All below is guarded by mu.
 	faults   Faults
 	frozen   chan struct{}
+	crashed  bool
 	running  int
 	runs     []Run
 	accepted []string
@@ -137,6 +138,13 @@
 	return slices.Clone(e.accepted)
 }
 
+// Crashed says whether a fault has crashed the engine.
+func (e *Engine) Crashed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashed
+}
+
 // Running returns how many requests run.
 func (e *Engine) Running() int {
 	e.mu.Lock()
--- a/internal/standin/engine/session.go
+++ b/internal/standin/engine/session.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +48,12 @@
 }
 
 func (s *session) serve(r *http.Request) {
+	// The prompt runs through the first stage first; a later one never gets to
+	// see what crashes it.
+	if text := s.engine.currentFaults().CrashOn; text != "" && strings.Contains(s.run.Prompt, text) {
+		s.engine.accept(s.run)
+		s.crash()
+	}
 	if s.run.Position == len(s.run.Route)-1 {
 		s.begin(r.Context(), func() { s.generate(r.Context()) })
 		return
@@ -112,9 +119,6 @@
 // begin says that the attempt runs, and sends heartbeats until work is done.
 func (s *session) begin(ctx context.Context, work func()) {
 	s.engine.accept(s.run)
-	if text := s.engine.currentFaults().CrashOn; text != "" && bytes.Contains([]byte(s.run.Prompt), []byte(text)) {
-		s.crash()
-	}
 	s.out.w.WriteHeader(http.StatusOK)
 	_ = s.out.control.Flush()
 	ctx, cancel := context.WithCancel(ctx)
@@ -126,6 +130,9 @@
 }
 
 func (s *session) crash() {
+	s.engine.mu.Lock()
+	s.engine.crashed = true
+	s.engine.mu.Unlock()
 	s.engine.Crash()
 	panic(http.ErrAbortHandler)
 }
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -28,15 +28,16 @@
 // Host is one VM's place in the network.
 type Host struct {
 	network *Network
-	// Name is what cuts name.
-	Name string
+	Name    string
+	// Zone is the host's availability zone; the name may be that of none.
+	Zone string
 }
 
-// Host returns a host of a name, such as that of an availability zone.
-func (n *Network) Host(name string) *Host { return &Host{n, name} }
+// Host returns a host.
+func (n *Network) Host(name, zone string) *Host { return &Host{n, name, zone} }
 
-// Cut has nothing pass from one host to another. Open connections lose what is
-// sent over the cut for good.
+// Cut has nothing pass from one host or availability zone to another. Open
+// connections lose what is sent over the cut for good.
 func (n *Network) Cut(from, to string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -67,7 +68,7 @@
 
 // Reset closes all open connections to an address.
 func (n *Network) Reset(address string) {
-	n.each(func(c *conn) bool { return c.address == address }, func(c *conn) { c.Close() })
+	n.each(func(c *conn) bool { return c.address == address }, func(c *conn) { c.reset() })
 }
 
 // Kill closes the listeners and all connections of a host.
@@ -75,7 +76,7 @@
 	n.mu.Lock()
 	var dead []*listener
 	for _, l := range n.listeners {
-		if l.host == host {
+		if l.host.Name == host {
 			dead = append(dead, l)
 		}
 	}
@@ -83,7 +84,7 @@
 	for _, l := range dead {
 		l.Close()
 	}
-	n.each(func(c *conn) bool { return c.from == host || c.to == host }, func(c *conn) { c.Close() })
+	n.each(func(c *conn) bool { return c.from.Name == host || c.to.Name == host }, func(c *conn) { c.reset() })
 }
 
 func (n *Network) each(match func(*conn) bool, act func(*conn)) {
@@ -100,10 +101,32 @@
 	}
 }
 
-func (n *Network) isCut(from, to string) bool {
+func (n *Network) isCut(from, to *Host) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[pair{from, to}]
+	return n.cut[pair{from.Name, to.Name}] || n.cut[pair{from.Zone, to.Zone}] ||
+		n.cut[pair{from.Name, to.Zone}] || n.cut[pair{from.Zone, to.Name}]
+}
+
+// Shutdown closes everything, as at the end of a test.
+func (n *Network) Shutdown() {
+	n.mu.Lock()
+	var open []*listener
+	for _, l := range n.listeners {
+		open = append(open, l)
+	}
+	n.mu.Unlock()
+	for _, l := range open {
+		l.Close()
+	}
+	n.each(func(*conn) bool { return true }, func(c *conn) { c.Close() })
+}
+
+// forget drops a closed connection.
+func (n *Network) forget(c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
 }
 
 // acceptBacklog is how many connections wait to be accepted.
@@ -123,7 +146,7 @@
 	}
 	l := &listener{
 		network: n,
-		host:    h.Name,
+		host:    h,
 		address: address,
 		backlog: make(chan net.Conn, acceptBacklog),
 		closed:  make(chan struct{}),
@@ -141,11 +164,11 @@
 	if l == nil {
 		return nil, fmt.Errorf("network: dial %s: %w", address, syscall.ECONNREFUSED)
 	}
-	if n.isCut(h.Name, l.host) || n.isCut(l.host, h.Name) || l.frozen.Load() {
+	if n.isCut(h, l.host) || n.isCut(l.host, h) || l.frozen.Load() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	near, far := n.pipe(h.Name, l)
+	near, far := n.pipe(h, l)
 	select {
 	case l.backlog <- far:
 		return near, nil
@@ -167,11 +190,11 @@
 	}
 }
 
-func (n *Network) pipe(from string, l *listener) (*conn, *conn) {
-	a, b := net.Pipe()
+func (n *Network) pipe(from *Host, l *listener) (*conn, *conn) {
+	up, down := newHalf(), newHalf()
 	silent := new(atomic.Bool)
-	near := &conn{Conn: a, network: n, from: from, to: l.host, address: l.address, silent: silent}
-	far := &conn{Conn: b, network: n, from: l.host, to: from, address: l.address, silent: silent}
+	near := &conn{network: n, from: from, to: l.host, address: l.address, in: down, out: up, silent: silent, closed: make(chan struct{})}
+	far := &conn{network: n, from: l.host, to: from, address: l.address, in: up, out: down, silent: silent, closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[near] = true
@@ -182,7 +205,7 @@
 // listener implements net.Listener.
 type listener struct {
 	network *Network
-	host    string
+	host    *Host
 	address string
 	backlog chan net.Conn
 	frozen  atomic.Bool
@@ -223,40 +246,3 @@
 
 // String implements net.Addr.
 func (a addr) String() string { return string(a) }
-
-// conn is one end of a connection.
-type conn struct {
-	net.Conn
-	network  *Network
-	from, to string
-	address  string
-	// silent is shared by both ends.
-	silent *atomic.Bool
-}
-
-// Write loses what is sent over a cut, and all that follows it.
-func (c *conn) Write(p []byte) (int, error) {
-	if c.network.isCut(c.from, c.to) {
-		c.silent.Store(true)
-	}
-	if c.silent.Load() {
-		return len(p), nil
-	}
-	return c.Conn.Write(p)
-}
-
-// Close implements net.Conn. The other end of a silent connection does not
-// hear of it.
-func (c *conn) Close() error {
-	c.network.mu.Lock()
-	delete(c.network.conns, c)
-	c.network.mu.Unlock()
-	if c.silent.Load() {
-		// Only this end's calls return.
-		return c.Conn.SetDeadline(closedDeadline)
-	}
-	return c.Conn.Close()
-}
-
-// RemoteAddr implements net.Conn.
-func (c *conn) RemoteAddr() net.Addr { return addr(c.address) }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -106,6 +106,8 @@
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	faults := p.count(r)
 	if faults.Hang {
+		// The server notices that a caller has gone only once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	}
--- a/internal/transport/upstream/engines.go
+++ b/internal/transport/upstream/engines.go
@@ -161,10 +161,10 @@
 	s.watchdog.Reset(SilenceTimeout)
 	frame, err := engine.DecodeFrame(s.scanner.Bytes())
 	if err != nil {
-		return frame, s.fault(verdict.UpstreamProtocol, s.head(), err)
+		return frame, s.fault(verdict.UpstreamProtocol, "", err)
 	}
 	if frame.Request != s.request.Request {
-		return frame, s.fault(verdict.UpstreamProtocol, s.head(), errors.New("answer to another request"))
+		return frame, s.fault(verdict.UpstreamProtocol, "", errors.New("answer to another request"))
 	}
 	if quiet := s.hear(&frame); quiet != "" {
 		return frame, s.fault(verdict.UpstreamSilent, quiet, errors.New("no heartbeat"))
