--- a/cmd/lovageport/dev.go
+++ b/cmd/lovageport/dev.go
@@ -123,7 +123,7 @@
 		Services: []declaration.Service{{
 			Name:      "ladentisch",
 			Upstreams: []string{"ladentisch-1"},
-			Timeout:   declaration.Duration(5 * time.Second),
+			Timeout:   declaration.Span(5 * time.Second),
 			Operations: []declaration.Operation{
 				{Method: http.MethodGet, Path: "/stock/*", Repeatable: true},
 				{Method: http.MethodPost, Path: "/bookings"},
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -26,10 +26,10 @@
 		e.control.publish(s)
 	})
 	// New requests are served during the notice: the balancer still sends some.
-	if !wait(ctx, time.Duration(e.Settings.Drain.Notice)) {
+	if !wait(ctx, e.Settings.Drain.Notice.Duration) {
 		return nil
 	}
-	end := time.Now().Add(time.Duration(e.Settings.Drain.Timeout))
+	end := time.Now().Add(e.Settings.Drain.Timeout.Duration)
 	for e.inFlight.Load() > 0 && time.Now().Before(end) {
 		if !wait(ctx, drainPoll) {
 			return nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,7 +77,7 @@
 	e.platform = &platform.Client{
 		Address:    e.Settings.Platform.Address,
 		Credential: e.Settings.Platform.Credential,
-		Timeout:    time.Duration(e.Settings.Platform.Timeout),
+		Timeout:    e.Settings.Platform.Timeout.Duration,
 		Dial:       e.Dial,
 	}
 	e.objects = e.platform.Objects()
@@ -198,8 +198,8 @@
 
 func (e *Entry) callerServer() *caller.Server {
 	return &caller.Server{
-		Timeout:      time.Duration(e.Settings.Requests.Timeout),
-		BodyTimeout:  time.Duration(e.Settings.Requests.BodyTimeout),
+		Timeout:      e.Settings.Requests.Timeout.Duration,
+		BodyTimeout:  e.Settings.Requests.BodyTimeout.Duration,
 		MaxBodyBytes: e.Settings.Requests.MaxBodyBytes,
 		Backend: caller.Backend{
 			NewRequest:   e.newRequest,
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -131,7 +131,7 @@
 	}
 	service := declaration.Service{
 		Name:          testService,
-		Timeout:       declaration.Duration(5 * time.Second),
+		Timeout:       declaration.Span(5 * time.Second),
 		EchoesAttempt: true,
 		Operations: []declaration.Operation{
 			{Method: http.MethodGet, Path: "/stock/*", Repeatable: true},
@@ -160,7 +160,7 @@
 	set.Services = []declaration.Service{service}
 	for i, a := range testZones {
 		for _, b := range testZones[i+1:] {
-			set.Links = append(set.Links, declaration.Link{From: a, To: b, Latency: declaration.Duration(5 * time.Millisecond)})
+			set.Links = append(set.Links, declaration.Link{From: a, To: b, Latency: declaration.Span(5 * time.Millisecond)})
 		}
 	}
 	return set
@@ -238,17 +238,17 @@
 			Operators: address(name, 2),
 			Peers:     address(name, 3),
 		},
-		Platform:  setting.Platform{Address: "10.0.0.1:80", Credential: "vm", Timeout: declaration.Duration(time.Second)},
-		Peers:     setting.Peers{Secret: "secret", HeartbeatInterval: declaration.Duration(setting.DefaultHeartbeatInterval)},
+		Platform:  setting.Platform{Address: "10.0.0.1:80", Credential: "vm", Timeout: declaration.Span(time.Second)},
+		Peers:     setting.Peers{Secret: "secret", HeartbeatInterval: declaration.Span(setting.DefaultHeartbeatInterval)},
 		Operators: setting.Operators{BootstrapKeyHash: catalog.HashKey(testOperator)},
 		Requests: setting.Requests{
-			Timeout:      declaration.Duration(setting.DefaultRequestTimeout),
-			QueueTimeout: declaration.Duration(setting.DefaultQueueTimeout),
-			BodyTimeout:  declaration.Duration(setting.DefaultBodyTimeout),
+			Timeout:      declaration.Span(setting.DefaultRequestTimeout),
+			QueueTimeout: declaration.Span(setting.DefaultQueueTimeout),
+			BodyTimeout:  declaration.Span(setting.DefaultBodyTimeout),
 			MaxBodyBytes: setting.DefaultMaxBodyBytes,
 			MaxQueue:     setting.DefaultMaxQueue,
 		},
-		Drain: setting.Drain{Timeout: declaration.Duration(setting.DefaultDrainTimeout), Notice: declaration.Duration(setting.DefaultDrainNotice)},
+		Drain: setting.Drain{Timeout: declaration.Span(setting.DefaultDrainTimeout), Notice: declaration.Span(setting.DefaultDrainNotice)},
 	}
 	if f.settings != nil {
 		f.settings(settings)
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -32,7 +32,7 @@
 func (e *Entry) beat(ctx context.Context) error {
 	for round := 0; ; round++ {
 		e.beatAll(ctx, e.targets(round))
-		if !wait(ctx, time.Duration(e.Settings.Peers.HeartbeatInterval)) {
+		if !wait(ctx, e.Settings.Peers.HeartbeatInterval.Duration) {
 			return nil
 		}
 	}
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -42,7 +42,7 @@
 	if !operation.Repeatable && i.Key == "" {
 		return nil, verdict.Refuse(verdict.KeyMissing, "%s %s may not be repeated; send %s", i.Method, i.Path, caller.KeyHeader)
 	}
-	timeout := min(i.Timeout, time.Duration(service.Timeout))
+	timeout := min(i.Timeout, service.Timeout.Duration)
 	content := fmt.Appendf(nil, "%s %s?%s %s", i.Method, i.Path, i.Query, i.Body)
 	c := &call{
 		entry:     e,
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -26,7 +26,7 @@
 	p := &placer{entry: e, request: r, replies: make(chan reply, 1)}
 	now := time.Now()
 	r.Deadline = now.Add(timeout)
-	r.QueueDeadline = now.Add(min(timeout, time.Duration(e.Settings.Requests.QueueTimeout)))
+	r.QueueDeadline = now.Add(min(timeout, e.Settings.Requests.QueueTimeout.Duration))
 	r.Reply = func(place dispatch.Placement, err error) { p.replies <- reply{place, err} }
 	return p
 }
@@ -80,7 +80,7 @@
 		if !outcome.Fault.Harmless() {
 			// The next attempt may wait as long as a fresh request. One that was
 			// refused before it ran is still in its first wait.
-			p.request.QueueDeadline = now.Add(time.Duration(p.entry.Settings.Requests.QueueTimeout))
+			p.request.QueueDeadline = now.Add(p.entry.Settings.Requests.QueueTimeout.Duration)
 			p.request.Repeated = outcome.Fault != dispatch.Unreachable
 		}
 		s.dispatcher.Finish(place.Ticket, outcome, now)
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -145,7 +145,7 @@
 		stop()
 	}, func(f *fleet) {
 		for i := range f.set.Loans {
-			f.set.Loans[i].UnconfirmedUse = declaration.Duration(term)
+			f.set.Loans[i].UnconfirmedUse = declaration.Span(term)
 		}
 	})
 }
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -224,20 +224,20 @@
 }
 
 func (c *checker) duration(table, key string, value declaration.Duration) {
-	c.require(value >= 0, table, key, "must not be negative")
+	c.require(value.Duration >= 0, table, key, "must not be negative")
 }
 
 // complete puts defaults where nothing is set.
 func (s *Settings) complete() {
-	setDefault(&s.Platform.Timeout, declaration.Duration(DefaultPlatformTimeout))
-	setDefault(&s.Peers.HeartbeatInterval, declaration.Duration(DefaultHeartbeatInterval))
-	setDefault(&s.Requests.Timeout, declaration.Duration(DefaultRequestTimeout))
-	setDefault(&s.Requests.QueueTimeout, declaration.Duration(DefaultQueueTimeout))
-	setDefault(&s.Requests.BodyTimeout, declaration.Duration(DefaultBodyTimeout))
+	setDefault(&s.Platform.Timeout, declaration.Span(DefaultPlatformTimeout))
+	setDefault(&s.Peers.HeartbeatInterval, declaration.Span(DefaultHeartbeatInterval))
+	setDefault(&s.Requests.Timeout, declaration.Span(DefaultRequestTimeout))
+	setDefault(&s.Requests.QueueTimeout, declaration.Span(DefaultQueueTimeout))
+	setDefault(&s.Requests.BodyTimeout, declaration.Span(DefaultBodyTimeout))
 	setDefault(&s.Requests.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&s.Requests.MaxQueue, DefaultMaxQueue)
-	setDefault(&s.Drain.Timeout, declaration.Duration(DefaultDrainTimeout))
-	setDefault(&s.Drain.Notice, declaration.Duration(DefaultDrainNotice))
+	setDefault(&s.Drain.Timeout, declaration.Span(DefaultDrainTimeout))
+	setDefault(&s.Drain.Notice, declaration.Span(DefaultDrainNotice))
 	setDefault(&s.Log.Level, "info")
 }
 
--- a/internal/state/catalog/catalog.go
+++ b/internal/state/catalog/catalog.go
@@ -84,9 +84,9 @@
 		c.operators[set.Operators[i].KeyHash] = &set.Operators[i]
 	}
 	for _, l := range set.Links {
-		c.links[link{l.From, l.To}] = time.Duration(l.Latency)
+		c.links[link{l.From, l.To}] = l.Latency.Duration
 		if _, ok := c.links[link{l.To, l.From}]; !ok {
-			c.links[link{l.To, l.From}] = time.Duration(l.Latency)
+			c.links[link{l.To, l.From}] = l.Latency.Duration
 		}
 	}
 	c.indexModels(set)
@@ -116,7 +116,7 @@
 
 // addLoan adds the upstreams of a loan to the pools of its pipelines' models.
 func (c *Catalog) addLoan(l declaration.Loan, modelOf map[string]string) {
-	term := time.Duration(l.UnconfirmedUse)
+	term := l.UnconfirmedUse.Duration
 	if term == 0 {
 		term = declaration.DefaultUnconfirmedUse
 	}
--- a/pkg/declaration/check.go
+++ b/pkg/declaration/check.go
@@ -139,7 +139,7 @@
 func (c *checker) checkLoans(loans []Loan) {
 	for i, l := range loans {
 		at := fmt.Sprintf("Loans[%d].", i)
-		c.require(l.UnconfirmedUse >= 0, at+"UnconfirmedUse", "must not be negative")
+		c.require(l.UnconfirmedUse.Duration >= 0, at+"UnconfirmedUse", "must not be negative")
 		for _, name := range l.Upstreams {
 			u, ok := c.upstreams[name]
 			c.require(ok, at+"Upstreams", "no upstream %q", name)
@@ -155,7 +155,7 @@
 	for i, l := range links {
 		at := fmt.Sprintf("Links[%d].", i)
 		c.require(l.From != "" && l.To != "", at+"From", "both availability zones must be named")
-		c.require(l.Latency >= 0, at+"Latency", "must not be negative")
+		c.require(l.Latency.Duration >= 0, at+"Latency", "must not be negative")
 	}
 }
 
@@ -179,7 +179,7 @@
 func (c *checker) checkServices(services []Service) {
 	for i, s := range services {
 		at := fmt.Sprintf("Services[%d].", i)
-		c.require(s.Timeout > 0, at+"Timeout", "must be above 0")
+		c.require(s.Timeout.Duration > 0, at+"Timeout", "must be above 0")
 		c.require(len(s.Upstreams) > 0, at+"Upstreams", "missing")
 		for _, name := range s.Upstreams {
 			u, ok := c.upstreams[name]
--- a/pkg/declaration/kinds.go
+++ b/pkg/declaration/kinds.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// Duration is a time span written with its unit, such as "2s".
-type Duration time.Duration
+// Duration is a time span written with its unit, such as "2s". It is a struct
+// so that the TOML library does not take a bare number for nanoseconds.
+type Duration struct{ time.Duration }
+
+// Span returns d as a Duration.
+func Span(d time.Duration) Duration { return Duration{d} }
 
 // UnmarshalText accepts a span with its unit.
 func (d *Duration) UnmarshalText(text []byte) error {
@@ -14,12 +18,12 @@
 	if err != nil {
 		return fmt.Errorf("declaration: %q is no duration with a unit, such as \"2s\"", text)
 	}
-	*d = Duration(span)
+	d.Duration = span
 	return nil
 }
 
 // MarshalText returns the span with its unit.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
 // LayerRange is the half-open range [From, To) of a model's layers.
 type LayerRange struct {
--- a/pkg/declaration/parse.go
+++ b/pkg/declaration/parse.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"sort"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -76,9 +77,8 @@
 
 func decodeFile(file *File) (Set, []Fault) {
 	var part Set
-	decoder := toml.NewDecoder(bytes.NewReader(file.Text)).DisallowUnknownFields()
-	err := decoder.Decode(&part)
-	return part, tomlFaults(file.Name, err)
+	faults := DecodeStrict(*file, &part)
+	return part, faults
 }
 
 // tomlFaults turns the errors of the TOML library into faults with lines.
@@ -106,8 +106,26 @@
 // DecodeStrict decodes a single TOML text into v and returns its faults. It
 // serves other formats of the project, such as the settings of a process.
 func DecodeStrict(file File, v any) []Fault {
-	err := toml.NewDecoder(bytes.NewReader(file.Text)).DisallowUnknownFields().Decode(v)
-	return tomlFaults(file.Name, err)
+	decode := func(text []byte, v any) error {
+		return toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(v)
+	}
+	err := decode(file.Text, v)
+	faults := tomlFaults(file.Name, err)
+	if len(faults) == 1 && faults[0].Line == 0 {
+		fresh := func(text []byte) error { return decode(text, reflect.New(reflect.TypeOf(v).Elem()).Interface()) }
+		faults[0].Line = lineOfError(file.Text, err, fresh)
+	}
+	return faults
+}
+
+// lineOfError finds the line of an error to which the TOML library gives none:
+// the first one up to which decoding ends with that error.
+func lineOfError(text []byte, err error, decode func(text []byte) error) int {
+	lines := bytes.SplitAfter(text, []byte("\n"))
+	return 1 + sort.Search(len(lines)-1, func(i int) bool {
+		got := decode(bytes.Join(lines[:i+1], nil))
+		return got != nil && got.Error() == err.Error()
+	})
 }
 
 // join appends part to set and notes where each object came from.
