--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -19,7 +19,7 @@
 )
 
 // generate makes an answer, over as many attempts as it takes.
-func (e *Entry) generate(ctx context.Context, g *caller.Generation, sink func(token string) error) (caller.Result, error) {
+func (e *Entry) generate(ctx context.Context, g *caller.Generation, sink caller.Sink) (caller.Result, error) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	model, pool, ok := e.control.view.Load().catalog.Model(g.Body.Model)
@@ -28,7 +28,8 @@
 	}
 	maxTokens := min(g.MaxTokens, model.MaxOutputTokens)
 	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
-	defer cancel()
+	// The end of a finished answer's body is still read after the return.
+	defer time.AfterFunc(upstream.SilenceTimeout, cancel)
 	content := fmt.Appendf(nil, "%d %s", maxTokens, g.Prompt)
 	r := &relay{
 		entry:  e,
@@ -44,7 +45,7 @@
 			Cost:        maxTokens,
 		}, g.Timeout),
 	}
-	if err := r.placer.open(); err != nil {
+	if err := r.placer.openAndSubmit(); err != nil {
 		return caller.Result{}, err
 	}
 	defer r.placer.close()
@@ -55,7 +56,7 @@
 type relay struct {
 	entry  *Entry
 	caller *caller.Generation
-	sink   func(token string) error
+	sink   caller.Sink
 	watch  *stopwatch
 	ledger generation.Ledger
 	placer *placer
@@ -132,8 +133,13 @@
 	if err != nil {
 		return r.explain(ctx, place, err, false)
 	}
-	defer stream.Close()
-	return r.read(ctx, place, stream)
+	outcome, err := r.read(ctx, place, stream)
+	if err != nil {
+		stream.Close()
+		return outcome, err
+	}
+	stream.Finish()
+	return outcome, nil
 }
 
 func (r *relay) runRequest(ctx context.Context, place dispatch.Placement) *engine.RunRequest {
@@ -184,7 +190,7 @@
 			return dispatch.Outcome{Fault: dispatch.None}, nil
 		case event == generation.Accepted:
 			r.watch.token(len(r.ledger.Tokens()))
-			if err := r.sink(frame.Text); err != nil {
+			if err := r.sink(frame.Text, stream.More()); err != nil {
 				return dispatch.Outcome{Fault: dispatch.Abandoned}, &verdict.Error{Reason: verdict.CallerGone, Err: err}
 			}
 		case frame.Kind == engine.Heartbeat && frame.Load != nil:
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -14,6 +14,8 @@
 	entry   *Entry
 	request *dispatch.Request
 	replies chan reply
+	// submitted says that the first submission was made on opening.
+	submitted bool
 }
 
 // reply is the dispatcher's answer to a submission.
@@ -34,9 +36,22 @@
 var errStopped = verdict.RefuseUntil(time.Second, verdict.Draining, "entry has stopped")
 
 // open takes the request in.
-func (p *placer) open() error {
+func (p *placer) open() error { return p.enter(false) }
+
+// openAndSubmit takes the request in and asks for its first place at once,
+// which saves the way to the control loop and back.
+func (p *placer) openAndSubmit() error { return p.enter(true) }
+
+func (p *placer) enter(submit bool) error {
 	var err error
-	if !p.entry.control.do(func(s *state) { err = s.dispatcher.Open(p.request, time.Now()) }) {
+	ran := p.entry.control.do(func(s *state) {
+		now := time.Now()
+		if err = s.dispatcher.Open(p.request, now); err == nil && submit {
+			p.submitted = true
+			s.dispatcher.Submit(p.request, now)
+		}
+	})
+	if !ran {
 		return errStopped
 	}
 	return err
@@ -49,10 +64,7 @@
 
 // place waits for the place of the next attempt.
 func (p *placer) place(ctx context.Context) (dispatch.Placement, error) {
-	sent := p.entry.control.do(func(s *state) {
-		s.dispatcher.Submit(p.request, time.Now())
-	})
-	if !sent {
+	if !p.submit() {
 		return dispatch.Placement{}, errStopped
 	}
 	select {
@@ -72,6 +84,16 @@
 	return dispatch.Placement{}, goneError(ctx, &verdict.Error{Run: verdict.NotRun})
 }
 
+// submit asks for a place, unless that was done on opening. It says whether
+// the control loop runs.
+func (p *placer) submit() bool {
+	if p.submitted {
+		p.submitted = false
+		return true
+	}
+	return p.entry.control.do(func(s *state) { s.dispatcher.Submit(p.request, time.Now()) })
+}
+
 // finish ends an attempt. A crash is told to the peers before the request goes
 // on.
 func (p *placer) finish(ctx context.Context, place dispatch.Placement, outcome dispatch.Outcome) {
--- a/internal/standin/engine/session.go
+++ b/internal/standin/engine/session.go
@@ -222,7 +222,12 @@
 		} else {
 			err = s.out.line(bytes.Clone(scanner.Bytes()))
 		}
-		if err != nil || f.Kind == engine.Done || f.Kind == engine.Failed {
+		if err != nil || f.Kind == engine.Failed {
+			return
+		}
+		if f.Kind == engine.Done {
+			// The connection can be used again once its end has been read.
+			_, _ = io.Copy(io.Discard, body)
 			return
 		}
 	}
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -54,6 +54,11 @@
 	Timeout   time.Duration
 }
 
+// Sink takes the tokens of an answer as they are made. more says that the next
+// one is there already, so that both may be sent together. An error says that
+// the caller has gone.
+type Sink func(token string, more bool) error
+
 // Result is the end of a whole answer.
 type Result struct {
 	Tokens       int
@@ -92,7 +97,7 @@
 	// Models returns the names of the models.
 	Models func() []string
 	// Generate makes an answer, and gives sink each token as it is made.
-	Generate func(ctx context.Context, g *Generation, sink func(token string) error) (Result, error)
+	Generate func(ctx context.Context, g *Generation, sink Sink) (Result, error)
 	// Invoke calls a plain service.
 	Invoke func(ctx context.Context, i *Invocation) (*Reply, error)
 	// Refused is told of each refusal and error.
--- a/internal/transport/caller/text.go
+++ b/internal/transport/caller/text.go
@@ -51,7 +51,7 @@
 // whole answers once the answer is complete.
 func (s *Server) whole(w http.ResponseWriter, r *http.Request, g *Generation, f format) error {
 	var text strings.Builder
-	result, err := s.Backend.Generate(r.Context(), g, func(token string) error {
+	result, err := s.Backend.Generate(r.Context(), g, func(token string, _ bool) error {
 		text.WriteString(token)
 		return nil
 	})
@@ -90,6 +90,8 @@
 	control *http.ResponseController
 	format  format
 	begun   bool
+	// extended is when the write deadline was last moved.
+	extended time.Time
 	// prefix and suffix are the constant parts of a chunk around its text.
 	prefix []byte
 	suffix []byte
@@ -109,8 +111,8 @@
 	}
 }
 
-// token writes a token. An error says that the caller has gone.
-func (t *stream) token(text string) error {
+// token implements [Sink].
+func (t *stream) token(text string, more bool) error {
 	if !t.begun {
 		t.begin()
 	}
@@ -123,26 +125,37 @@
 	t.buffer = append(t.buffer, quoted...)
 	t.buffer = append(t.buffer, t.suffix...)
 	t.buffer = append(t.buffer, "\n\n"...)
-	return t.write(t.buffer)
+	return t.write(t.buffer, more)
 }
 
-func (t *stream) write(text []byte) error {
-	if err := t.control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+// write sends text, or keeps it to be sent with what follows.
+func (t *stream) write(text []byte, more bool) error {
+	if err := t.extend(); err != nil {
 		return err
 	}
-	if _, err := t.w.Write(text); err != nil {
+	if _, err := t.w.Write(text); err != nil || more {
 		return err
 	}
 	return t.control.Flush()
 }
 
+// extend moves the write deadline, but not for every token.
+func (t *stream) extend() error {
+	now := time.Now()
+	if now.Sub(t.extended) < writeTimeout/10 {
+		return nil
+	}
+	t.extended = now
+	return t.control.SetWriteDeadline(now.Add(writeTimeout))
+}
+
 func (t *stream) event(body any) {
 	text, err := json.Marshal(body)
 	if err != nil {
 		return
 	}
 	// A caller that has gone is noticed at the next token.
-	_ = t.write([]byte("data: " + string(text) + "\n\n"))
+	_ = t.write([]byte("data: "+string(text)+"\n\n"), false)
 }
 
 // end writes the terminal events of a whole answer.
@@ -154,7 +167,7 @@
 	if usage {
 		t.event(t.format.usage(result))
 	}
-	_ = t.write([]byte("data: [DONE]\n\n"))
+	_ = t.write([]byte("data: [DONE]\n\n"), false)
 }
 
 // abort writes an error event and breaks the connection, so that the part
--- a/internal/transport/upstream/engines.go
+++ b/internal/transport/upstream/engines.go
@@ -83,7 +83,7 @@
 type Stream struct {
 	request  *engine.RunRequest
 	body     io.ReadCloser
-	scanner  *bufio.Scanner
+	reader   *bufio.Reader
 	watchdog *time.Timer
 	silent   *atomic.Bool
 	cancel   context.CancelFunc
@@ -116,8 +116,7 @@
 		defer s.Close()
 		return nil, s.refusal(response)
 	}
-	s.scanner = bufio.NewScanner(response.Body)
-	s.scanner.Buffer(make([]byte, streamBufferBytes), engine.MaxFrameBytes)
+	s.reader = bufio.NewReaderSize(response.Body, streamBufferBytes)
 	s.heard = make([]time.Time, len(run.Route)-run.Position)
 	now := time.Now()
 	for i := range s.heard {
@@ -151,15 +150,12 @@
 // Next returns the next frame. At the end of the body it returns an error: a
 // whole answer ends with a Done frame, after which Next is not called.
 func (s *Stream) Next() (engine.Frame, error) {
-	if !s.scanner.Scan() {
-		err := s.scanner.Err()
-		if err == nil {
-			err = io.ErrUnexpectedEOF
-		}
-		return engine.Frame{}, s.lost(err)
+	line, err := s.readLine()
+	if err != nil {
+		return engine.Frame{}, err
 	}
 	s.watchdog.Reset(SilenceTimeout)
-	frame, err := engine.DecodeFrame(s.scanner.Bytes())
+	frame, err := engine.DecodeFrame(line)
 	if err != nil {
 		return frame, s.fault(verdict.UpstreamProtocol, "", err)
 	}
@@ -172,6 +168,53 @@
 	return frame, nil
 }
 
+// readLine returns the next line. A line that does not fit the buffer is
+// gathered, up to the bound of a frame.
+func (s *Stream) readLine() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, s.lineError(err)
+	}
+	long := bytes.Clone(line)
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if len(long) > engine.MaxFrameBytes {
+			return nil, s.fault(verdict.UpstreamProtocol, "", errors.New("frame too long"))
+		}
+		line, err = s.reader.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	return long, s.lineError(err)
+}
+
+// lineError explains why a line has no end. A whole answer ends with a Done
+// frame, so that the end of the body always comes too early.
+func (s *Stream) lineError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, io.EOF):
+		return s.lost(io.ErrUnexpectedEOF)
+	}
+	return s.lost(err)
+}
+
+// More says whether the next frame has arrived already.
+func (s *Stream) More() bool {
+	waiting, err := s.reader.Peek(s.reader.Buffered())
+	return err == nil && bytes.IndexByte(waiting, '\n') >= 0
+}
+
+// Finish ends a whole answer: it reads the end of the body, so that the
+// connection can be used again.
+func (s *Stream) Finish() {
+	s.watchdog.Reset(SilenceTimeout)
+	go func() {
+		defer s.Close()
+		// An error only means that the connection is not kept.
+		_, _ = io.CopyN(io.Discard, s.reader, maxRefusalBytes)
+	}()
+}
+
 func (s *Stream) head() string { return s.stage(0) }
 
 // stage returns the name of the i-th stage from the one that was called.
