--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -41,10 +41,10 @@
 func (c *Client) Objects() store.Objects {
 	dial := c.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: c.Timeout}).DialContext
+		dial = (&net.Dialer{}).DialContext
 	}
 	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:         markDial(dial),
+		DialContext:         markDial(dial, c.Timeout),
 		MaxIdleConnsPerHost: 16,
 		IdleConnTimeout:     time.Minute,
 	}}
@@ -61,9 +61,12 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// markDial marks failures to connect: such a call was not sent.
-func markDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+// markDial bounds the time to connect, which the HTTP library does not bound by
+// the call's, and marks failures to connect: such a call was not sent.
+func markDial(dial func(ctx context.Context, network, address string) (net.Conn, error), timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, &store.NotSentError{Err: err}
