--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -392,6 +392,9 @@
 	return time.Since(begin)
 }
 
+// errCleanEnd says that a stream ended like a whole one, after a part.
+var errCleanEnd = errors.New("stream ended cleanly after a part")
+
 // answer is what a caller gets.
 type answer struct {
 	request  string
@@ -523,7 +526,7 @@
 		a.err = err
 		a.whole = false
 	} else if !a.whole {
-		a.err = errors.New("stream ended cleanly after a part")
+		a.err = errCleanEnd
 	}
 }
 
@@ -573,6 +576,7 @@
 // answer, and one that says not run is in nobody's record.
 func (f *fleet) check(a ask, got answer) {
 	f.t.Helper()
+	qt.Check(f.t, got.err, qt.Not(qt.Equals), errCleanEnd)
 	if got.whole && got.status == http.StatusOK {
 		qt.Check(f.t, got.text, qt.Equals, standinengine.Answer(a.prompt, a.tokens), qt.Commentf("answer to %q", a.prompt))
 		return
