Show that each mechanism's proof fails without it

Cause: a test that passes with and without a mechanism proves nothing. On a scratch copy, 26 mechanisms were taken out one at a time (trials). Eight of them stayed green at first: - a lapsed claim that is taken over: the repeats all came before the claim had lapsed. They now come during the pause too. - an entry that does not wait for its requests when draining: the requests were shorter than the notice. - a stored state that replaces what is known of withdrawals: the old state held none. - an answer to another attempt of a service: only seen as an error before. - four were held by a second mechanism or by another test (placing and sending both ask about withdrawals; Offer and Adopt both refuse lower generations; the adopter's property; the check of cautious verdicts).

--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -230,3 +232,22 @@
 		qt.Check(t, got.verdict, qt.Equals, "not-run")
 	})
 }
+
+// TestCrossedServiceAnswer: an answer to another attempt never reaches a
+// caller, and a call that may be repeated is served elsewhere.
+func TestCrossedServiceAnswer(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.services["wien-service"].SetFaults(standinservice.Faults{WrongAttempt: true})
+		got := f.book("wien-entry", "k1", "roses")
+		qt.Check(t, got.reason, qt.Equals, verdict.UpstreamProtocol)
+		qt.Check(t, got.verdict, qt.Equals, "may-have-run")
+		// The service is ejected for a second; then it is asked again.
+		time.Sleep(2 * time.Second)
+		request, err := http.NewRequestWithContext(f.ctx, http.MethodGet, "http://"+address("wien-entry", 1)+"/services/"+testService+"/stock/roses", nil)
+		qt.Assert(t, err, qt.IsNil)
+		request.Header.Set("Authorization", "Bearer "+testKey)
+		got = f.send(request, false)
+		qt.Check(t, got.status, qt.Equals, 200)
+		qt.Check(t, strings.Contains(got.text, `"Service":"wien-service"`), qt.IsFalse)
+	})
+}
--- a/internal/entry/matrix_test.go
+++ b/internal/entry/matrix_test.go
@@ -22,6 +22,8 @@
 const (
 	silenceBound = 1500 * time.Millisecond
 	matrixTokens = 12
+	// lapseTime is longer than a claim lasts, its call's timeout included.
+	lapseTime = 15 * time.Second
 )
 
 func textFaults() []fault {
@@ -152,6 +154,10 @@
 		time.Sleep(50 * time.Millisecond)
 		// The caller is impatient and tries another entry at once.
 		f.checkBooking(f.book("graz-entry", "k1", "roses"))
+		// And once more when the claim has lapsed, which a paused entry does not
+		// know.
+		time.Sleep(lapseTime)
+		f.checkBooking(f.book("linz-entry", "k1", "roses"))
 		f.checkBooking(<-results)
 		x.heal(f)
 		synctest.Wait()
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -90,7 +90,9 @@
 
 func TestWithdrawalDuringOutageIsNotLost(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
+		f.withdraw("graz-entry", "linz-engine-2")
 		old := f.platform.Objects()
+		qt.Assert(t, old["withdrawals"].Value, qt.Not(qt.HasLen), 0)
 		f.platform.SetFaults(faultsOfPlatform{Down: true})
 		got := f.withdraw("wien-entry", "wien-engine-1")
 		qt.Assert(t, got.err, qt.IsNil)
@@ -219,7 +221,8 @@
 					mu.Lock()
 					entry := ready[(i+n)%len(ready)]
 					mu.Unlock()
-					a := ask{entry: entry, prompt: fmt.Sprint(i, n), tokens: 40, stream: true}
+					// Longer than the notice and the balancer's delay.
+					a := ask{entry: entry, prompt: fmt.Sprint(i, n), tokens: 400, stream: true}
 					got := f.chat(a)
 					f.check(a, got)
 					qt.Check(t, got.whole, qt.IsTrue, qt.Commentf("%+v", got))
