Build changes on what is in force, not on an older stored head

Cause: with the platform restored from a backup, the stored head is older than the generation in force. A change that built on the one in force was refused as a conflict with an older change, and one that built on the stored head got a generation that no entry would adopt. Change: apply takes the newer of the stored and the entry's own head as its base; the condition of the write stays the stored object's version.

--- a/internal/entry/configuration_test.go
+++ b/internal/entry/configuration_test.go
@@ -242,3 +242,23 @@
 		qt.Check(t, f.status("wien-entry").PlatformReachable, qt.IsTrue)
 	})
 }
+
+// TestPlatformRestoredFromBackup: the stored head is older than what is in
+// force; the next change builds on what is in force all the same.
+func TestPlatformRestoredFromBackup(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		backup := f.platform.Objects()
+		for i, id := range []string{"second", "third"} {
+			f.addAccount(id)
+			f.apply("wien-entry", id, int64(i+1))
+		}
+		f.platform.Restore(backup)
+		time.Sleep(5 * time.Second)
+		qt.Check(t, f.status("graz-entry").Generation, qt.Equals, int64(3))
+		f.addAccount("fourth")
+		qt.Check(t, f.apply("graz-entry", "fourth", 3).Generation, qt.Equals, int64(4))
+		for name := range f.entries {
+			f.awaitGeneration(name, 4, adoptionBound)
+		}
+	})
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -60,7 +60,7 @@
 
 // apply makes a set the accepted configuration and puts it in force here.
 func (e *Entry) apply(ctx context.Context, id, by string, expected int64, set declaration.Set) (configuration.Change, bool, error) {
-	change, repeated, err := e.stored.Apply(ctx, id, by, expected, set)
+	change, repeated, err := e.stored.Apply(ctx, id, by, expected, set, e.control.view.Load().catalog.Accepted.Head)
 	e.Log.Info("configuration change",
 		zap.String("change", id),
 		zap.String("operator", by),
--- a/internal/state/configuration/stored.go
+++ b/internal/state/configuration/stored.go
@@ -74,14 +74,19 @@
 }
 
 // Apply makes set the accepted configuration if expected is the generation in
-// force. It returns the accepted change and whether it had been accepted
+// force. inForce is the head that the calling entry has adopted: if the platform
+// was restored from a backup, its own is older and does not count. It returns the accepted change and whether it had been accepted
 // before. A [ConflictError] says that nothing changed, ErrUnknownOutcome that
 // nobody knows, and any other error that nothing changed.
-func (s *Stored) Apply(ctx context.Context, id, operator string, expected int64, set declaration.Set) (Change, bool, error) {
+func (s *Stored) Apply(ctx context.Context, id, operator string, expected int64, set declaration.Set, inForce Head) (Change, bool, error) {
 	current, err := s.readHead(ctx, 0)
 	if err != nil {
 		return Change{}, false, err
 	}
+	stored := current.Head
+	if inForce.Generation > current.Generation {
+		current.Head = inForce
+	}
 	if earlier, ok := current.Find(id); ok {
 		return earlier, true, nil
 	}
@@ -92,7 +97,7 @@
 	if err != nil {
 		return Change{}, false, err
 	}
-	if err := s.writeShards(ctx, shards, current.Head); err != nil {
+	if err := s.writeShards(ctx, shards, stored); err != nil {
 		return Change{}, false, err
 	}
 	change := Change{ID: id, Generation: expected + 1, Operator: operator}
@@ -108,10 +113,10 @@
 	return &ConflictError{Winner: winner}
 }
 
-// writeShards stores the shards that the current head does not name yet.
-func (s *Stored) writeShards(ctx context.Context, shards []Shard, current Head) error {
-	have := make(map[string]bool, len(current.Shards))
-	for _, name := range current.Shards {
+// writeShards stores the shards that the stored head does not name yet.
+func (s *Stored) writeShards(ctx context.Context, shards []Shard, stored Head) error {
+	have := make(map[string]bool, len(stored.Shards))
+	for _, name := range stored.Shards {
 		have[name] = true
 	}
 	for _, shard := range shards {
