Choose chains by speed first, and ask a busy engine again sooner

An engine that refused as busy got nothing new for 50 ms, while its slots became free; and the weight of load in the cost sent requests to slow engines while fast ones had room.

Change: 10 ms and 0.2.

Also: timers that are channels crash the Go runtime's race detector in virtual time (SIGSEGV in timer.maybeRunChan); waits use contexts. The control loop only looks at waiting requests when there are some. Tests of single cases run side by side; the paused entry's minute is waited for only where there is one.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -21,7 +21,7 @@
 	// MaxFailures bounds the attempts of a request that may fail.
 	MaxFailures = 6
 	// busyTime is how long an upstream that said it is full gets nothing new.
-	busyTime = 50 * time.Millisecond
+	busyTime = 10 * time.Millisecond
 	// leavingTime is how long an upstream's own word that it leaves counts.
 	leavingTime = 30 * time.Second
 	// minRetryAfter is the least time after which a caller is told to return.
@@ -57,6 +57,8 @@
 	Zone string
 	// Chooser finds chains.
 	Chooser route.Chooser
+	// Choose replaces Chooser if set, to compare policies.
+	Choose func(pool *catalog.Pool, state func(*catalog.Candidate) route.State, prefer map[string]bool) route.Chain
 	// Queue holds the requests that wait.
 	Queue admission.Queue[*Request]
 	// Ejections and Suspicions are those known here.
@@ -193,7 +195,7 @@
 	if r.Repeated && !d.budget.Take(now) {
 		return verdict.RefuseUntil(minRetryAfter, verdict.RetryBudget, "too many retries are under way")
 	}
-	if d.Chooser.Choose(pool, d.idleState(r, now), nil) == nil {
+	if d.chain(pool, d.idleState(r, now), nil) == nil {
 		return verdict.RefuseUntil(noChainRetryAfter, verdict.NoChain, "no upstreams in service cover %s", r.Pool)
 	}
 	return nil
@@ -306,6 +308,14 @@
 	return true
 }
 
+// chain finds a chain by the policy in force.
+func (d *Dispatcher) chain(pool *catalog.Pool, state func(*catalog.Candidate) route.State, prefer map[string]bool) route.Chain {
+	if d.Choose != nil {
+		return d.Choose(pool, state, prefer)
+	}
+	return d.Chooser.Choose(pool, state, prefer)
+}
+
 // choose finds a chain without the upstreams in doubt if there can be one.
 func (d *Dispatcher) choose(pool *catalog.Pool, r *Request, suspect bool, now time.Time) route.Chain {
 	without := func(state func(*catalog.Candidate) route.State) func(*catalog.Candidate) route.State {
@@ -317,10 +327,10 @@
 		}
 	}
 	state := d.state(r, suspect, now)
-	if len(r.Shun) > 0 && d.Chooser.Choose(pool, without(d.idleState(r, now)), nil) != nil {
+	if len(r.Shun) > 0 && d.chain(pool, without(d.idleState(r, now)), nil) != nil {
 		state = without(state)
 	}
-	return d.Chooser.Choose(pool, state, r.Prefer)
+	return d.chain(pool, state, r.Prefer)
 }
 
 func (d *Dispatcher) load(upstream string) *load {
@@ -496,6 +506,9 @@
 	return all
 }
 
+// Waiting says whether any request waits for a place.
+func (d *Dispatcher) Waiting() bool { return len(d.retries) > 0 || len(d.Queue.Pools()) > 0 }
+
 // Counts returns how many requests are open and how many wait.
 func (d *Dispatcher) Counts() (open, queued int) {
 	for _, n := range d.open {
--- a/internal/coordination/route/route.go
+++ b/internal/coordination/route/route.go
@@ -57,7 +57,7 @@
 // The chooser's defaults.
 const (
 	DefaultSpread     = 0.1
-	DefaultLoadWeight = 1.0
+	DefaultLoadWeight = 0.2
 	DefaultReuseGain  = 0.5
 )
 
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -32,6 +32,7 @@
 		for at := 1; at < matrixTokens; at++ {
 			for _, faults := range []standinengine.Faults{{CrashAt: at}, {CutAt: at}} {
 				t.Run(fmt.Sprintf("stage %d token %d crash %t", stage, at, faults.CrashAt > 0), func(t *testing.T) {
+					t.Parallel()
 					inFleet(t, func(t *testing.T, f *fleet) {
 						f.engines[fmt.Sprintf("wien-engine-%d", stage)].SetFaults(faults)
 						a := ask{entry: "wien-entry", prompt: "a card", tokens: matrixTokens, stream: true}
@@ -60,6 +61,7 @@
 		for stage := range 3 {
 			for _, stream := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%s/%d/stream=%t", name, stage, stream), func(t *testing.T) {
+					t.Parallel()
 					inFleet(t, func(t *testing.T, f *fleet) {
 						f.engines[fmt.Sprintf("wien-engine-%d", stage)].SetFaults(x)
 						a := ask{entry: "wien-entry", prompt: "a card", tokens: matrixTokens, stream: stream}
@@ -87,6 +89,7 @@
 	} {
 		for _, stream := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s/stream=%t", name, stream), func(t *testing.T) {
+				t.Parallel()
 				inFleet(t, func(t *testing.T, f *fleet) {
 					for _, e := range f.engines {
 						e.SetFaults(x)
@@ -112,6 +115,7 @@
 func TestThousandsOfAnswersUnderFaults(t *testing.T) {
 	for seed := range uint64(*seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, func(t *testing.T, f *fleet) {
 				random := rand.New(rand.NewPCG(seed, 7))
 				stop := f.load(4, 15)
--- a/internal/entry/configuration_test.go
+++ b/internal/entry/configuration_test.go
@@ -63,6 +63,7 @@
 // TestNeverBack: reads that answer with an older version, and entries that
 // restart during that, never take the configuration back.
 func TestNeverBack(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(t *testing.T, f *fleet) {
 		f.addAccount("new")
 		f.apply("wien-entry", "second", 1)
@@ -220,6 +221,7 @@
 // TestHourWithoutPlatformOrPeers: a zone on its own goes on serving with its
 // own upstreams.
 func TestHourWithoutPlatformOrPeers(t *testing.T) {
+	t.Parallel()
 	inFleet(t, func(t *testing.T, f *fleet) {
 		f.net.CutBoth("wien", "platform")
 		f.net.CutBoth("wien", "graz")
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -59,6 +59,8 @@
 	events chan func(*state)
 	view   atomic.Pointer[view]
 	state  state
+	// waiting says that requests wait for a place.
+	waiting atomic.Bool
 	// done is closed when the loop has ended.
 	done chan struct{}
 	// changed is told of each new view.
@@ -74,22 +76,33 @@
 // run runs the loop until ctx ends.
 func (c *control) run(ctx context.Context) error {
 	defer close(c.done)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case event := <-c.events:
 			event(&c.state)
-		case now := <-ticker.C:
-			c.tick(now)
+			c.waiting.Store(c.state.dispatcher.Waiting())
 		}
 	}
 }
 
-func (c *control) tick(now time.Time) {
-	s := &c.state
+// tick has the loop look at waiting requests, if there are any, and at old
+// state from time to time, until ctx ends.
+func (c *control) tick(ctx context.Context) error {
+	pruned := time.Now()
+	for wait(ctx, tickInterval) {
+		if c.waiting.Load() || time.Since(pruned) >= pruneInterval {
+			pruned = time.Now()
+			c.do(tend)
+		}
+	}
+	return nil
+}
+
+// tend does what is due. It runs in the loop.
+func tend(s *state) {
+	now := time.Now()
 	s.dispatcher.Tick(now)
 	if now.Sub(s.pruned) < pruneInterval {
 		return
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -51,12 +51,8 @@
 
 // wait waits for d. It says false if ctx ended first.
 func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	timer, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-timer.Done()
+	return ctx.Err() == nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"lovageport.example/internal/coordination/route"
 	"lovageport.example/internal/setting"
+	"lovageport.example/internal/state/catalog"
 	"lovageport.example/internal/state/claim"
 	"lovageport.example/internal/state/configuration"
 	"lovageport.example/internal/state/store"
@@ -38,6 +39,8 @@
 	Dial upstream.Dialer
 	// Random returns a number in [0, 1); no randomness if nil.
 	Random func() float64
+	// Choose replaces the choice of chains, to compare policies.
+	Choose func(pool *catalog.Pool, state func(*catalog.Candidate) route.State, prefer map[string]bool) route.Chain
 	// Drain starts the graceful stop when it is closed. It may be nil.
 	Drain <-chan struct{}
 
@@ -105,6 +108,7 @@
 	s.dispatcher.Zone = e.Settings.Zone
 	s.dispatcher.Queue.Max = e.Settings.Requests.MaxQueue
 	s.dispatcher.Confirmed = s.confirmed
+	s.dispatcher.Choose = e.Choose
 	s.dispatcher.Chooser = route.Chooser{
 		Zone:       e.Settings.Zone,
 		Latency:    func(from, to string) time.Duration { return e.control.view.Load().catalog.Latency(from, to) },
@@ -125,6 +129,7 @@
 	}
 	var g run.Group
 	e.add(&g, ctx, e.control.run)
+	e.add(&g, ctx, e.control.tick)
 	e.add(&g, ctx, e.drainWhenAsked)
 	e.add(&g, ctx, e.followHead)
 	e.add(&g, ctx, e.pollHead)
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -61,9 +61,12 @@
 	group    sync.WaitGroup
 	stop     context.CancelFunc
 	ctx      context.Context
-	clients  []*http.Client
 	// dial wraps what entries dial with, if set before start.
 	dial func(next func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error)
+	// link is the time between two upstreams that each token takes, if set.
+	link func(from, to string) time.Duration
+	// choose replaces the entries' choice of chains, if set.
+	choose func() chooseFunc
 	// silence of heartbeats and other settings can be changed before start.
 	settings func(*setting.Settings)
 }
@@ -192,6 +195,9 @@
 		Dial:            f.net.Host(u.Name, u.Zone).Dial,
 		Crash:           func() { f.net.Kill(u.Name) },
 	}
+	if f.link != nil {
+		e.Link = func(next string) time.Duration { return f.link(u.Name, next) }
+	}
 	f.engines[u.Name] = e
 	f.serve(u.Name, u.Zone, u.Address, e)
 	f.group.Go(func() {
@@ -277,6 +283,9 @@
 		qt.Assert(f.t, err, qt.IsNil)
 		vm.entry.Log = log.Named(name)
 	}
+	if f.choose != nil {
+		vm.entry.Choose = f.choose()
+	}
 	ctx, cancel := context.WithCancel(f.ctx)
 	vm.cancel = cancel
 	f.entries[name] = vm
@@ -304,9 +313,6 @@
 func (f *fleet) close() {
 	f.net.Heal()
 	f.stop()
-	for _, c := range f.clients {
-		c.CloseIdleConnections()
-	}
 	f.net.Shutdown()
 	f.group.Wait()
 	// An HTTP server that breaks a connection off lingers for a moment.
@@ -316,9 +322,7 @@
 // client returns an HTTP client on a host of its own.
 func (f *fleet) client() *http.Client {
 	host := f.net.Host("caller", "caller")
-	c := &http.Client{Transport: &http.Transport{DialContext: host.Dial, DisableKeepAlives: true}}
-	f.clients = append(f.clients, c)
-	return c
+	return &http.Client{Transport: &http.Transport{DialContext: host.Dial, DisableKeepAlives: true}}
 }
 
 func (f *fleet) operator(entry string) operatorv1connect.OperatorServiceClient {
--- a/internal/entry/matrix_test.go
+++ b/internal/entry/matrix_test.go
@@ -22,6 +22,8 @@
 const (
 	silenceBound = 1500 * time.Millisecond
 	matrixTokens = 12
+	// pauseTime is how long a paused entry stands still.
+	pauseTime = 30 * time.Second
 	// lapseTime is longer than a claim lasts, its call's timeout included.
 	lapseTime = 15 * time.Second
 )
@@ -37,12 +39,12 @@
 		go f.withdraw("wien-entry", name)
 	}
 	return append(faults,
-		fault{"middle stage withdrawn", withdraw, nothing, true},
-		fault{"middle stage leaving", func(f *fleet, a string) { f.listVMs(f.stageOf(a, 1)) }, nothing, true},
+		fault{"middle stage withdrawn", withdraw, nothing, 0, true},
+		fault{"middle stage leaving", func(f *fleet, a string) { f.listVMs(f.stageOf(a, 1)) }, nothing, 0, true},
 		fault{"peer killed", func(f *fleet, _ string) {
 			f.entries["graz-entry"].cancel()
 			f.net.Kill("graz-entry")
-		}, nothing, true},
+		}, nothing, 0, true},
 	)
 }
 
@@ -61,6 +63,7 @@
 }
 
 func textUnderFault(t *testing.T, x fault, at step, stream bool) {
+	t.Parallel()
 	s := &strikes{}
 	inFleet(t, func(t *testing.T, f *fleet) {
 		k := &strike{at: at, fire: func(address string) { x.strike(f, address) }}
@@ -94,7 +97,7 @@
 				for _, s := range f.services {
 					s.SetFaults(standinservice.Faults{})
 				}
-			}, false}
+			}, 0, false}
 	}
 	faults := []fault{
 		service("resets before", standinservice.Faults{ResetBefore: true}),
@@ -108,24 +111,24 @@
 			if name := f.upstreamAt(a); strings.HasSuffix(name, "-service") {
 				f.net.Kill(name)
 			}
-		}, nothing, false},
+		}, nothing, 0, false},
 		{"all services killed", func(f *fleet, _ string) {
 			for name := range f.services {
 				f.net.Kill(name)
 			}
-		}, nothing, false},
-		{"service connections silent", func(f *fleet, a string) { f.net.Silence(a) }, nothing, false},
-		{"service connections reset", func(f *fleet, a string) { f.net.Reset(a) }, nothing, false},
+		}, nothing, 0, false},
+		{"service connections silent", func(f *fleet, a string) { f.net.Silence(a) }, nothing, 0, false},
+		{"service connections reset", func(f *fleet, a string) { f.net.Reset(a) }, nothing, 0, false},
 		{"service withdrawn", func(f *fleet, a string) {
 			if name := f.upstreamAt(a); name != "" {
 				go f.withdraw("wien-entry", name)
 			}
-		}, nothing, false},
+		}, nothing, 0, false},
 		{"entry killed", func(f *fleet, _ string) {
 			f.entries["wien-entry"].cancel()
 			f.net.Kill("wien-entry")
-		}, nothing, false},
-		{"entry paused", func(f *fleet, _ string) { time.Sleep(30 * time.Second) }, nothing, false},
+		}, nothing, 0, false},
+		{"entry paused", func(f *fleet, _ string) { time.Sleep(pauseTime) }, nothing, pauseTime, false},
 	}
 	faults = append(faults, platformFaults()...)
 	return append(faults, zoneFaults()...)
@@ -142,6 +145,7 @@
 }
 
 func bookingUnderFault(t *testing.T, x fault, at step) {
+	t.Parallel()
 	s := &strikes{}
 	inFleet(t, func(t *testing.T, f *fleet) {
 		k := &strike{at: at, fire: func(address string) { x.strike(f, address) }}
@@ -166,7 +170,7 @@
 			time.Sleep(time.Second)
 		}
 		// An entry that was paused has woken by now.
-		time.Sleep(time.Minute)
+		time.Sleep(x.lasts)
 		f.checkBooking(f.book("linz-entry", "k1", "roses"))
 	}, withStrikes(s))
 }
--- a/internal/entry/pairs_test.go
+++ b/internal/entry/pairs_test.go
@@ -63,6 +63,7 @@
 	for seed := range uint64(*pairs) {
 		p := drawPair(seed, textFaults(), textSteps)
 		t.Run(p.name(seed), func(t *testing.T) {
+			t.Parallel()
 			s := &strikes{}
 			inFleet(t, func(t *testing.T, f *fleet) {
 				p.arm(f, s)
@@ -85,6 +86,7 @@
 	for seed := range uint64(*pairs) {
 		p := drawPair(seed, serviceFaults(), serviceSteps)
 		t.Run(p.name(seed), func(t *testing.T) {
+			t.Parallel()
 			s := &strikes{}
 			inFleet(t, func(t *testing.T, f *fleet) {
 				p.arm(f, s)
@@ -101,7 +103,7 @@
 					f.checkBooking(f.book(name, "k1", "roses"))
 					time.Sleep(time.Second)
 				}
-				time.Sleep(time.Minute)
+				time.Sleep(p.faults[0].lasts + p.faults[1].lasts + p.after)
 				f.checkBooking(f.book("linz-entry", "k1", "roses"))
 			}, withStrikes(s))
 		})
--- a/internal/entry/steps_test.go
+++ b/internal/entry/steps_test.go
@@ -178,6 +178,8 @@
 	strike func(f *fleet, address string)
 	// heal puts it right, as far as it can be.
 	heal func(f *fleet)
+	// lasts is how long it goes on by itself, whatever heal does.
+	lasts time.Duration
 	// recovers says that a request must be answered all the same.
 	recovers bool
 }
@@ -220,14 +222,14 @@
 
 func stageFaults(i int, position string) []fault {
 	return []fault{
-		{position + " killed", func(f *fleet, a string) { f.net.Kill(f.stageOf(a, i)) }, nothing, true},
+		{position + " killed", func(f *fleet, a string) { f.net.Kill(f.stageOf(a, i)) }, nothing, 0, true},
 		{position + " frozen", func(f *fleet, a string) { f.freeze(f.stageOf(a, i), true) }, func(f *fleet) {
 			for name := range f.engines {
 				f.freeze(name, false)
 			}
-		}, true},
-		{position + " connections silent", func(f *fleet, a string) { f.net.Silence(f.addressOf(f.stageOf(a, i))) }, nothing, true},
-		{position + " connections reset", func(f *fleet, a string) { f.net.Reset(f.addressOf(f.stageOf(a, i))) }, nothing, true},
+		}, 0, true},
+		{position + " connections silent", func(f *fleet, a string) { f.net.Silence(f.addressOf(f.stageOf(a, i))) }, nothing, 0, true},
+		{position + " connections reset", func(f *fleet, a string) { f.net.Reset(f.addressOf(f.stageOf(a, i))) }, nothing, 0, true},
 	}
 }
 
@@ -237,7 +239,7 @@
 	set := func(name string, make func() faultsOfPlatform) fault {
 		return fault{name,
 			func(f *fleet, _ string) { f.platform.SetFaults(make()) },
-			func(f *fleet) { f.platform.SetFaults(faultsOfPlatform{}) }, true}
+			func(f *fleet) { f.platform.SetFaults(faultsOfPlatform{}) }, 0, true}
 	}
 	return []fault{
 		set("platform down", func() faultsOfPlatform { return faultsOfPlatform{Down: true} }),
@@ -261,16 +263,16 @@
 func zoneFaults() []fault {
 	heal := func(f *fleet) { f.net.Heal() }
 	return []fault{
-		{"zone cut from platform", func(f *fleet, _ string) { f.net.CutBoth("wien", "platform") }, heal, true},
+		{"zone cut from platform", func(f *fleet, _ string) { f.net.CutBoth("wien", "platform") }, heal, 0, true},
 		{"zone cut from others", func(f *fleet, _ string) {
 			f.net.CutBoth("wien", "graz")
 			f.net.CutBoth("wien", "linz")
-		}, heal, true},
+		}, heal, 0, true},
 		{"zone cut from all", func(f *fleet, _ string) {
 			f.net.CutBoth("wien", "graz")
 			f.net.CutBoth("wien", "linz")
 			f.net.CutBoth("wien", "platform")
-		}, heal, true},
-		{"platform's answers cut", func(f *fleet, _ string) { f.net.Cut("platform", "wien") }, heal, true},
+		}, heal, 0, true},
+		{"platform's answers cut", func(f *fleet, _ string) { f.net.Cut("platform", "wien") }, heal, 0, true},
 	}
 }
--- a/internal/entry/verdicts_test.go
+++ b/internal/entry/verdicts_test.go
@@ -23,6 +23,7 @@
 // may-have-run although it has not run: what a caller then has to find out by
 // other means. It may say so only where the entry can't know.
 func TestCautiousVerdicts(t *testing.T) {
+	t.Parallel()
 	refused, cautious := 0, 0
 	byFault := make(map[string]int)
 	for _, x := range serviceFaults() {
@@ -35,7 +36,7 @@
 					k.do("")
 				}
 				// An entry that was paused wakes before the fleet ends.
-				defer time.Sleep(time.Minute)
+				defer time.Sleep(x.lasts)
 				got := f.book("wien-entry", "k1", "roses")
 				if got.status == 0 || got.status == 200 {
 					return
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -128,6 +128,7 @@
 // other zones still reach its upstreams. They stop using them when the loan's
 // UnconfirmedUse has passed.
 func TestWithdrawalInCutOffZone(t *testing.T) {
+	t.Parallel()
 	const term = 4 * time.Second
 	inFleet(t, func(t *testing.T, f *fleet) {
 		stop := f.load(3, 20)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -63,6 +63,9 @@
 	BatchCost float64
 	// PrefillPerToken is the time to take in one token of a prompt.
 	PrefillPerToken time.Duration
+	// Link returns the time to the next stage, which each token takes; none if
+	// nil.
+	Link func(next string) time.Duration
 	// Dial opens connections to the next stage; the network's if nil.
 	Dial upstream.Dialer
 	// Crash ends the engine when a fault says so.
@@ -286,6 +289,9 @@
 		share *= 1 + e.BatchCost*float64(e.running-1)
 		t.Token += time.Duration(share * float64(time.Second))
 	}
+	if next := run.Position + 1; e.Link != nil && next < len(run.Route) {
+		t.Token += e.Link(run.Route[next].Upstream)
+	}
 	// What is in the KV cache need not be computed again.
 	if e.cached[run.Request] < len(run.Resume) || len(run.Resume) == 0 {
 		t.Prefill += time.Duration(len(strings.Fields(run.Prompt))+len(run.Resume)) * e.PrefillPerToken
--- a/internal/standin/engine/session.go
+++ b/internal/standin/engine/session.go
@@ -138,17 +138,10 @@
 }
 
 func (s *session) beat(ctx context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+	for sleep(ctx, heartbeatInterval) {
+		s.engine.thaw()
+		if ctx.Err() != nil || s.emit(engine.Frame{Kind: engine.Heartbeat, Upstream: s.engine.Name, Load: s.engine.load()}) != nil {
 			return
-		case <-ticker.C:
-			s.engine.thaw()
-			if ctx.Err() != nil || s.emit(engine.Frame{Kind: engine.Heartbeat, Upstream: s.engine.Name, Load: s.engine.load()}) != nil {
-				return
-			}
 		}
 	}
 }
@@ -240,12 +233,8 @@
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	timer, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-timer.Done()
+	return ctx.Err() == nil
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -157,14 +158,10 @@
 
 // pause waits. It says false if the caller gave up first.
 func pause(r *http.Request, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-r.Context().Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	timer, cancel := context.WithTimeout(r.Context(), d)
+	defer cancel()
+	<-timer.Done()
+	return r.Context().Err() == nil
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
@@ -303,8 +300,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	timer := time.NewTimer(time.Duration(waitMillis) * time.Millisecond)
-	defer timer.Stop()
+	timer, cancel := context.WithTimeout(r.Context(), time.Duration(waitMillis)*time.Millisecond)
+	defer cancel()
 	for {
 		p.mu.Lock()
 		found, ok := p.objects[query.Get("key")]
@@ -318,10 +315,10 @@
 			return
 		}
 		select {
-		case <-r.Context().Done():
-			return
-		case <-timer.C:
-			w.WriteHeader(http.StatusNotFound)
+		case <-timer.Done():
+			if r.Context().Err() == nil {
+				w.WriteHeader(http.StatusNotFound)
+			}
 			return
 		case <-changed:
 		}
--- a/internal/state/store/store.go
+++ b/internal/state/store/store.go
@@ -151,12 +151,8 @@
 	if o.Pause != nil {
 		return o.Pause(ctx, settleWait)
 	}
-	t := time.NewTimer(settleWait)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
+	timer, cancel := context.WithTimeout(ctx, settleWait)
+	defer cancel()
+	<-timer.Done()
+	return ctx.Err()
 }
