--- /dev/null
+++ b/internal/coordination/dispatch/outcome.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"time"
+
+	"lovageport.example/internal/coordination/quarantine"
+)
+
+// Finish ends a placement.
+func (d *Dispatcher) Finish(ticket uint64, outcome Outcome, now time.Time) {
+	f := d.flights[ticket]
+	if f == nil {
+		return
+	}
+	if outcome.Fault == Crashed {
+		d.crash(outcome.Upstream, now)
+	}
+	delete(d.flights, ticket)
+	for _, s := range f.chain {
+		l := d.load(s.Upstream.Name)
+		l.inFlight--
+		if f.suspect {
+			l.suspects--
+		}
+		if outcome.Fault == None {
+			d.Ejections.Succeed(s.Upstream.Name, s.Upstream.Slots)
+		}
+	}
+	d.blame(f, outcome, now)
+	d.dispatch(now)
+}
+
+// crash makes suspects of all requests in flight on an upstream.
+func (d *Dispatcher) crash(upstream string, now time.Time) {
+	crashes := []quarantine.Crash{{Upstream: upstream, At: now}}
+	for _, f := range d.flights {
+		if f.chain.Has(upstream) {
+			d.Suspicions.Add(f.request.Fingerprint, crashes, now)
+		}
+	}
+}
+
+// blame draws the consequences of a fault for the upstream.
+func (d *Dispatcher) blame(f *flight, outcome Outcome, now time.Time) {
+	r := f.request
+	if outcome.Fault != None && !outcome.Fault.Harmless() {
+		r.Failures++
+	}
+	switch outcome.Fault {
+	case Busy:
+		d.load(outcome.Upstream).busyUntil = now.Add(busyTime)
+	case Leaving:
+		d.load(outcome.Upstream).leaving = now.Add(leavingTime)
+	case Doubtful:
+		for _, s := range f.chain {
+			if name := s.Upstream.Name; outcome.Upstream == "" || outcome.Upstream == name {
+				r.shun(name)
+				d.Ejections.Doubt(name, now)
+			}
+		}
+	case Rejected:
+		r.avoid(outcome.Upstream)
+	case Unreachable, Lost, Crashed, Silent, Protocol:
+		r.avoid(outcome.Upstream)
+		d.Ejections.Fail(outcome.Upstream, now)
+	}
+}
+
+// Report takes in an engine's report of its load.
+func (d *Dispatcher) Report(upstream string, running int, leaving bool, now time.Time) {
+	l := d.load(upstream)
+	l.others = max(0, float64(running-l.inFlight))
+	l.reported = now
+	if leaving {
+		l.leaving = now.Add(leavingTime)
+	}
+}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -79,7 +79,7 @@
 		}
 		e := verdict.Of(err)
 		r.mayHaveRun = r.mayHaveRun || e.Run != verdict.NotRun
-		r.logAttempt(place, e)
+		r.placer.logFailure(place, e, zap.Int("tokens", len(r.ledger.Tokens())))
 		if e.Reason == verdict.CallerGone || e.Reason == verdict.DeadlineExceeded {
 			return caller.Result{}, r.final(e)
 		}
@@ -97,19 +97,6 @@
 	return &e
 }
 
-func (r *relay) logAttempt(place dispatch.Placement, e *verdict.Error) {
-	r.entry.Log.Info("attempt failed",
-		zap.String("request", r.caller.Request),
-		zap.Int("attempt", r.placer.request.Attempts),
-		zap.String("account", r.caller.Account.Name),
-		zap.String("upstream", e.Upstream),
-		zap.Stringer("verdict", e.Run),
-		zap.String("reason", string(e.Reason)),
-		zap.Int("tokens", len(r.ledger.Tokens())),
-		zap.Int64("generation", place.Generation),
-		zap.Error(e.Err))
-}
-
 // preferSurvivors has the next attempt resume where the KV cache still is.
 func (r *relay) preferSurvivors(chain route.Chain, outcome dispatch.Outcome) {
 	prefer := make(map[string]bool, len(chain))
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"go.uber.org/zap"
-
 	"lovageport.example/internal/coordination/dispatch"
 	"lovageport.example/internal/coordination/quarantine"
 	"lovageport.example/internal/state/catalog"
@@ -153,7 +151,7 @@
 		}
 		e := verdict.Of(err)
 		c.mayHaveRun = c.mayHaveRun || e.Run != verdict.NotRun
-		c.logAttempt(e)
+		c.placer.logFailure(place, e)
 		if c.mayHaveRun && !c.operation.Repeatable || e.Reason == verdict.ClaimLapsed || e.Reason == verdict.CallerGone {
 			return nil, c.final(e)
 		}
@@ -173,17 +171,6 @@
 	return &e
 }
 
-func (c *call) logAttempt(e *verdict.Error) {
-	c.entry.Log.Info("attempt failed",
-		zap.String("request", c.caller.Request),
-		zap.Int("attempt", c.placer.request.Attempts),
-		zap.String("account", c.caller.Account.Name),
-		zap.String("upstream", e.Upstream),
-		zap.Stringer("verdict", e.Run),
-		zap.String("reason", string(e.Reason)),
-		zap.Error(e.Err))
-}
-
 func (c *call) attempt(ctx context.Context, place dispatch.Placement) (*upstream.Answer, error) {
 	target := place.Chain[0].Upstream
 	path := c.caller.Path
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lovageport.example/internal/coordination/dispatch"
 	"lovageport.example/internal/coordination/route"
 	"lovageport.example/pkg/verdict"
@@ -112,6 +114,19 @@
 	}
 }
 
+// logFailure logs an attempt that failed.
+func (p *placer) logFailure(place dispatch.Placement, e *verdict.Error, more ...zap.Field) {
+	p.entry.Log.Info("attempt failed", append(more,
+		zap.String("request", p.request.ID),
+		zap.Int("attempt", p.request.Attempts),
+		zap.String("account", p.request.Account.Name),
+		zap.String("upstream", e.Upstream),
+		zap.Stringer("verdict", e.Run),
+		zap.String("reason", string(e.Reason)),
+		zap.Int64("generation", place.Generation),
+		zap.Error(e.Err))...)
+}
+
 // mayUse says whether all upstreams of a chain may still get new work.
 func (e *Entry) mayUse(chain route.Chain) bool {
 	v := e.control.view.Load()
