Serve an off-the-shelf client, and strike with one-way cuts and callers that go

Cause: that any client of the OpenAI API works was only shown by hand with curl; one-way cuts between zones and callers that go at each step were not in the matrix.

--- /dev/null
+++ b/internal/endtoend/client_test.go
@@ -0,0 +1,72 @@
+package endtoend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	openai "github.com/sashabaranov/go-openai"
+
+	"lovageport.example/internal/standin/engine"
+)
+
+// openaiClient returns an off-the-shelf client with a changed base address.
+func openaiClient(e *process, key string) *openai.Client {
+	config := openai.DefaultConfig(key)
+	config.BaseURL = "http://" + e.callers + "/v1"
+	return openai.NewClientWithConfig(config)
+}
+
+// TestOffTheShelfClient: a client library for the OpenAI API gets whole and
+// streamed answers, models, and errors with their codes.
+func TestOffTheShelfClient(t *testing.T) {
+	s := startSystem(t, 1)
+	ctx := context.Background()
+	client := openaiClient(s.entries[0], accountKey)
+	const tokens = 8
+	asked := openai.ChatCompletionRequest{
+		Model: model, MaxCompletionTokens: tokens,
+		Messages: []openai.ChatCompletionMessage{{Role: openai.ChatMessageRoleUser, Content: "a card"}},
+	}
+	want := engine.Answer("user: a card\n", tokens)
+
+	whole, err := client.CreateChatCompletion(ctx, asked)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, whole.Choices[0].Message.Content, qt.Equals, want)
+	qt.Check(t, whole.Usage.CompletionTokens, qt.Equals, tokens)
+	qt.Check(t, whole.Choices[0].FinishReason, qt.Equals, openai.FinishReasonLength)
+
+	asked.StreamOptions = &openai.StreamOptions{IncludeUsage: true}
+	stream, err := client.CreateChatCompletionStream(ctx, asked)
+	qt.Assert(t, err, qt.IsNil)
+	defer stream.Close()
+	text, usage := "", 0
+	for {
+		chunk, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		qt.Assert(t, err, qt.IsNil)
+		if chunk.Usage != nil {
+			usage = chunk.Usage.CompletionTokens
+		}
+		for _, choice := range chunk.Choices {
+			text += choice.Delta.Content
+		}
+	}
+	qt.Check(t, text, qt.Equals, want)
+	qt.Check(t, usage, qt.Equals, tokens)
+
+	models, err := client.ListModels(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, models.Models[0].ID, qt.Equals, model)
+
+	_, err = openaiClient(s.entries[0], "sk-wrong").CreateChatCompletion(ctx, asked)
+	var refused *openai.APIError
+	qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+	qt.Check(t, refused.HTTPStatusCode, qt.Equals, http.StatusUnauthorized)
+	qt.Check(t, refused.Code, qt.Equals, any("unauthenticated"))
+}
--- a/internal/entry/matrix_test.go
+++ b/internal/entry/matrix_test.go
@@ -199,3 +199,31 @@
 	}
 	return &withdrawResult{inForce: answer.Msg.InForceAt, notReached: answer.Msg.NotReached, stored: answer.Msg.Stored}
 }
+
+// TestCallerGoesAtAnyStep: whenever a caller goes, the engines stop working
+// for it, and nothing of it stays open.
+func TestCallerGoesAtAnyStep(t *testing.T) {
+	for _, at := range textSteps {
+		for _, stream := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/stream=%t", at, stream), func(t *testing.T) {
+				t.Parallel()
+				s := &strikes{}
+				inFleet(t, func(t *testing.T, f *fleet) {
+					ctx, cancel := context.WithCancel(f.ctx)
+					k := &strike{at: at, fire: func(string) { cancel() }}
+					s.arm(k)
+					if at == stepBefore {
+						k.do("")
+					}
+					f.chat(ask{entry: "wien-entry", prompt: "a card", tokens: matrixTokens, stream: stream, ctx: ctx})
+					time.Sleep(time.Second)
+					qt.Check(t, k.fired.Load(), qt.IsTrue)
+					qt.Check(t, f.status("wien-entry").InFlight, qt.Equals, int32(0))
+					for _, e := range f.engines {
+						qt.Check(t, e.Running(), qt.Equals, 0)
+					}
+				}, withStrikes(s))
+			})
+		}
+	}
+}
--- a/internal/entry/steps_test.go
+++ b/internal/entry/steps_test.go
@@ -273,6 +273,14 @@
 			f.net.CutBoth("wien", "linz")
 			f.net.CutBoth("wien", "platform")
 		}, heal, 0, true},
+		{"others' answers cut", func(f *fleet, _ string) {
+			f.net.Cut("graz", "wien")
+			f.net.Cut("linz", "wien")
+		}, heal, 0, true},
+		{"zone cut one way from others", func(f *fleet, _ string) {
+			f.net.Cut("wien", "graz")
+			f.net.Cut("wien", "linz")
+		}, heal, 0, true},
 		{"platform's answers cut", func(f *fleet, _ string) { f.net.Cut("platform", "wien") }, heal, 0, true},
 	}
 }
