Wait for bodies and answers under way when draining

Cause: a drain counted requests from the end of their body to the end of their work. One whose body was still arriving when the notice was over was cut, and so could be an answer that was just being written. Ruled out: the server's own Shutdown, which waits with a channel timer (see the race detector's crash). Change: connections count from the first byte of a request to the last one of its answer. Test red before (broken pipe after 3 s), green after.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -30,18 +30,22 @@
 		return nil
 	}
 	end := time.Now().Add(e.Settings.Drain.Timeout.Duration)
-	for e.inFlight.Load() > 0 && time.Now().Before(end) {
+	for e.unfinished() > 0 && time.Now().Before(end) {
 		if !wait(ctx, drainPoll) {
 			return nil
 		}
 	}
 	e.later.flush(ctx)
-	if left := e.inFlight.Load(); left > 0 {
-		e.Log.Warn("drain timed out", zap.Int64("in_flight", left))
+	if left := e.unfinished(); left > 0 {
+		e.Log.Warn("drain timed out", zap.Int("unfinished", left))
 	}
 	return nil
 }
 
+// unfinished returns how many requests a stop would cut: those whose body is
+// still arriving or whose answer is still being sent count too.
+func (e *Entry) unfinished() int { return max(int(e.inFlight.Load()), e.callers.count()) }
+
 // askDrain starts the drain on behalf of an operator.
 func (e *Entry) askDrain() {
 	if e.drainOnce.CompareAndSwap(false, true) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,8 +59,12 @@
 	// drainAsked is closed when an operator asks for the stop.
 	drainAsked chan struct{}
 	drainOnce  atomic.Bool
-	// inFlight counts the callers' requests.
+	// inFlight counts the callers' requests at work; some go on without their
+	// caller.
 	inFlight atomic.Int64
+	// callers are the connections with a request from its first byte to the
+	// last one of its answer.
+	callers busyConns
 }
 
 // prepare makes the parts that need no goroutine.
@@ -142,7 +146,9 @@
 	e.add(&g, ctx, func(ctx context.Context) error {
 		return peer.Serve(ctx, listeners.peers, e.peerHandler(), e.logPeerError)
 	})
-	e.serve(&g, listeners.callers, e.callerServer().HTTP())
+	callers := e.callerServer().HTTP()
+	callers.ConnState = e.callers.observe
+	e.serve(&g, listeners.callers, callers)
 	e.serve(&g, listeners.operators, e.operatorServer())
 	e.Log.Info("started", zap.String("entry", e.Settings.Name), zap.String("zone", e.Settings.Zone), zap.String("version", e.Version))
 	err = g.Run()
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -316,3 +317,25 @@
 		qt.Check(t, crashed <= len(f.entries), qt.IsTrue, qt.Commentf("%d upstreams crashed", crashed))
 	})
 }
+
+// TestDrainWaitsForBodies: a request whose body is still arriving when the
+// notice is over is served, not cut.
+func TestDrainWaitsForBodies(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		conn, err := f.net.Host("caller", "caller").Dial(f.ctx, "tcp", address("wien-entry", 1))
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+		body := `{"model":"textwerk","prompt":"a card","max_tokens":3}`
+		_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body[:10])
+		qt.Assert(t, err, qt.IsNil)
+		close(f.entries["wien-entry"].drain)
+		time.Sleep(3 * time.Second)
+		_, err = fmt.Fprint(conn, body[10:])
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+		answer, err := io.ReadAll(conn)
+		qt.Check(t, strings.HasPrefix(string(answer), "HTTP/1.1 200"), qt.IsTrue, qt.Commentf("%v: %s", err, answer))
+		<-f.entries["wien-entry"].done
+		delete(f.entries, "wien-entry")
+	})
+}
