Serve all streams through the loss of a zone

Cause: a zone's entry and its 10 engines killed at half load (TestZoneLost). An attempt counts one crash; attempts placed after the first report of a crash are no suspects; the stages of a suspect are probed before it is sent. Ruled out: not counting crashes when three happen within a second, since the first two have named a request by then.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -38,6 +38,8 @@
 	suspects  int
 	busyUntil time.Time
 	leaving   time.Time
+	// crashed is when the last crash was first reported.
+	crashed time.Time
 	// others is what the engine last reported beyond our own requests.
 	others   float64
 	reported time.Time
@@ -48,6 +50,11 @@
 	request *Request
 	chain   route.Chain
 	suspect bool
+	// placed is when the attempt got its place.
+	placed time.Time
+	// crashed says that an upstream of the chain crashed. Others that crash in
+	// the same attempt say nothing more about the request.
+	crashed bool
 }
 
 // Dispatcher places requests on upstreams. Set its exported fields before use.
@@ -232,7 +239,7 @@
 	if d.flights == nil {
 		d.flights = make(map[uint64]*flight)
 	}
-	d.flights[d.lastID] = &flight{r, chain, suspect}
+	d.flights[d.lastID] = &flight{request: r, chain: chain, suspect: suspect, placed: now}
 	for _, s := range chain {
 		l := d.load(s.Upstream.Name)
 		l.inFlight++
@@ -241,7 +248,7 @@
 		}
 	}
 	r.Attempts++
-	r.Reply(Placement{d.lastID, chain, d.catalog.Generation()}, nil)
+	r.Reply(Placement{d.lastID, chain, d.catalog.Generation(), suspect}, nil)
 	return true
 }
 
--- a/internal/coordination/dispatch/outcome.go
+++ b/internal/coordination/dispatch/outcome.go
@@ -30,20 +30,30 @@
 	d.dispatch(now)
 }
 
-// crash makes suspects of all requests in flight on an upstream.
+// crash makes suspects of the requests that were in flight on an upstream when
+// it crashed. Reports of the same crash follow the first one; an attempt placed
+// after that has not caused it.
 func (d *Dispatcher) crash(upstream string, now time.Time) {
+	l := d.load(upstream)
+	if now.Sub(l.crashed) > quarantine.SameCrash {
+		l.crashed = now
+	}
 	crashes := []quarantine.Crash{{Upstream: upstream, At: now}}
 	for _, f := range d.flights {
-		if f.chain.Has(upstream) {
-			d.Suspicions.Add(f.request.Fingerprint, crashes, now)
+		if f.crashed || f.placed.After(l.crashed) || !f.chain.Has(upstream) {
+			continue
 		}
+		f.crashed = true
+		d.Suspicions.Add(f.request.Fingerprint, crashes, now)
 	}
 }
 
 // blame draws the consequences of a fault for the upstream.
 func (d *Dispatcher) blame(f *flight, outcome Outcome, now time.Time) {
 	r := f.request
-	if outcome.Fault != None && !outcome.Fault.Harmless() {
+	// An upstream that can't be reached is avoided from then on, so that
+	// attempts at others that are gone too come to an end by themselves.
+	if outcome.Fault != None && outcome.Fault != Unreachable && !outcome.Fault.Harmless() {
 		r.Failures++
 	}
 	switch outcome.Fault {
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -36,7 +36,7 @@
 	// Attempts is how many placements it has had.
 	Attempts int
 	// Failures is how many of them failed, which does not count those that
-	// were refused before they ran.
+	// were refused before they ran or that reached nobody.
 	Failures int
 	// Repeated says that the next submission adds to the retries.
 	Repeated bool
@@ -65,6 +65,8 @@
 	Chain  route.Chain
 	// Generation is that of the configuration that the chain was chosen by.
 	Generation int64
+	// Suspect says that the request was in flight where an upstream crashed.
+	Suspect bool
 }
 
 // Fault is what went wrong with an attempt.
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -20,9 +20,9 @@
 	SuspectTime = 2 * time.Minute
 	// Limit is the count of crashes that makes a suspect a culprit.
 	Limit = 2
-	// sameCrash is the time within which two reports of an upstream's crash
+	// SameCrash is the time within which two reports of an upstream's crash
 	// mean the same one.
-	sameCrash = 5 * time.Second
+	SameCrash = 5 * time.Second
 )
 
 // Fingerprint names a request of a client account by its content, so that a
@@ -63,7 +63,7 @@
 // has says whether the suspicion counts a crash already.
 func (s *Suspicion) has(c Crash) bool {
 	for _, known := range s.Crashes {
-		if known.Upstream == c.Upstream && c.At.Sub(known.At).Abs() < sameCrash {
+		if known.Upstream == c.Upstream && c.At.Sub(known.At).Abs() < SameCrash {
 			return true
 		}
 	}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -116,6 +116,11 @@
 	if !r.entry.mayUse(place.Chain) {
 		return abandoned, verdict.Refuse(verdict.UpstreamWithdrawn, "an upstream was withdrawn")
 	}
+	if place.Suspect {
+		if outcome, err := r.probeBefore(ctx, place); err != nil {
+			return outcome, err
+		}
+	}
 	stream, err := r.entry.engines.Run(ctx, run)
 	if err != nil {
 		return r.explain(ctx, place, err, false)
@@ -286,6 +291,20 @@
 	return dispatch.ConnectionSilent
 }
 
+// probeBefore asks all stages whether they live before a suspect is sent
+// there: an upstream that has gone already, such as with its whole zone, must
+// not count as crashed by the request.
+func (r *relay) probeBefore(ctx context.Context, place dispatch.Placement) (dispatch.Outcome, error) {
+	fault, name := r.blameSilence(ctx, place, "")
+	switch fault {
+	case dispatch.ConnectionSilent:
+		return dispatch.Outcome{}, nil
+	case dispatch.Crashed:
+		fault = dispatch.Unreachable
+	}
+	return dispatch.Outcome{Fault: fault, Upstream: name}, &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamRefused, Upstream: name}
+}
+
 // blameSilence finds out which stage of a chain is behind the silence of one:
 // a stage that waits for a later one may have nothing to say itself. All are
 // asked at once, and the first in order that does not answer is to blame; if
