Ask about withdrawals last, and end requests that can't be encoded

Read again: the probe of a suspect's stages came between the question whether the chain may be used and the first byte; an internal fault would have been tried again without end, as it costs no attempt; late frames were only counted for answers that became whole.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -49,6 +49,7 @@
 		return caller.Result{}, err
 	}
 	defer r.placer.close()
+	defer func() { e.metrics.dropped.Add(float64(r.ledger.Dropped)) }()
 	return r.run(ctx)
 }
 
@@ -74,13 +75,13 @@
 		outcome, err := r.attempt(ctx, place)
 		r.placer.finish(ctx, place, outcome)
 		if err == nil {
-			r.entry.metrics.dropped.Add(float64(r.ledger.Dropped))
 			return caller.Result{Tokens: len(r.ledger.Tokens()), FinishReason: r.ledger.FinishReason}, nil
 		}
 		e := verdict.Of(err)
 		r.mayHaveRun = r.mayHaveRun || e.Run != verdict.NotRun
 		r.placer.logFailure(place, e, zap.Int("tokens", len(r.ledger.Tokens())))
-		if e.Reason == verdict.CallerGone || e.Reason == verdict.DeadlineExceeded {
+		switch e.Reason {
+		case verdict.CallerGone, verdict.DeadlineExceeded, verdict.Internal:
 			return caller.Result{}, r.final(e)
 		}
 		r.entry.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
@@ -113,14 +114,15 @@
 	if err := r.ledger.Begin(run.Attempt, spans(run.Route)); err != nil {
 		return abandoned, verdict.Refuse(verdict.Internal, "%v", err)
 	}
-	if !r.entry.mayUse(place.Chain) {
-		return abandoned, verdict.Refuse(verdict.UpstreamWithdrawn, "an upstream was withdrawn")
-	}
 	if place.Suspect {
 		if outcome, err := r.probeBefore(ctx, place); err != nil {
 			return outcome, err
 		}
 	}
+	// Asked last, right before the first byte.
+	if !r.entry.mayUse(place.Chain) {
+		return abandoned, verdict.Refuse(verdict.UpstreamWithdrawn, "an upstream was withdrawn")
+	}
 	stream, err := r.entry.engines.Run(ctx, run)
 	if err != nil {
 		return r.explain(ctx, place, err, false)
