Try a suspect in another zone first

Ruled out: waiting before the retry (it costs every stream of a plain crash). Change: after a crash, chains outside its zone are tried first, and the zone is used only if there are none with room.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -274,6 +274,17 @@
 	if len(r.Shun) > 0 && d.chain(pool, without(d.idleState(r, now)), nil) != nil {
 		state = without(state)
 	}
+	if r.CrashZone != "" {
+		elsewhere := func(c *catalog.Candidate) route.State {
+			if c.Upstream.Zone == r.CrashZone {
+				return route.State{}
+			}
+			return state(c)
+		}
+		if chain := d.chain(pool, elsewhere, r.Prefer); chain != nil {
+			return chain
+		}
+	}
 	return d.chain(pool, state, r.Prefer)
 }
 
--- a/internal/coordination/dispatch/outcome.go
+++ b/internal/coordination/dispatch/outcome.go
@@ -71,6 +71,9 @@
 	case Rejected:
 		r.avoid(outcome.Upstream)
 	case Unreachable, Lost, Crashed, Silent, Protocol:
+		if u, ok := d.catalog.Upstream(outcome.Upstream); ok && outcome.Fault == Crashed {
+			r.CrashZone = u.Zone
+		}
 		r.avoid(outcome.Upstream)
 		d.Ejections.Fail(outcome.Upstream, now)
 	}
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -31,6 +31,9 @@
 	// Shun names the upstreams that may have failed this request; they are
 	// used only where no others cover the layers.
 	Shun map[string]bool
+	// CrashZone is the availability zone in which an upstream crashed under the
+	// request. Others are tried first: the whole zone may be going.
+	CrashZone string
 	// Prefer names the upstreams that hold its KV cache.
 	Prefer map[string]bool
 	// Attempts is how many placements it has had.
