Pass over upstreams in one way when choosing a chain

Read again: choosing held two closures that each hid some candidates, one for upstreams in doubt and one for the zone of a crash, and the doc spoke of the first alone. One function serves both; behaviour stays as it is.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/coordination/route"
 	"lovageport.example/internal/state/catalog"
+	"lovageport.example/pkg/declaration"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -260,28 +261,30 @@
 	return d.Chooser.Choose(pool, state, prefer)
 }
 
-// choose finds a chain without the upstreams in doubt if there can be one.
-func (d *Dispatcher) choose(pool *catalog.Pool, r *Request, suspect bool, now time.Time) route.Chain {
-	without := func(state func(*catalog.Candidate) route.State) func(*catalog.Candidate) route.State {
-		return func(c *catalog.Candidate) route.State {
-			if r.Shun[c.Upstream.Name] {
-				return route.State{}
-			}
-			return state(c)
+// candidateState is what a chooser sees of a candidate.
+type candidateState = func(*catalog.Candidate) route.State
+
+// except passes over the upstreams for which out returns true.
+func except(state candidateState, out func(*declaration.Upstream) bool) candidateState {
+	return func(c *catalog.Candidate) route.State {
+		if out(c.Upstream) {
+			return route.State{}
 		}
+		return state(c)
 	}
+}
+
+// choose finds a chain without the upstreams in doubt if there can be one, and
+// outside the zone of a crash if there is room.
+func (d *Dispatcher) choose(pool *catalog.Pool, r *Request, suspect bool, now time.Time) route.Chain {
 	state := d.state(r, suspect, now)
-	if len(r.Shun) > 0 && d.chain(pool, without(d.idleState(r, now)), nil) != nil {
-		state = without(state)
+	shunned := func(u *declaration.Upstream) bool { return r.Shun[u.Name] }
+	if len(r.Shun) > 0 && d.chain(pool, except(d.idleState(r, now), shunned), nil) != nil {
+		state = except(state, shunned)
 	}
 	if r.CrashZone != "" {
-		elsewhere := func(c *catalog.Candidate) route.State {
-			if c.Upstream.Zone == r.CrashZone {
-				return route.State{}
-			}
-			return state(c)
-		}
-		if chain := d.chain(pool, elsewhere, r.Prefer); chain != nil {
+		inZone := func(u *declaration.Upstream) bool { return u.Zone == r.CrashZone }
+		if chain := d.chain(pool, except(state, inZone), r.Prefer); chain != nil {
 			return chain
 		}
 	}
