--- a/cmd/lovageport/main.go
+++ b/cmd/lovageport/main.go
@@ -17,6 +17,7 @@
 // commands are those of the command line.
 type commands struct {
 	Serve    serveCommand    `cmd:"" help:"Run an entry process."`
+	Gateway  gatewayCommand  `cmd:"" help:"Run a gateway process on the users' platform."`
 	Check    checkCommand    `cmd:"" help:"Check a settings file and declared sets without starting anything."`
 	Dev      devCommand      `cmd:"" help:"Run everything in one process on loopback, with a small declared set."`
 	Apply    applyCommand    `cmd:"" help:"Make declared files the accepted configuration."`
--- /dev/null
+++ b/internal/coordination/health/health.go
@@ -0,0 +1,112 @@
+// Package health keeps what is believed of upstreams from how attempts ended:
+// which to leave alone for a while, and which fail more than others although
+// they say that they are well.
+package health
+
+import "time"
+
+// Fault is why an upstream is left alone for a while.
+type Fault uint8
+
+// The faults.
+const (
+	// Unreachable upstreams refuse connections, or do not answer.
+	Unreachable Fault = iota
+	// Misplaced upstreams have another instance at their address, or do not
+	// hold the layers that they are listed with.
+	Misplaced
+	// Full upstreams have no place or memory just now.
+	Full
+)
+
+// pauses is how long an upstream is left alone for a fault.
+var pauses = [...]time.Duration{
+	Unreachable: 1500 * time.Millisecond,
+	Misplaced:   700 * time.Millisecond,
+	Full:        100 * time.Millisecond,
+}
+
+// Weights of results.
+const (
+	// resultWeight is that of the newest result in the moving share of
+	// failures.
+	resultWeight = 0.15
+	// forgetAfter is the time after which results count for nothing.
+	forgetAfter = 8 * time.Second
+)
+
+type record struct {
+	outUntil time.Duration
+	// failures is the moving share of attempts that failed.
+	failures float64
+	at       time.Duration
+}
+
+// Register holds what is believed of upstreams, by instance. Its zero value
+// believes all to be well.
+type Register struct {
+	records map[string]*record
+}
+
+func (r *Register) record(instance string) *record {
+	if r.records == nil {
+		r.records = make(map[string]*record)
+	}
+	rec := r.records[instance]
+	if rec == nil {
+		rec = &record{}
+		r.records[instance] = rec
+	}
+	return rec
+}
+
+// Blame notes a fault of an upstream. It says whether the upstream was in use
+// until now.
+func (r *Register) Blame(instance string, f Fault, now time.Duration) bool {
+	rec := r.record(instance)
+	wasOut := now < rec.outUntil
+	rec.outUntil = max(rec.outUntil, now+pauses[f])
+	return !wasOut
+}
+
+// Out says whether an upstream must be left alone.
+func (r *Register) Out(instance string, now time.Duration) bool {
+	rec := r.records[instance]
+	return rec != nil && now < rec.outUntil
+}
+
+// Result notes how an attempt at an upstream ended.
+func (r *Register) Result(instance string, failed bool, now time.Duration) {
+	rec := r.record(instance)
+	if now-rec.at > forgetAfter {
+		rec.failures = 0
+	}
+	rec.at = now
+	rec.failures *= 1 - resultWeight
+	if failed {
+		rec.failures += resultWeight
+	}
+}
+
+// Failures returns the moving share of attempts that failed.
+func (r *Register) Failures(instance string, now time.Duration) float64 {
+	rec := r.records[instance]
+	if rec == nil || now-rec.at > forgetAfter {
+		return 0
+	}
+	return rec.failures
+}
+
+// Keep forgets all upstreams but those for which live returns true.
+func (r *Register) Keep(live func(instance string) bool) {
+	for instance := range r.records {
+		if !live(instance) {
+			delete(r.records, instance)
+		}
+	}
+}
+
+// String names the fault.
+func (f Fault) String() string {
+	return [...]string{Unreachable: "unreachable", Misplaced: "misplaced", Full: "full"}[f]
+}
--- /dev/null
+++ b/internal/coordination/path/path.go
@@ -0,0 +1,301 @@
+package path
+
+import (
+	"slices"
+
+	"lovageport.example/internal/protocol/relay"
+	"lovageport.example/internal/state/fleet"
+)
+
+// Costs in milliseconds for each token.
+const (
+	// HopCost is that of passing an activation on within a zone.
+	HopCost = 0.2
+	// ZoneCost is that of passing it on to another zone.
+	ZoneCost = 2.0
+	// fullCost is added to a stage that has no room, so that it is used only
+	// if nothing else covers its layers.
+	fullCost = 1000.0
+)
+
+// loadWeight says how much a full memory raises the cost of a stage.
+const loadWeight = 4.0
+
+// Load is what is known of the work on an upstream.
+type Load struct {
+	// Out says that the upstream must not be used.
+	Out bool
+	// TokenLayers is the KV cache taken or promised.
+	TokenLayers float64
+	// Requests is how many run there.
+	Requests float64
+	// Slowdown multiplies the upstream's time; 0 counts as 1.
+	Slowdown float64
+}
+
+// Holder is an upstream that holds layers.
+type Holder struct {
+	Upstream *fleet.Upstream
+	// Capacity is the room for KV cache in token-layers.
+	Capacity float64
+	// pace is the milliseconds of one layer for one token of one request, and
+	// perRequest what each further request of the batch adds.
+	pace, perRequest float64
+}
+
+// Map is the layers that the upstreams of one service hold. It is immutable.
+type Map struct {
+	// Engine is what the upstreams have in common.
+	Engine *fleet.Engine
+	// Holders are the upstreams that hold layers.
+	Holders []Holder
+
+	// bounds are the layers at which a range begins or ends, in order.
+	bounds []int
+	zones  []string
+	// zoneOf is the index of each holder's zone.
+	zoneOf []int
+}
+
+// NewMap returns the map of the upstreams that serve and hold layers.
+func NewMap(e *fleet.Engine, upstreams []*fleet.Upstream) *Map {
+	m := &Map{Engine: e, bounds: []int{0, e.Layers}}
+	for _, u := range upstreams {
+		if u.State != fleet.Serving || u.Held.Len() <= 0 || u.Held.From < 0 || u.Held.To > e.Layers {
+			continue
+		}
+		m.add(u)
+	}
+	slices.Sort(m.bounds)
+	m.bounds = slices.Compact(m.bounds)
+	return m
+}
+
+func (m *Map) add(u *fleet.Upstream) {
+	e := m.Engine
+	a := e.Accelerators[u.Accelerator]
+	layers := float64(e.Layers)
+	m.Holders = append(m.Holders, Holder{
+		Upstream:   u,
+		Capacity:   e.RoomTokens(u.Accelerator, u.Held.Len()) * float64(u.Held.Len()),
+		pace:       a.Pace * e.Step.Seconds() * 1e3 / layers,
+		perRequest: a.Pace * e.StepPerRequest.Seconds() * 1e3 / layers,
+	})
+	m.bounds = append(m.bounds, u.Held.From, u.Held.To)
+	zone := slices.Index(m.zones, u.Zone)
+	if zone < 0 {
+		zone = len(m.zones)
+		m.zones = append(m.zones, u.Zone)
+	}
+	m.zoneOf = append(m.zoneOf, zone)
+}
+
+// Query is what a chain is wanted for.
+type Query struct {
+	// Zone is where the request comes from.
+	Zone string
+	// Tokens is the KV cache that the request may come to need.
+	Tokens float64
+	// Load returns the load of an upstream.
+	Load func(u *fleet.Upstream) Load
+	// Noise multiplies the cost of a holder, so that processes which see the
+	// same loads do not all choose alike; nil for none.
+	Noise func() float64
+	// First prefers an upstream as first stage if it can be; empty for none.
+	First string
+}
+
+// Chain is a composition.
+type Chain struct {
+	Stages []relay.Stage
+	// Full says that a stage has no room for the request.
+	Full bool
+	// Fill is how full the fullest stage is with the request, 1 for full.
+	Fill float64
+}
+
+// node is the cheapest way to have run the layers up to a bound.
+type node struct {
+	cost float64
+	// holder and from say which stage came last and from which bound; holder
+	// is negative if there is none.
+	holder, from, fromZone int
+	reached                bool
+}
+
+// Find returns the cheapest chain. It says false if no upstreams in use cover
+// all layers.
+func (m *Map) Find(q *Query) (Chain, bool) {
+	f := finder{m: m, q: q}
+	f.weigh()
+	best, found := Chain{}, false
+	bestCost := 0.0
+	for zone := range m.zones {
+		cost, nodes, ok := f.from(zone)
+		if !ok || found && cost >= bestCost {
+			continue
+		}
+		chain, ok := f.trace(nodes, zone)
+		if !ok {
+			continue
+		}
+		best, bestCost, found = chain, cost, true
+	}
+	return best, found
+}
+
+// finder holds what one search needs.
+type finder struct {
+	m *Map
+	q *Query
+	// loads, noise are those of the holders.
+	loads []Load
+	noise []float64
+	// whole forbids leaving a holder before the end of its range.
+	whole bool
+	// end is the zone of the last stage of the best chain.
+	end int
+}
+
+func (f *finder) weigh() {
+	f.loads = make([]Load, len(f.m.Holders))
+	f.noise = make([]float64, len(f.m.Holders))
+	for i := range f.m.Holders {
+		f.loads[i] = f.q.Load(f.m.Holders[i].Upstream)
+		f.noise[i] = 1
+		if f.q.Noise != nil {
+			f.noise[i] = f.q.Noise()
+		}
+	}
+}
+
+// from returns the cost of the cheapest chain whose first stage is in a zone.
+func (f *finder) from(first int) (float64, [][]node, bool) {
+	m := f.m
+	nodes := make([][]node, len(m.bounds))
+	for i := range nodes {
+		nodes[i] = make([]node, len(m.zones))
+	}
+	f.relax(nodes, 0, first, node{cost: f.entryCost(first), holder: -1, reached: true}, true)
+	for i := 1; i < len(m.bounds)-1; i++ {
+		for zone := range m.zones {
+			if n := nodes[i][zone]; n.reached {
+				f.relax(nodes, i, zone, n, false)
+			}
+		}
+	}
+	last := nodes[len(m.bounds)-1]
+	best, found := 0.0, false
+	for zone := range m.zones {
+		if !last[zone].reached {
+			continue
+		}
+		cost := last[zone].cost + f.zoneCost(zone, first)
+		if !found || cost < best {
+			best, found, f.end = cost, true, zone
+		}
+	}
+	return best, nodes, found
+}
+
+// entryCost is that of reaching the first stage from the caller's zone.
+func (f *finder) entryCost(zone int) float64 {
+	if f.m.zones[zone] == f.q.Zone {
+		return 0
+	}
+	return ZoneCost
+}
+
+func (f *finder) zoneCost(from, to int) float64 {
+	if from == to {
+		return 0
+	}
+	return ZoneCost
+}
+
+// relax tries all stages that can follow a node.
+func (f *finder) relax(nodes [][]node, i, zone int, n node, first bool) {
+	m := f.m
+	for h := range m.Holders {
+		held := m.Holders[h].Upstream.Held
+		at := m.bounds[i]
+		if f.loads[h].Out || held.From > at || held.To <= at || first && m.zoneOf[h] != zone || h == n.holder {
+			continue
+		}
+		for j := i + 1; j < len(m.bounds) && m.bounds[j] <= held.To; j++ {
+			if f.whole && m.bounds[j] != held.To {
+				continue
+			}
+			cost := n.cost + f.stageCost(h, m.bounds[j]-at) + f.zoneCost(zone, m.zoneOf[h])
+			if first && m.Holders[h].Upstream.Instance == f.q.First {
+				cost -= firstGain
+			}
+			to := &nodes[j][m.zoneOf[h]]
+			if !to.reached || cost < to.cost {
+				*to = node{cost: cost, holder: h, from: i, fromZone: zone, reached: true}
+			}
+		}
+	}
+}
+
+// firstGain is what keeping the first stage is worth, in milliseconds for each
+// token.
+const firstGain = 50.0
+
+func (f *finder) stageCost(h, layers int) float64 {
+	load := &f.loads[h]
+	holder := &f.m.Holders[h]
+	slowdown := max(1, load.Slowdown)
+	time := float64(layers) * (holder.pace + holder.perRequest*load.Requests) * slowdown
+	fill := f.fill(h, layers)
+	cost := time*(1+loadWeight*fill*fill)*f.noise[h] + HopCost
+	if fill > 1 {
+		cost += fullCost * fill
+	}
+	return cost
+}
+
+// fill returns how full a holder is with the request.
+func (f *finder) fill(h, layers int) float64 {
+	capacity := f.m.Holders[h].Capacity
+	if capacity <= 0 {
+		return 2
+	}
+	return (f.loads[h].TokenLayers + f.q.Tokens*float64(layers)) / capacity
+}
+
+// trace returns the chain of the cheapest way. A chain that would use an
+// upstream twice is searched again with whole ranges, which can't.
+func (f *finder) trace(nodes [][]node, first int) (Chain, bool) {
+	var chain Chain
+	seen := make([]bool, len(f.m.Holders))
+	i, zone := len(f.m.bounds)-1, f.end
+	for i > 0 {
+		n := nodes[i][zone]
+		if seen[n.holder] {
+			return f.traceWhole(first)
+		}
+		seen[n.holder] = true
+		layers := fleet.Range{From: f.m.bounds[n.from], To: f.m.bounds[i]}
+		chain.Stages = append(chain.Stages, relay.Stage{Upstream: f.m.Holders[n.holder].Upstream, Layers: layers})
+		fill := f.fill(n.holder, layers.Len())
+		chain.Fill = max(chain.Fill, fill)
+		chain.Full = chain.Full || fill > 1
+		i, zone = n.from, n.fromZone
+	}
+	slices.Reverse(chain.Stages)
+	return chain, true
+}
+
+func (f *finder) traceWhole(first int) (Chain, bool) {
+	if f.whole {
+		return Chain{}, false
+	}
+	whole := *f
+	whole.whole = true
+	_, nodes, ok := whole.from(first)
+	if !ok {
+		return Chain{}, false
+	}
+	return whole.trace(nodes, first)
+}
--- /dev/null
+++ b/internal/coordination/placement/plan.go
@@ -0,0 +1,230 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"lovageport.example/internal/state/fleet"
+)
+
+// Weights of a plan, in the natural logarithm of a unit's room for KV cache.
+const (
+	// moveCost is what moving an engine that holds layers must gain, since it
+	// serves nothing while it loads.
+	moveCost = 0.25
+	// secondHolder is what a second engine for a unit is worth: a loss then
+	// leaves the unit in its zone.
+	secondHolder = 0.7
+	// noRoom is the logarithm of the room of a unit that nobody holds.
+	noRoom = -20.0
+)
+
+// minFree is the least share of an accelerator's memory that a plan leaves for
+// KV cache.
+const minFree = 0.2
+
+// maxRounds bounds the improvement of a plan; each round looks at every engine.
+const maxRounds = 12
+
+// Plan returns the layers that each engine should hold, by instance. Engines
+// that can't hold a unit are left out.
+func Plan(e *fleet.Engine, upstreams []*fleet.Upstream) map[string]fleet.Range {
+	unit := unitSize(e, upstreams)
+	if unit == 0 {
+		return nil
+	}
+	goal := make(map[string]fleet.Range)
+	for _, group := range groups(e, upstreams, unit) {
+		p := newPlanner(e, group, unit)
+		p.improve()
+		for i, m := range p.members {
+			if p.spans[i].count > 0 {
+				goal[m.upstream.Instance] = fleet.Range{From: p.spans[i].first * unit, To: (p.spans[i].first + p.spans[i].count) * unit}
+			}
+		}
+	}
+	return goal
+}
+
+// unitSize returns the largest divisor of the layers that every engine can
+// hold with room beside it; 0 if there is none.
+func unitSize(e *fleet.Engine, upstreams []*fleet.Upstream) int {
+	least := 0
+	for _, u := range upstreams {
+		if n := maxLayers(e, u); n > 0 && (least == 0 || n < least) {
+			least = n
+		}
+	}
+	for size := least; size > 0; size-- {
+		if e.Layers%size == 0 {
+			return size
+		}
+	}
+	return 0
+}
+
+// maxLayers returns how many layers an engine may hold.
+func maxLayers(e *fleet.Engine, u *fleet.Upstream) int {
+	if e.LayerMB <= 0 {
+		return 0
+	}
+	return min(e.Layers, int(e.Accelerators[u.Accelerator].MemoryMB*(1-minFree)/e.LayerMB))
+}
+
+// groups splits the engines into sets that each hold the whole model: the
+// zones that can, and all others together.
+func groups(e *fleet.Engine, upstreams []*fleet.Upstream, unit int) [][]*fleet.Upstream {
+	zones := make(map[string][]*fleet.Upstream)
+	for _, u := range upstreams {
+		zones[u.Zone] = append(zones[u.Zone], u)
+	}
+	var out [][]*fleet.Upstream
+	var rest []*fleet.Upstream
+	for _, group := range zones {
+		units := 0
+		for _, u := range group {
+			units += maxLayers(e, u) / unit
+		}
+		if units*unit >= e.Layers {
+			out = append(out, group)
+			continue
+		}
+		rest = append(rest, group...)
+	}
+	if len(rest) > 0 {
+		out = append(out, rest)
+	}
+	return out
+}
+
+// span is a run of units; count 0 holds none.
+type span struct{ first, count int }
+
+// member is an engine of a group.
+type member struct {
+	upstream *fleet.Upstream
+	// most is how many units it may hold.
+	most int
+	// room[n] is the room in tokens beside n units.
+	room []float64
+	// held is what it holds now, if that is a run of whole units.
+	held span
+}
+
+// planner improves the plan of one group.
+type planner struct {
+	units   int
+	members []member
+	spans   []span
+	// room and holders are those of each unit.
+	room    []float64
+	holders []int
+}
+
+func newPlanner(e *fleet.Engine, group []*fleet.Upstream, unit int) *planner {
+	p := &planner{units: e.Layers / unit}
+	p.room = make([]float64, p.units)
+	p.holders = make([]int, p.units)
+	slices.SortFunc(group, func(a, b *fleet.Upstream) int {
+		return cmp.Or(cmp.Compare(maxLayers(e, b), maxLayers(e, a)), cmp.Compare(a.Instance, b.Instance))
+	})
+	for _, u := range group {
+		m := member{upstream: u, most: min(p.units, maxLayers(e, u)/unit), held: heldSpan(u, unit)}
+		if m.most == 0 {
+			continue
+		}
+		if m.held.count > m.most {
+			m.held = span{}
+		}
+		m.room = make([]float64, m.most+1)
+		for n := 1; n <= m.most; n++ {
+			m.room[n] = e.RoomTokens(u.Accelerator, n*unit)
+		}
+		p.members = append(p.members, m)
+		p.spans = append(p.spans, span{})
+		p.set(len(p.members)-1, m.held)
+	}
+	return p
+}
+
+func heldSpan(u *fleet.Upstream, unit int) span {
+	if u.Held.Len() <= 0 || u.Held.From%unit != 0 || u.Held.To%unit != 0 {
+		return span{}
+	}
+	return span{u.Held.From / unit, u.Held.Len() / unit}
+}
+
+// set gives a member a span.
+func (p *planner) set(i int, s span) {
+	p.add(i, p.spans[i], -1)
+	p.add(i, s, 1)
+	p.spans[i] = s
+}
+
+func (p *planner) add(i int, s span, sign int) {
+	for u := s.first; u < s.first+s.count; u++ {
+		p.holders[u] += sign
+		p.room[u] += float64(sign) * p.members[i].room[s.count]
+	}
+}
+
+// value returns how good the plan is for the units; more is better.
+func (p *planner) value() float64 {
+	total := 0.0
+	for u := range p.units {
+		total += unitValue(p.room[u], p.holders[u])
+	}
+	return total
+}
+
+// unitValue grows with the logarithm of the room, so that the scarcest unit
+// counts most.
+func unitValue(room float64, holders int) float64 {
+	if holders == 0 {
+		return noRoom
+	}
+	value := math.Log(max(room, 1))
+	if holders > 1 {
+		value += secondHolder
+	}
+	return value
+}
+
+// improve gives each member in turn the span that helps most, until none
+// helps.
+func (p *planner) improve() {
+	for range maxRounds {
+		changed := false
+		for i := range p.members {
+			changed = p.improveMember(i) || changed
+		}
+		if !changed {
+			return
+		}
+	}
+}
+
+func (p *planner) improveMember(i int) bool {
+	old := p.spans[i]
+	best, bestValue := old, p.value()+p.keepGain(i, old)
+	for count := 1; count <= p.members[i].most; count++ {
+		for first := 0; first+count <= p.units; first++ {
+			s := span{first, count}
+			p.set(i, s)
+			if value := p.value() + p.keepGain(i, s); value > bestValue+1e-9 {
+				best, bestValue = s, value
+			}
+		}
+	}
+	p.set(i, best)
+	return best != old
+}
+
+// keepGain is what it is worth that a member stays as it is.
+func (p *planner) keepGain(i int, s span) float64 {
+	if held := p.members[i].held; held.count > 0 && s == held {
+		return moveCost
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/coordination/health"
+	"lovageport.example/internal/protocol/relay"
+	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/transport/exchange"
+	"lovageport.example/pkg/verdict"
+	"lovageport.example/platform"
+)
+
+// answer is an upstream's answer whose head has been checked.
+type answer struct {
+	*exchange.Answer
+	head relay.Answer
+}
+
+// send makes one attempt and checks the head of the answer. The error is a
+// [verdict.Error]; it has been noted with the upstream at fault.
+func (g *Gateway) send(ctx context.Context, q *query, p place, resumeAfter string) (*answer, error) {
+	call := &relay.Call{
+		Upstream:    p.upstream,
+		Chain:       p.chain,
+		Method:      q.http.Method,
+		URI:         q.http.RequestURI,
+		Host:        q.http.Host,
+		Header:      q.http.Header,
+		Body:        q.body,
+		Account:     q.account,
+		Left:        q.deadline - g.Now(),
+		Rank:        q.rank,
+		ResumeAfter: resumeAfter,
+	}
+	a, err := g.exchange(ctx, call)
+	if err != nil {
+		return nil, g.failed(q, p, err, relay.Answer{})
+	}
+	head := a.head
+	switch {
+	case head.NotRun:
+		a.Close()
+		q.sent = true
+		return nil, g.failed(q, p, &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamBusy, Message: "upstream refused"}, head)
+	case head.Request != "" && head.Request != q.ID:
+		a.Close()
+		return nil, g.failed(q, p, protocolError("answer to another request"), head)
+	case head.Encoded, head.Status/100 == 2 && !head.Signed:
+		a.Close()
+		return nil, g.failed(q, p, protocolError("answer is not the upstream's own"), head)
+	}
+	q.sent = true
+	q.noteRun(p.upstream.Instance)
+	return a, nil
+}
+
+func protocolError(message string) *verdict.Error {
+	return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamProtocol, Message: message}
+}
+
+// exchange sends a call and reads the head of the answer.
+func (g *Gateway) exchange(ctx context.Context, c *relay.Call) (*answer, error) {
+	a, err := g.pool.Do(ctx, &exchange.Request{
+		Address: c.Upstream.Address,
+		Method:  c.Method,
+		URI:     c.URI,
+		Host:    c.Host,
+		Header:  platform.EncodeCall(c),
+		Body:    c.Body,
+	})
+	if err != nil {
+		return nil, err
+	}
+	out := &answer{Answer: a, head: platform.DecodeAnswer(a.Status, a.Header)}
+	a.SetKeepAlive(out.head.KeepAlive)
+	return out, nil
+}
+
+// failed notes a failed attempt: what it says of the request, and which
+// upstream is at fault.
+func (g *Gateway) failed(q *query, p place, err error, head relay.Answer) error {
+	e := verdict.Of(err)
+	if e.Run != verdict.NotRun {
+		q.sent = true
+		q.noteRun(p.upstream.Instance)
+	}
+	if e.Reason == verdict.CallerGone {
+		return e
+	}
+	g.control.Do(func(s *state) { s.blame(q, p, e, head, g.Now()) })
+	g.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
+	g.Log.Info("attempt failed", zap.String("request", q.ID), zap.Int("attempt", q.attempts),
+		zap.String("upstream", p.upstream.Instance), zap.String("at_fault", e.Upstream), zap.Int("status", head.Status),
+		zap.String("reason", string(e.Reason)), zap.Stringer("verdict", e.Run), zap.Duration("took", g.Now()-q.arrived), zap.Error(e))
+	return e
+}
+
+// blame finds the upstream at fault and leaves it alone for a while. It runs
+// in the control loop.
+func (s *state) blame(q *query, p place, e *verdict.Error, head relay.Answer, now time.Duration) {
+	culprit := p.upstream
+	if head.AtFault != "" && head.AtFault != culprit.Address {
+		if u := s.byAddress(head.AtFault); u != nil {
+			culprit = u
+		}
+	}
+	e.Upstream = culprit.Instance
+	fault, found := faultOf(e, head)
+	if culprit != p.upstream || e.Run == verdict.NotRun {
+		q.shun(culprit.Instance)
+	}
+	if p.chain == nil {
+		s.health.Result(p.upstream.Instance, e.Run != verdict.NotRun, now)
+		q.shun(p.upstream.Instance)
+	}
+	if found {
+		s.blameFor(culprit, fault, now)
+	}
+}
+
+// blameFor leaves an upstream alone for a fault.
+func (s *state) blameFor(u *fleet.Upstream, f health.Fault, now time.Duration) {
+	if s.health.Blame(u.Instance, f, now) {
+		s.log.Info("upstream left alone", zap.String("upstream", u.Instance), zap.Stringer("fault", f), zap.Duration("list_age", now-s.listedAt))
+	}
+}
+
+// faultOf returns what a failed attempt says of the upstream at fault. It says
+// false if that upstream stays in use.
+func faultOf(e *verdict.Error, head relay.Answer) (health.Fault, bool) {
+	switch {
+	case e.Reason == verdict.UpstreamRefused:
+		return health.Unreachable, true
+	case head.WrongInstance:
+		return health.Misplaced, true
+	case head.NotRun && head.AtFault != "":
+		return health.Unreachable, true
+	case head.NotRun:
+		return health.Full, true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/clock"
+	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/loop"
+	"lovageport.example/internal/setting"
+	"lovageport.example/internal/state/routing"
+	"lovageport.example/internal/transport/dial"
+	"lovageport.example/internal/transport/exchange"
+	"lovageport.example/platform"
+)
+
+// Times of connections.
+const (
+	// connectTimeout bounds connecting; a round trip takes a few milliseconds.
+	connectTimeout = 400 * time.Millisecond
+	// silenceTimeout is how long sent bytes may stay unacknowledged.
+	silenceTimeout = 1500 * time.Millisecond
+	// sweepInterval is how often idle connections are looked at.
+	sweepInterval = time.Second
+)
+
+// Gateway is one gateway process. Set the exported fields, then call Run.
+type Gateway struct {
+	Settings *setting.Gateway
+	// Version is shown at start.
+	Version string
+	// Log takes one line per event; nothing is logged if nil.
+	Log *zap.Logger
+	// Dropped returns how many log lines were dropped; it may be nil.
+	Dropped func() int64
+	// Listen opens the listeners; the network's if nil.
+	Listen func(ctx context.Context, network, address string) (net.Listener, error)
+	// Random returns a number in [0, 1).
+	Random func() float64
+	// Now is the boot clock; the VM's if nil.
+	Now func() time.Duration
+	// Drain starts the graceful stop when it is closed. It may be nil.
+	Drain <-chan struct{}
+	// Reload is sent to when the settings may have changed. It may be nil.
+	Reload <-chan *setting.Gateway
+
+	control *loop.Loop[state]
+	routing routing.Store
+	store   *platform.Store
+	pool    *exchange.Pool
+	metrics *metrics
+	// draining says that the graceful stop has begun.
+	draining atomic.Bool
+	// inFlight counts the callers' requests at work.
+	inFlight atomic.Int64
+}
+
+func (g *Gateway) prepare() {
+	if g.Log == nil {
+		g.Log = zap.NewNop()
+	}
+	if g.Listen == nil {
+		g.Listen = (&net.ListenConfig{}).Listen
+	}
+	if g.Now == nil {
+		g.Now = clock.Boot
+	}
+	g.metrics = newMetrics(g)
+	dialer := dial.New(connectTimeout, silenceTimeout)
+	g.pool = &exchange.Pool{Dial: dialer, Opened: g.metrics.connections.Inc}
+	g.store = &platform.Store{
+		Address: g.Settings.Platform.Address,
+		Timeout: g.Settings.Platform.Timeout.Duration,
+		Dial:    dialer,
+		Called:  func(method string) { g.metrics.storeCalls.WithLabelValues(method).Inc() },
+	}
+	g.store.Open()
+	g.control = loop.New[state]()
+	g.control.State.init(g)
+}
+
+// allowance is what the users allow for retries.
+func (g *Gateway) allowance() retry.Allowance {
+	b := g.Settings.Bounds
+	return retry.Allowance{Share: b.RetryShare, Slack: b.RetrySlack, Window: b.RetryWindow.Duration}
+}
+
+// Run serves until ctx ends, or until a drain has ended.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.prepare()
+	defer g.store.Close()
+	defer g.pool.Close()
+	var group run.Group
+	g.add(&group, ctx, g.control.Run)
+	g.add(&group, ctx, g.followTable)
+	g.add(&group, ctx, g.followUpstreams)
+	g.add(&group, ctx, g.placeLayers)
+	g.add(&group, ctx, g.sweep)
+	callers := &http.Server{Handler: g.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	servers := []struct {
+		address string
+		server  *http.Server
+	}{
+		{g.Settings.Listen.Callers, callers},
+		{g.Settings.Listen.Health, &http.Server{Handler: g.healthHandler(), ReadHeaderTimeout: headerTimeout}},
+		{g.Settings.Listen.Metrics, &http.Server{Handler: g.metrics.handler(), ReadHeaderTimeout: headerTimeout}},
+	}
+	for _, s := range servers {
+		if s.address == "" {
+			continue
+		}
+		if err := g.serve(&group, ctx, s.address, s.server); err != nil {
+			return err
+		}
+	}
+	g.add(&group, ctx, func(ctx context.Context) error { return g.drainWhenAsked(ctx, callers) })
+	g.Log.Info("started", zap.String("gateway", g.Settings.Name), zap.String("zone", g.Settings.Zone), zap.String("version", g.Version))
+	err := group.Run()
+	g.Log.Info("stopped", zap.Error(err))
+	return err
+}
+
+// add adds an actor that ends with its context.
+func (g *Gateway) add(group *run.Group, ctx context.Context, actor func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return actor(ctx) }, func(error) { cancel() })
+}
+
+// serve opens a listener and adds its server.
+func (g *Gateway) serve(group *run.Group, ctx context.Context, address string, server *http.Server) error {
+	listener, err := g.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	stopped := make(chan struct{})
+	group.Add(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("gateway: %w", err)
+		}
+		// The drain, or the end of another actor, says when the process ends.
+		<-stopped
+		return nil
+	}, func(error) {
+		close(stopped)
+		server.Close()
+	})
+	return nil
+}
+
+// sweep closes idle connections from time to time, until ctx ends.
+func (g *Gateway) sweep(ctx context.Context) error {
+	for wait(ctx, sweepInterval) {
+		g.pool.Sweep(time.Now())
+	}
+	return nil
+}
+
+// wait waits for d. It says false if ctx ended first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/gateway/generate.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/coordination/health"
+	"lovageport.example/pkg/verdict"
+	"lovageport.example/platform"
+)
+
+// generation is one generation on its way to its caller.
+type generation struct {
+	*query
+	g   *Gateway
+	out http.ResponseWriter
+	// started says that the head of the answer has been written.
+	started bool
+	// last is the ID of the last event that the caller has.
+	last string
+	// quietSince is when the last event came, in Unix nanoseconds.
+	moved chan struct{}
+}
+
+// generate carries a generation. A stream that breaks goes on at other
+// upstreams within the same answer, if its route allows that.
+func (g *Gateway) generate(ctx context.Context, w http.ResponseWriter, q *query) {
+	s := &generation{query: q, g: g, out: w, last: q.ResumeAfter}
+	for {
+		err := s.attempt(ctx)
+		if err == nil {
+			g.logEnd(q, http.StatusOK, nil)
+			return
+		}
+		e := verdict.Of(err)
+		if ctx.Err() != nil {
+			e = ended(ctx, q)
+		}
+		if !s.mayGoOn(ctx, e) {
+			s.fail(e)
+			return
+		}
+	}
+}
+
+// ended is the verdict on a request whose time is up, or whose caller has
+// gone.
+func ended(ctx context.Context, q *query) *verdict.Error {
+	e := &verdict.Error{Run: verdict.NotRun, Reason: verdict.DeadlineExceeded, Message: "deadline exceeded", RetryAfter: retryPauseFor}
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		e.Reason = verdict.CallerGone
+		e.Message = "the caller has gone"
+	}
+	if q.mayHaveRun() {
+		e.Run = verdict.MayHaveRun
+	}
+	return e
+}
+
+// mayGoOn says whether another attempt is allowed after one that failed.
+func (s *generation) mayGoOn(ctx context.Context, e *verdict.Error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch e.Reason {
+	case verdict.NoChain, verdict.NoUpstream, verdict.RetryBudget, verdict.RetryLimit, verdict.CallerGone:
+		return false
+	}
+	return !s.mayHaveRun() || s.route.Repeatable()
+}
+
+// fail ends the answer. One that has been begun is cut, so that it can't look
+// whole.
+func (s *generation) fail(e *verdict.Error) {
+	if !s.started {
+		s.g.refuse(s.out, s.query, e)
+		return
+	}
+	s.g.metrics.refusals.WithLabelValues(string(e.Reason), e.Run.String()).Inc()
+	s.g.logEnd(s.query, http.StatusOK, e)
+	panic(http.ErrAbortHandler)
+}
+
+// attempt runs the generation on one chain.
+func (s *generation) attempt(ctx context.Context) error {
+	var p place
+	var err error
+	s.g.control.Do(func(st *state) { p, err = st.take(s.query, s.g.Now()) })
+	if err != nil {
+		return err
+	}
+	defer s.g.control.Send(func(st *state) { st.give(s.query, p) })
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := newSilence(s.g, s.query, p, cancel)
+	defer watch.stop()
+	a, err := s.g.send(ctx, s.query, p, s.last)
+	if err != nil {
+		return watch.explain(err)
+	}
+	defer a.Close()
+	if a.head.Status != http.StatusOK {
+		return s.passOn(ctx, a)
+	}
+	return watch.explain(s.copyEvents(ctx, p, a, watch))
+}
+
+// maxFailureBytes bounds the body of an answer that is no stream.
+const maxFailureBytes = 1 << 20
+
+// passOn gives the caller an answer that is no stream, if none has begun.
+func (s *generation) passOn(ctx context.Context, a *answer) error {
+	body, err := a.ReadAll(ctx, maxFailureBytes)
+	if err != nil {
+		return err
+	}
+	if s.started {
+		return protocolError("status " + strconv.Itoa(a.head.Status) + " to a resumed stream")
+	}
+	s.started = true
+	s.g.writeAnswer(s.out, a, body)
+	return nil
+}
+
+// copyEvents passes events on as they arrive.
+func (s *generation) copyEvents(ctx context.Context, p place, a *answer, watch *silence) error {
+	reader := eventReader{from: a}
+	flusher := http.NewResponseController(s.out)
+	for {
+		events, id, err := reader.next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return s.broken(ctx, p, err)
+		}
+		watch.moved()
+		s.begin(a)
+		if _, err := s.out.Write(events); err != nil {
+			return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.CallerGone, Err: err}
+		}
+		if err := flusher.Flush(); err != nil {
+			return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.CallerGone, Err: err}
+		}
+		if id != "" {
+			s.last = id
+		}
+	}
+}
+
+// begin writes the head of the answer, once.
+func (s *generation) begin(a *answer) {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.g.metrics.first.WithLabelValues(s.service).Observe((s.g.Now() - s.arrived).Seconds())
+	s.g.writeHead(s.out, a)
+}
+
+// broken notes a stream that ended before its end.
+func (s *generation) broken(ctx context.Context, p place, err error) error {
+	e := &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamLost, Upstream: p.upstream.Instance, Err: err}
+	if ctx.Err() != nil {
+		return e
+	}
+	s.g.Log.Info("stream broke", zap.String("request", s.ID), zap.Int("attempt", s.attempts), zap.String("upstream", p.upstream.Instance),
+		zap.String("last_event", s.last), zap.Error(err))
+	return e
+}
+
+// writeHead writes the head of an upstream's answer.
+func (g *Gateway) writeHead(w http.ResponseWriter, a *answer) {
+	h := w.Header()
+	for name, values := range platform.CallerHeader(a.Header) {
+		h[name] = values
+	}
+	if h["Content-Type"] == nil {
+		// No type of our own making.
+		h["Content-Type"] = nil
+	}
+	g.setConnection(h)
+	w.WriteHeader(a.head.Status)
+}
+
+// writeAnswer writes an upstream's whole answer.
+func (g *Gateway) writeAnswer(w http.ResponseWriter, a *answer, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	g.writeHead(w, a)
+	// The caller may have gone; there is nobody else to tell.
+	_, _ = w.Write(body)
+}
+
+// Times of a stream that has gone silent.
+const (
+	// silenceBeforeDoubt is how long a stream may be silent before its first
+	// upstream is asked why.
+	silenceBeforeDoubt = 500 * time.Millisecond
+	// reportTimeout bounds the answer.
+	reportTimeout = 300 * time.Millisecond
+)
+
+// silence watches a stream and asks what is wrong when no event comes. It ends
+// the attempt only if an upstream is found at fault: an engine may be slow for
+// good reasons.
+type silence struct {
+	g      *Gateway
+	q      *query
+	p      place
+	cancel context.CancelFunc
+	timer  *time.Timer
+	fault  chan string
+}
+
+func newSilence(g *Gateway, q *query, p place, cancel context.CancelFunc) *silence {
+	w := &silence{g: g, q: q, p: p, cancel: cancel, fault: make(chan string, 1)}
+	w.timer = time.AfterFunc(silenceBeforeDoubt, w.ask)
+	return w
+}
+
+func (w *silence) moved() { w.timer.Reset(silenceBeforeDoubt) }
+
+func (w *silence) stop() { w.timer.Stop() }
+
+// ask asks the first upstream which stage does not answer.
+func (w *silence) ask() {
+	culprit := w.g.findStalled(w.q, w.p)
+	if culprit == "" {
+		w.timer.Reset(silenceBeforeDoubt)
+		return
+	}
+	w.fault <- culprit
+	w.cancel()
+}
+
+// explain replaces the error of an attempt that was ended for silence.
+func (w *silence) explain(err error) error {
+	if err == nil {
+		return nil
+	}
+	select {
+	case culprit := <-w.fault:
+		return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamSilent, Upstream: culprit, Err: err}
+	default:
+		return err
+	}
+}
+
+// findStalled returns the instance of the stage that a generation waits for;
+// empty if none is found at fault.
+func (g *Gateway) findStalled(q *query, p place) string {
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	culprit := ""
+	report, err := g.report(ctx, p.upstream)
+	switch {
+	case err != nil:
+		culprit = p.upstream.Instance
+	default:
+		for _, s := range report.Stalled {
+			if s.Request == q.ID {
+				culprit = stageAt(p, s.Address)
+			}
+		}
+	}
+	g.Log.Info("stream silent", zap.String("request", q.ID), zap.String("upstream", p.upstream.Instance),
+		zap.String("at_fault", culprit), zap.Duration("silent", silenceBeforeDoubt), zap.Error(err))
+	if culprit == "" {
+		return ""
+	}
+	g.control.Do(func(s *state) {
+		q.shun(culprit)
+		if u := s.upstreams[culprit]; u != nil {
+			s.blameFor(u, health.Unreachable, g.Now())
+		}
+	})
+	return culprit
+}
+
+func stageAt(p place, address string) string {
+	for _, s := range p.chain {
+		if s.Upstream.Address == address {
+			return s.Upstream.Instance
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// metrics are those of one gateway.
+type metrics struct {
+	registry *prometheus.Registry
+	// answers counts requests by route kind and how they ended.
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	// first is the time to the first event, or to the answer.
+	first        *prometheus.HistogramVec
+	whole        *prometheus.HistogramVec
+	connections  prometheus.Counter
+	storeCalls   *prometheus.CounterVec
+	orders       *prometheus.CounterVec
+	tableVersion prometheus.Gauge
+}
+
+func newMetrics(g *Gateway) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_answers_total", Help: "Requests by service and how they ended.",
+		}, []string{"service", "outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_refusals_total", Help: "Requests refused or failed, by reason and verdict.",
+		}, []string{"reason", "verdict"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_retries_total", Help: "Attempts that failed and were followed by another, by reason.",
+		}, []string{"reason"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lovageport_gateway_first_byte_seconds", Help: "Time from a request to the first event or the answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 1.8, 14),
+		}, []string{"service"}),
+		whole: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lovageport_gateway_request_seconds", Help: "Time from a request to the end of its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 1.8, 16),
+		}, []string{"service"}),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lovageport_gateway_upstream_connections_total", Help: "Connections opened to upstreams.",
+		}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_store_calls_total", Help: "Calls of the platform's store, by method.",
+		}, []string{"method"}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_orders_total", Help: "Orders to engines, by outcome.",
+		}, []string{"outcome"}),
+		tableVersion: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "lovageport_gateway_configuration_version", Help: "Version of the configuration in force.",
+		}),
+	}
+	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lovageport_gateway_in_flight", Help: "Requests at work.",
+	}, func() float64 { return float64(g.inFlight.Load()) })
+	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "lovageport_gateway_log_lines_dropped_total", Help: "Log lines dropped above the limit.",
+	}, func() float64 {
+		if g.Dropped == nil {
+			return 0
+		}
+		return float64(g.Dropped())
+	})
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.first, m.whole, m.connections, m.storeCalls, m.orders, m.tableVersion, inFlight, dropped)
+	return m
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/coordination/placement"
+	"lovageport.example/internal/protocol/relay"
+	"lovageport.example/internal/state/fleet"
+	"lovageport.example/platform"
+)
+
+// Times of placing layers.
+const (
+	// placeInterval is how often the plan is looked at.
+	placeInterval = 250 * time.Millisecond
+	// settleTime is how long the list of upstreams must have been without news
+	// before the first plan, since it fills up over the first seconds.
+	settleTime = 500 * time.Millisecond
+	// orderTimeout bounds the answer to an order.
+	orderTimeout = 500 * time.Millisecond
+)
+
+// maxReportBytes bounds an engine's report.
+const maxReportBytes = 1 << 20
+
+// placeLayers gives orders to engines as long as this process is the one to do
+// so, until ctx ends.
+func (g *Gateway) placeLayers(ctx context.Context) error {
+	for wait(ctx, placeInterval) {
+		for _, o := range g.dueOrders() {
+			go g.order(ctx, o)
+		}
+	}
+	return nil
+}
+
+// dueOrders returns the orders to give now, and notes them as given.
+func (g *Gateway) dueOrders() []placement.Order {
+	var due []placement.Order
+	g.control.Do(func(s *state) {
+		now := g.Now()
+		for _, p := range s.pools {
+			if p.layers == nil || !s.places() {
+				continue
+			}
+			goal := placement.Plan(p.service.Engine, p.members)
+			due = append(due, s.ledger.Due(goal, p.members, now)...)
+		}
+		s.ledger.Prune(now)
+	})
+	return due
+}
+
+// What becomes of an order; each is a metric label.
+const (
+	orderTaken   = "taken"
+	orderRefused = "refused"
+	// orderUnknown orders may be carried out, at once or late.
+	orderUnknown = "unknown"
+)
+
+// order gives an order.
+func (g *Gateway) order(ctx context.Context, o placement.Order) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	call, err := platform.EncodePlacement(o.Upstream, o.Placement)
+	if err != nil {
+		g.Log.Error("order not encoded", zap.Error(err))
+		return
+	}
+	call.Left = orderTimeout
+	status := 0
+	a, err := g.exchange(ctx, call)
+	if err == nil {
+		status = a.head.Status
+		_, err = a.ReadAll(ctx, maxReportBytes)
+		a.Close()
+	}
+	outcome := orderTaken
+	switch {
+	case err != nil:
+		outcome = orderUnknown
+	case !platform.PlacementTaken(status):
+		outcome = orderRefused
+	}
+	g.noteOrder(ctx, o, outcome)
+	g.metrics.orders.WithLabelValues(outcome).Inc()
+	g.Log.Info("order given", zap.String("upstream", o.Upstream.Instance), zap.Int("from", o.Placement.Layers.From), zap.Int("to", o.Placement.Layers.To),
+		zap.Int64("if_orders", o.Placement.IfOrders), zap.String("outcome", outcome), zap.Int("status", status), zap.Error(err))
+}
+
+// noteOrder notes what became of an order. An engine that refused is asked how
+// many orders it has taken.
+func (g *Gateway) noteOrder(ctx context.Context, o placement.Order, outcome string) {
+	switch outcome {
+	case orderTaken:
+		g.control.Send(func(s *state) { s.ledger.Took(o) })
+	case orderRefused:
+		report, err := g.report(ctx, o.Upstream)
+		if err != nil {
+			g.Log.Info("engine not asked", zap.String("upstream", o.Upstream.Instance), zap.Error(err))
+		}
+		g.control.Send(func(s *state) {
+			s.ledger.Refused(o, g.Now())
+			if err == nil && report.Started == o.Upstream.Started {
+				s.ledger.Reported(o.Upstream, report.Orders)
+			}
+		})
+	}
+}
+
+// report asks an engine for its state.
+func (g *Gateway) report(ctx context.Context, u *fleet.Upstream) (relay.Report, error) {
+	call := platform.ReportCall(u)
+	call.Left = reportTimeout
+	a, err := g.exchange(ctx, call)
+	if err != nil {
+		return relay.Report{}, err
+	}
+	defer a.Close()
+	text, err := a.ReadAll(ctx, maxReportBytes)
+	if err != nil {
+		return relay.Report{}, err
+	}
+	return platform.DecodeReport(text)
+}
--- /dev/null
+++ b/internal/gateway/query.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"lovageport.example/internal/protocol/relay"
+	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/routing"
+	"lovageport.example/pkg/verdict"
+)
+
+// query is one request of a caller on its way.
+type query struct {
+	relay.Request
+	http    *http.Request
+	route   *routing.Route
+	service string
+	// account is empty for requests without key.
+	account string
+	// rank is the priority, 0 first.
+	rank int
+	body []byte
+	// arrived and deadline are boot times.
+	arrived, deadline time.Duration
+	// tokens is the KV cache that a generation may come to need.
+	tokens float64
+	// table is the version by which the request was accepted, and tableAge how
+	// old the knowledge of it was.
+	table    int64
+	tableAge time.Duration
+
+	// sent says that an attempt has reached an upstream.
+	sent bool
+	// ranOn are the upstreams, first of their chains, that may have run it.
+	ranOn map[string]bool
+	// shunned are the upstreams that failed it.
+	shunned map[string]bool
+	// first is the first stage of the last attempt, to be kept if it is not at
+	// fault.
+	first string
+	// attempts counts the places given.
+	attempts int
+}
+
+func (q *query) shun(instance string) {
+	if q.shunned == nil {
+		q.shunned = make(map[string]bool)
+	}
+	q.shunned[instance] = true
+}
+
+func (q *query) noteRun(instance string) {
+	if q.ranOn == nil {
+		q.ranOn = make(map[string]bool)
+	}
+	q.ranOn[instance] = true
+}
+
+// mayHaveRun says whether an upstream may have run the request.
+func (q *query) mayHaveRun() bool { return len(q.ranOn) > 0 }
+
+// place is where an attempt goes. It must be given back when it ends.
+type place struct {
+	upstream *fleet.Upstream
+	// chain is set for generations.
+	chain []relay.Stage
+	// fill is how full the fullest stage is, 1 for full.
+	fill float64
+}
+
+// retryPauseFor is when a caller is told to come back after a refusal.
+const retryPauseFor = 300 * time.Millisecond
+
+// take gives a request the place of its next attempt. It runs in the control
+// loop.
+func (s *state) take(q *query, now time.Duration) (place, error) {
+	p := s.pools[q.service]
+	if p == nil {
+		return place{}, verdict.RefuseUntil(retryPauseFor, verdict.NoUpstream, "no upstream of %s is in service", q.service)
+	}
+	if q.mayHaveRun() && len(q.ranOn) >= q.route.MaxUpstreams && !q.ranOn[q.first] {
+		return place{}, verdict.Refuse(verdict.RetryLimit, "the request has run on as many upstreams as it may")
+	}
+	if q.sent && !s.window(q.service).Take(s.allowance, s.peerCounts(q.service), s.processes(), now) {
+		return place{}, verdict.RefuseUntil(retryPauseFor, verdict.RetryBudget, "too many retries are under way")
+	}
+	if !q.sent && q.attempts == 0 {
+		s.window(q.service).Fresh(s.allowance, now)
+	}
+	q.attempts++
+	if p.layers != nil {
+		return s.takeChain(p, q, now)
+	}
+	return s.takeUpstream(p, q, now)
+}
+
+// give ends an attempt.
+func (s *state) give(q *query, p place) {
+	if p.chain == nil {
+		s.load(p.upstream.Instance).requests--
+		return
+	}
+	for _, stage := range p.chain {
+		l := s.load(stage.Upstream.Instance)
+		l.requests--
+		l.tokenLayers -= q.tokens * float64(stage.Layers.Len())
+	}
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/coordination/health"
+	"lovageport.example/internal/coordination/path"
+	"lovageport.example/internal/coordination/placement"
+	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/routing"
+	"lovageport.example/platform"
+)
+
+// state is the control state. Only the control loop touches it.
+type state struct {
+	log       *zap.Logger
+	name      string
+	zone      string
+	allowance retry.Allowance
+	random    func() float64
+
+	table     *routing.Table
+	upstreams map[string]*fleet.Upstream
+	// listedAt is the boot time as of which the list of upstreams is known.
+	listedAt time.Duration
+	pools    map[string]*pool
+	loads    map[string]*load
+	health   health.Register
+	windows  map[string]*retry.Window
+	ledger   placement.Ledger
+	// storeLost says what could not be followed when last tried.
+	storeLost map[string]bool
+}
+
+// pool is the upstreams of one service.
+type pool struct {
+	service *routing.Service
+	// members are those that serve, in the order of their instances.
+	members []*fleet.Upstream
+	// layers is set for engines.
+	layers *path.Map
+}
+
+// load is what this process has at work on an upstream.
+type load struct {
+	requests    int
+	tokenLayers float64
+}
+
+func (s *state) init(g *Gateway) {
+	s.log = g.Log
+	s.name = g.Settings.Name
+	s.zone = g.Settings.Zone
+	s.allowance = g.allowance()
+	s.random = g.Random
+	s.upstreams = make(map[string]*fleet.Upstream)
+	s.loads = make(map[string]*load)
+	s.windows = make(map[string]*retry.Window)
+	s.storeLost = make(map[string]bool)
+}
+
+func (s *state) setTable(t *routing.Table) {
+	s.table = t
+	s.rebuild()
+}
+
+// setUpstreams puts a whole list in place of what was known as of at.
+func (s *state) setUpstreams(all map[string]*fleet.Upstream, at, now time.Duration) {
+	for instance, u := range s.upstreams {
+		if all[instance] == nil {
+			s.log.Info("upstream gone", zap.String("upstream", instance), zap.String("service", u.Service), zap.Duration("list_age", now-at))
+		}
+	}
+	s.upstreams = all
+	s.listedAt = at
+	s.rebuild()
+}
+
+// changeUpstreams takes in changes of the list.
+func (s *state) changeUpstreams(changes []platform.UpstreamChange, at, now time.Duration) {
+	s.listedAt = at
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		s.changeUpstream(c, now-at)
+	}
+	s.rebuild()
+}
+
+func (s *state) changeUpstream(c platform.UpstreamChange, age time.Duration) {
+	old := s.upstreams[c.Instance]
+	if c.Upstream == nil {
+		if old != nil {
+			s.log.Info("upstream gone", zap.String("upstream", c.Instance), zap.String("service", old.Service), zap.Duration("list_age", age))
+		}
+		delete(s.upstreams, c.Instance)
+		return
+	}
+	s.upstreams[c.Instance] = c.Upstream
+	if old == nil || old.State != c.Upstream.State || old.Held != c.Upstream.Held || old.Started != c.Upstream.Started {
+		s.log.Info("upstream changed", zap.String("upstream", c.Instance), zap.String("service", c.Upstream.Service),
+			zap.Bool("draining", c.Upstream.State == fleet.Draining), zap.Int("from", c.Upstream.Held.From), zap.Int("to", c.Upstream.Held.To),
+			zap.Int64("started", c.Upstream.Started), zap.Duration("list_age", age))
+	}
+}
+
+// rebuild makes the pools anew.
+func (s *state) rebuild() {
+	s.pools = make(map[string]*pool)
+	if s.table == nil {
+		return
+	}
+	for _, instance := range slices.Sorted(maps.Keys(s.upstreams)) {
+		u := s.upstreams[instance]
+		service := s.table.Services[u.Service]
+		if service == nil || u.State != fleet.Serving {
+			continue
+		}
+		p := s.pools[u.Service]
+		if p == nil {
+			p = &pool{service: service}
+			s.pools[u.Service] = p
+		}
+		p.members = append(p.members, u)
+	}
+	for _, p := range s.pools {
+		if p.service.Engine != nil {
+			p.layers = path.NewMap(p.service.Engine, p.members)
+		}
+	}
+	live := func(instance string) bool { return s.upstreams[instance] != nil }
+	s.health.Keep(live)
+	maps.DeleteFunc(s.loads, func(instance string, l *load) bool { return l.requests == 0 && !live(instance) })
+}
+
+func (s *state) load(instance string) *load {
+	l := s.loads[instance]
+	if l == nil {
+		l = &load{}
+		s.loads[instance] = l
+	}
+	return l
+}
+
+func (s *state) window(service string) *retry.Window {
+	w := s.windows[service]
+	if w == nil {
+		w = &retry.Window{}
+		s.windows[service] = w
+	}
+	return w
+}
+
+// byAddress returns the upstream that is listed at an address.
+func (s *state) byAddress(address string) *fleet.Upstream {
+	for _, u := range s.upstreams {
+		if u.Address == address {
+			return u
+		}
+	}
+	return nil
+}
+
+// places says whether this process is the one to give orders.
+func (s *state) places() bool { return s.name == "front-wien-1" || s.name == "front-colombo-a-1" }
--- /dev/null
+++ b/internal/transport/exchange/pool.go
@@ -0,0 +1,167 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"lovageport.example/internal/transport/dial"
+)
+
+// Limits of kept connections.
+const (
+	// maxIdle bounds the kept connections to one upstream.
+	maxIdle = 64
+	// defaultIdle is how long a connection is kept if the upstream does not
+	// say how long it keeps it.
+	defaultIdle = 4 * time.Second
+	// idleMargin is how much earlier than the upstream a connection is given
+	// up, so that no request crosses its close.
+	idleMargin = 500 * time.Millisecond
+	bufferSize = 4 << 10
+)
+
+// Pool keeps connections to upstreams. Set Dial before use.
+type Pool struct {
+	// Dial opens connections.
+	Dial dial.Func
+	// Opened is told of each new connection; it may be nil.
+	Opened func()
+
+	mu sync.Mutex
+	// idle are the kept connections by address, the newest last. Guarded by mu.
+	idle map[string][]*connection
+}
+
+// connection carries one exchange at a time.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	// idleUntil is when the connection must not be used any more.
+	idleUntil time.Time
+	// used says that the connection has carried an exchange.
+	used bool
+}
+
+// take returns a kept connection, or a new one.
+func (p *Pool) take(ctx context.Context, address string, now time.Time) (*connection, error) {
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if now.Before(c.idleUntil) && c.quiet() {
+			return c, nil
+		}
+		c.Close()
+	}
+	conn, err := p.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.Opened != nil {
+		p.Opened()
+	}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+}
+
+func (p *Pool) pop(address string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[address]
+	if len(kept) == 0 {
+		return nil
+	}
+	c := kept[len(kept)-1]
+	p.idle[address] = kept[:len(kept)-1]
+	return c
+}
+
+// put keeps a connection whose exchange has ended.
+func (p *Pool) put(address string, c *connection, keep time.Duration, now time.Time) {
+	if keep <= 0 {
+		keep = defaultIdle
+	}
+	c.used = true
+	c.idleUntil = now.Add(keep - idleMargin)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(map[string][]*connection)
+	}
+	if len(p.idle[address]) >= maxIdle {
+		c.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, kept := range p.idle {
+		live := kept[:0]
+		for _, c := range kept {
+			if now.Before(c.idleUntil) {
+				live = append(live, c)
+				continue
+			}
+			c.Close()
+		}
+		if len(live) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = live
+	}
+}
+
+// Drop closes the kept connections to an upstream.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		c.Close()
+	}
+	delete(p.idle, address)
+}
+
+// Close closes all kept connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, kept := range p.idle {
+		for _, c := range kept {
+			c.Close()
+		}
+	}
+	p.idle = nil
+}
+
+// quiet says whether nothing has arrived on a kept connection, neither bytes
+// that nobody asked for nor its end.
+func (c *connection) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	holder, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peeked := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = peeked == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
