Let gateways tell each other news

Cause: each process knew its own load only, one process by name placed the layers, and a process without the store kept nothing fresh.

Change: drpc calls News and Lists; roster of gateways by seeds, store and hearsay; who places a zone is the first fresh gateway of the zone; loads, faults and retry counts are summed over peers; configuration and upstreams are borrowed from a peer while the store is away; SIGHUP reloads settings.

--- a/cmd/lovageport/gateway.go
+++ b/cmd/lovageport/gateway.go
@@ -4,6 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
 
 	"lovageport.example/internal/gateway"
 	"lovageport.example/internal/logging"
@@ -15,6 +21,36 @@
 	Config string `env:"LOVAGEPORT_NODE_FILE" required:"" type:"path" help:"Settings file."`
 }
 
+// settingsInterval is how often the settings file is looked at: it may change
+// without a signal.
+const settingsInterval = 5 * time.Second
+
+// reloads returns a channel that brings the settings whenever they have
+// changed. A file that can't be used leaves those in force.
+func (c *gatewayCommand) reloads(log *zap.Logger, old *setting.Gateway) <-chan *setting.Gateway {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	reloads := make(chan *setting.Gateway)
+	go func() {
+		for {
+			select {
+			case <-hangups:
+			case <-time.After(settingsInterval):
+			}
+			settings, err := setting.LoadGateway(c.Config)
+			if err != nil {
+				log.Error("settings not reloaded", zap.Error(err))
+				continue
+			}
+			if !reflect.DeepEqual(old, settings) {
+				old = settings
+				reloads <- settings
+			}
+		}
+	}()
+	return reloads
+}
+
 // Run serves until it is told to stop.
 func (c *gatewayCommand) Run() error {
 	settings, err := setting.LoadGateway(c.Config)
@@ -40,6 +76,7 @@
 		Dropped:  lines.Dropped,
 		Random:   rand.Float64,
 		Drain:    drain,
+		Reload:   c.reloads(log, settings),
 	}
 	err = g.Run(ctx)
 	stopLogging()
--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -37,6 +37,9 @@
 
 type record struct {
 	outUntil time.Duration
+	// heardUntil is outUntil by the word of peers; it is not passed on, so that
+	// no outage is kept up by peers that repeat each other.
+	heardUntil time.Duration
 	// failures is the moving share of attempts that failed.
 	failures float64
 	at       time.Duration
@@ -72,7 +75,31 @@
 // Out says whether an upstream must be left alone.
 func (r *Register) Out(instance string, now time.Duration) bool {
 	rec := r.records[instance]
-	return rec != nil && now < rec.outUntil
+	return rec != nil && now < max(rec.outUntil, rec.heardUntil)
+}
+
+// Hear takes a peer's word that an upstream is to be left alone for a while.
+func (r *Register) Hear(instance string, left, now time.Duration) {
+	rec := r.record(instance)
+	rec.heardUntil = max(rec.heardUntil, now+min(left, pauses[Unreachable]))
+}
+
+// Outage is an upstream that is left alone.
+type Outage struct {
+	Instance string
+	// Left is for how long still.
+	Left time.Duration
+}
+
+// Outs returns the upstreams that are left alone for a fault seen here.
+func (r *Register) Outs(now time.Duration) []Outage {
+	var out []Outage
+	for instance, rec := range r.records {
+		if now < rec.outUntil {
+			out = append(out, Outage{instance, rec.outUntil - now})
+		}
+	}
+	return out
 }
 
 // Result notes how an attempt at an upstream ended.
--- /dev/null
+++ b/internal/coordination/roster/roster.go
@@ -0,0 +1,180 @@
+// Package roster knows the other gateways: where they listen, what they last
+// said, and whether they can be taken for alive.
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"lovageport.example/internal/protocol/peering"
+)
+
+// Times of peers.
+const (
+	// NearInterval is how often peers of the own zone are called, and
+	// FarInterval those of others.
+	NearInterval = 200 * time.Millisecond
+	FarInterval  = 400 * time.Millisecond
+	// aliveTime is how long after its last word a peer counts as alive.
+	aliveTime = 1200 * time.Millisecond
+	// silentInterval is how often a peer that does not answer is called, and
+	// lostInterval one that has not for lostTime.
+	silentInterval = 600 * time.Millisecond
+	lostInterval   = 4 * time.Second
+	lostTime       = 10 * time.Second
+	// forgetTime is how long a silent peer that is no seed is remembered.
+	forgetTime = 60 * time.Second
+)
+
+// FanOut is how many peers are called in one round.
+const FanOut = 12
+
+// Member is another gateway.
+type Member struct {
+	peering.Address
+	// News is what the member last said.
+	News peering.News
+	// HeardAt is the boot time of its last word; 0 for never.
+	HeardAt time.Duration
+
+	seed bool
+	// calledAt and dueAt are when it was and will be called.
+	calledAt, dueAt time.Duration
+	addedAt         time.Duration
+}
+
+// Roster holds the other gateways by address. Its zero value knows none.
+type Roster struct {
+	// Self is the own address.
+	Self    peering.Address
+	members map[string]*Member
+}
+
+// Learn takes in gateways that others or the settings name.
+func (r *Roster) Learn(addresses []peering.Address, seed bool, now time.Duration) {
+	for _, a := range addresses {
+		if a.Address == r.Self.Address || a.Address == "" {
+			continue
+		}
+		m := r.member(a.Address, now)
+		m.seed = m.seed || seed
+		if m.Gateway == "" {
+			m.Address = a
+		}
+	}
+}
+
+func (r *Roster) member(address string, now time.Duration) *Member {
+	if r.members == nil {
+		r.members = make(map[string]*Member)
+	}
+	m := r.members[address]
+	if m == nil {
+		m = &Member{Address: peering.Address{Address: address}, addedAt: now}
+		r.members[address] = m
+	}
+	return m
+}
+
+// Hear takes in what a gateway says of itself.
+func (r *Roster) Hear(n *peering.News, now time.Duration) {
+	if n.Address.Address == r.Self.Address {
+		return
+	}
+	m := r.member(n.Address.Address, now)
+	m.Address = n.Address
+	m.News = *n
+	m.HeardAt = now
+	r.Learn(n.Peers, false, now)
+}
+
+// alive says whether a member was heard lately, given how many there are to be
+// called in turn.
+func (r *Roster) alive(m *Member, now time.Duration) bool {
+	rounds := time.Duration(len(r.members) / FanOut)
+	return m.HeardAt > 0 && now-m.HeardAt < aliveTime+rounds*NearInterval
+}
+
+// Alive returns the gateways heard lately, in the order of their addresses.
+func (r *Roster) Alive(now time.Duration) []*Member {
+	var out []*Member
+	for _, address := range slices.Sorted(maps.Keys(r.members)) {
+		if m := r.members[address]; r.alive(m, now) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Due returns the addresses to call now, those due for longest first, and
+// notes them as called.
+func (r *Roster) Due(now time.Duration) []string {
+	var due []*Member
+	for _, m := range r.members {
+		if now >= m.dueAt {
+			due = append(due, m)
+		}
+	}
+	slices.SortFunc(due, func(a, b *Member) int {
+		return cmp.Or(cmp.Compare(a.dueAt, b.dueAt), cmp.Compare(a.Address.Address, b.Address.Address))
+	})
+	var out []string
+	for _, m := range due[:min(len(due), FanOut)] {
+		m.calledAt = now
+		m.dueAt = now + r.interval(m, now)
+		out = append(out, m.Address.Address)
+	}
+	return out
+}
+
+func (r *Roster) interval(m *Member, now time.Duration) time.Duration {
+	switch {
+	case now-max(m.HeardAt, m.addedAt) > lostTime:
+		return lostInterval
+	case !r.alive(m, now):
+		return silentInterval
+	case m.Zone == r.Self.Zone:
+		return NearInterval
+	}
+	return FarInterval
+}
+
+// Prune forgets members that have been silent for long.
+func (r *Roster) Prune(now time.Duration) {
+	maps.DeleteFunc(r.members, func(_ string, m *Member) bool {
+		return !m.seed && now-max(m.HeardAt, m.addedAt) > forgetTime
+	})
+}
+
+// MaxListAge is how old a gateway's list of upstreams may be if it is to place
+// layers by it.
+const MaxListAge = 2500 * time.Millisecond
+
+// Places says whether this gateway is the one that places the layers of a
+// zone: the first by address of those in the zone whose list of upstreams is
+// fresh, or of all if there is none in the zone. Gateways that do not hear
+// each other may both take themselves for the one; the count of orders that
+// each order depends on keeps their orders apart.
+func (r *Roster) Places(zone string, listAge time.Duration, draining bool, now time.Duration) bool {
+	if !fresh(listAge) || draining {
+		return false
+	}
+	local := r.Self.Zone == zone
+	for _, m := range r.Alive(now) {
+		if !fresh(m.News.ListAge) || m.News.Draining {
+			continue
+		}
+		near := m.Zone == zone
+		switch {
+		case near && !local:
+			return false
+		case near == local && m.Address.Address < r.Self.Address:
+			return false
+		}
+	}
+	return true
+}
+
+func fresh(listAge time.Duration) bool { return listAge >= 0 && listAge < MaxListAge }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -20,10 +20,10 @@
 )
 
 // processes returns how many gateways there are.
-func (s *state) processes() int { return 6 }
+func (s *state) processes() int { return s.peerCount + 1 }
 
 // peerCounts returns what the peers have counted for a service.
-func (s *state) peerCounts(string) retry.Counts { return retry.Counts{} }
+func (s *state) peerCounts(service string) retry.Counts { return s.otherCounts[service] }
 
 // out says whether an upstream must not get a request.
 func (s *state) out(q *query, u *fleet.Upstream, now time.Duration) bool {
@@ -38,11 +38,11 @@
 		First:  q.first,
 		Noise:  func() float64 { return 1 + noise*(s.random()-0.5) },
 		Load: func(u *fleet.Upstream) path.Load {
-			l := s.load(u.Instance)
+			l, others := s.load(u.Instance), s.others[u.Instance]
 			return path.Load{
 				Out:         s.out(q, u, now),
-				TokenLayers: l.tokenLayers,
-				Requests:    float64(l.requests),
+				TokenLayers: l.tokenLayers + others.TokenLayers,
+				Requests:    float64(l.requests) + others.Requests,
 				Slowdown:    1 + failureCost*s.health.Failures(u.Instance, now),
 			}
 		},
@@ -81,7 +81,7 @@
 }
 
 func (s *state) callCost(u *fleet.Upstream, now time.Duration) float64 {
-	cost := float64(s.load(u.Instance).requests+1) / float64(u.Slots)
+	cost := (float64(s.load(u.Instance).requests+1) + s.others[u.Instance].Requests) / float64(u.Slots)
 	if u.Zone != s.zone {
 		cost += otherZoneCost
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -22,6 +22,14 @@
 	watchPause = 50 * time.Millisecond
 )
 
+// wakeTable has the table read soon, without waiting for the watch.
+func (g *Gateway) wakeTable() {
+	select {
+	case g.tableWake <- struct{}{}:
+	default:
+	}
+}
+
 // followTable keeps the routing table up to date.
 func (g *Gateway) followTable(ctx context.Context) error {
 	var revision int64
@@ -34,7 +42,7 @@
 		}
 		if err != nil {
 			g.noteStore("configuration", err)
-			wait(ctx, retryPause)
+			g.waitForTable(ctx)
 			continue
 		}
 		g.noteStore("configuration", nil)
@@ -42,6 +50,16 @@
 	return nil
 }
 
+// waitForTable waits before the next try, until a peer has newer word.
+func (g *Gateway) waitForTable(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, retryPause)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-g.tableWake:
+	}
+}
+
 // readTable reads the table. It returns the revision to watch from.
 func (g *Gateway) readTable(ctx context.Context) (int64, error) {
 	sent := g.Now()
@@ -59,6 +77,15 @@
 // watchTable waits for a newer table. It returns the revision to go on from; 0
 // to read anew.
 func (g *Gateway) watchTable(ctx context.Context, revision int64) (int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-g.tableWake:
+			cancel()
+		}
+	}()
 	sent := g.Now()
 	changes, err := g.store.WatchTable(ctx, revision, watchWait)
 	if errors.Is(err, platform.ErrHistoryGone) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/internal/transport/dial"
 	"lovageport.example/internal/transport/exchange"
+	"lovageport.example/internal/transport/peer"
 	"lovageport.example/platform"
 )
 
@@ -56,7 +57,10 @@
 	routing routing.Store
 	store   *platform.Store
 	pool    *exchange.Pool
-	metrics *metrics
+	peers   *peer.Clients
+	// tableWake tells the follower of the table that a newer one is there.
+	tableWake chan struct{}
+	metrics   *metrics
 	// draining says that the graceful stop has begun.
 	draining atomic.Bool
 	// inFlight counts the callers' requests at work.
@@ -83,6 +87,8 @@
 		Called:  func(method string) { g.metrics.storeCalls.WithLabelValues(method).Inc() },
 	}
 	g.store.Open()
+	g.peers = &peer.Clients{Dial: dialer, Timeout: newsTimeout}
+	g.tableWake = make(chan struct{}, 1)
 	g.control = loop.New[state]()
 	g.control.State.init(g)
 }
@@ -98,12 +104,24 @@
 	g.prepare()
 	defer g.store.Close()
 	defer g.pool.Close()
+	defer g.peers.Close()
+	peers, err := g.Listen(ctx, "tcp", g.Settings.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
 	var group run.Group
 	g.add(&group, ctx, g.control.Run)
 	g.add(&group, ctx, g.followTable)
 	g.add(&group, ctx, g.followUpstreams)
 	g.add(&group, ctx, g.placeLayers)
+	g.add(&group, ctx, g.register)
+	g.add(&group, ctx, g.tellNews)
+	g.add(&group, ctx, g.borrowLists)
 	g.add(&group, ctx, g.sweep)
+	g.add(&group, ctx, g.reloadWhenAsked)
+	g.add(&group, ctx, func(ctx context.Context) error {
+		return peer.Serve(ctx, peers, g.peerHandler(), func(err error) { g.Log.Debug("peer connection ended", zap.Error(err)) })
+	})
 	callers := &http.Server{Handler: g.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	servers := []struct {
 		address string
@@ -123,7 +141,7 @@
 	}
 	g.add(&group, ctx, func(ctx context.Context) error { return g.drainWhenAsked(ctx, callers) })
 	g.Log.Info("started", zap.String("gateway", g.Settings.Name), zap.String("zone", g.Settings.Zone), zap.String("version", g.Version))
-	err := group.Run()
+	err = group.Run()
 	g.Log.Info("stopped", zap.Error(err))
 	return err
 }
@@ -155,6 +173,19 @@
 	return nil
 }
 
+// reloadWhenAsked takes in settings that have changed, until ctx ends.
+func (g *Gateway) reloadWhenAsked(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case settings := <-g.Reload:
+			g.Log.Info("settings reloaded", zap.Strings("seeds", settings.Peers.Seeds))
+			g.learnSeeds(settings.Peers.Seeds)
+		}
+	}
+}
+
 // sweep closes idle connections from time to time, until ctx ends.
 func (g *Gateway) sweep(ctx context.Context) error {
 	for wait(ctx, sweepInterval) {
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,297 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/coordination/path"
+	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/protocol/peering"
+	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/transport/peer"
+	"lovageport.example/platform"
+)
+
+// Times of talk between gateways.
+const (
+	// newsTick is how often it is looked at which peers to call.
+	newsTick = 50 * time.Millisecond
+	// newsTimeout bounds a call of a peer.
+	newsTimeout = 400 * time.Millisecond
+	// registerPause is the pause after a failed try to register.
+	registerPause = time.Second
+	// borrowAge is the age of the own knowledge from which a peer's is asked
+	// for.
+	borrowAge = 1800 * time.Millisecond
+	// behindTime is how long a peer may have a newer configuration before the
+	// own watch is taken to have gone silent.
+	behindTime = 300 * time.Millisecond
+	// borrowPause is the least time between two such calls.
+	borrowPause = 300 * time.Millisecond
+)
+
+// self is what this gateway is called by.
+func (g *Gateway) self() peering.Address {
+	return peering.Address{Gateway: g.Settings.Name, Zone: g.Settings.Zone, Address: g.Settings.Listen.Peers}
+}
+
+// register makes this gateway known in the store and learns of others there.
+// Gateways that are known to others need neither, so that a store that is down
+// holds nobody up.
+func (g *Gateway) register(ctx context.Context) error {
+	me := platform.GatewayEntry{Name: g.Settings.Name, Zone: g.Settings.Zone, Address: g.Settings.Listen.Peers}
+	for {
+		err := g.store.Register(ctx, me)
+		if err == nil {
+			break
+		}
+		g.Log.Warn("gateway not registered", zap.Error(err))
+		if !wait(ctx, registerPause) {
+			return nil
+		}
+	}
+	listed, err := g.store.Gateways(ctx)
+	if err != nil {
+		g.Log.Warn("gateways not listed", zap.Error(err))
+	}
+	var addresses []peering.Address
+	for _, l := range listed {
+		addresses = append(addresses, peering.Address{Gateway: l.Name, Zone: l.Zone, Address: l.Address})
+	}
+	g.control.Do(func(s *state) { s.roster.Learn(addresses, false, g.Now()) })
+	<-ctx.Done()
+	return nil
+}
+
+// learnSeeds takes in the peers that the settings name.
+func (g *Gateway) learnSeeds(seeds []string) {
+	var addresses []peering.Address
+	for _, seed := range seeds {
+		addresses = append(addresses, peering.Address{Address: seed})
+	}
+	g.control.Do(func(s *state) { s.roster.Learn(addresses, true, g.Now()) })
+}
+
+// tellNews calls the peers that are due, until ctx ends.
+func (g *Gateway) tellNews(ctx context.Context) error {
+	g.learnSeeds(g.Settings.Peers.Seeds)
+	for wait(ctx, newsTick) {
+		var due []string
+		var said *peering.News
+		g.control.Do(func(s *state) {
+			now := g.Now()
+			s.roster.Prune(now)
+			if due = s.roster.Due(now); len(due) > 0 {
+				said = s.news(g, now)
+			}
+		})
+		for _, address := range due {
+			go g.tellOne(ctx, address, said)
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) tellOne(ctx context.Context, address string, said *peering.News) {
+	sent := g.Now()
+	answer, err := g.peers.News(ctx, address, said)
+	if err != nil {
+		g.Log.Debug("peer not reached", zap.String("peer", address), zap.Error(err))
+		return
+	}
+	g.hear(answer)
+	// The answer was made after the call was sent.
+	g.routing.Confirm(answer.Table, sent-answer.TableAge)
+}
+
+// hear takes in news of a peer.
+func (g *Gateway) hear(n *peering.News) {
+	g.control.Do(func(s *state) { s.hear(n, g.Now()) })
+	if g.behind(n.Table) {
+		// The watch usually brings it within milliseconds.
+		time.AfterFunc(behindTime, func() {
+			if g.behind(n.Table) {
+				g.wakeTable()
+			}
+		})
+	}
+}
+
+// behind says whether a version is newer than the one in force.
+func (g *Gateway) behind(version int64) bool {
+	t := g.routing.Table()
+	return version > 0 && (t == nil || version > t.Version)
+}
+
+// hear runs in the control loop.
+func (s *state) hear(n *peering.News, now time.Duration) {
+	before := len(s.roster.Alive(now))
+	s.roster.Hear(n, now)
+	for _, f := range n.Faults {
+		u := s.upstreams[f.Upstream]
+		// What a peer of another zone can't reach may be within reach here.
+		if u != nil && (n.Zone == s.zone || n.Zone == u.Zone) {
+			s.health.Hear(f.Upstream, f.Left, now)
+		}
+	}
+	s.mergeLoads(now)
+	if after := s.roster.Alive(now); len(after) != before {
+		s.log.Info("peers changed", zap.Int("alive", len(after)), zap.String("heard", n.Gateway))
+	}
+}
+
+// mergeLoads sums the loads of all peers that are alive.
+func (s *state) mergeLoads(now time.Duration) {
+	s.others = make(map[string]path.Load, len(s.upstreams))
+	s.otherCounts = make(map[string]retry.Counts)
+	alive := s.roster.Alive(now)
+	s.peerCount = len(alive)
+	for _, m := range alive {
+		for _, l := range m.News.Loads {
+			sum := s.others[l.Upstream]
+			sum.Requests += float64(l.Requests)
+			sum.TokenLayers += float64(l.TokenLayers)
+			s.others[l.Upstream] = sum
+		}
+		for _, c := range m.News.Services {
+			sum := s.otherCounts[c.Service]
+			sum.Requests += float64(c.Requests)
+			sum.Repeats += float64(c.Repeats)
+			s.otherCounts[c.Service] = sum
+		}
+	}
+}
+
+// news returns what this gateway says of itself.
+func (s *state) news(g *Gateway, now time.Duration) *peering.News {
+	n := &peering.News{Version: peering.Version, Address: s.roster.Self, Draining: g.draining.Load(), ListAge: -1}
+	if t := g.routing.Table(); t != nil {
+		n.Table = t.Version
+		n.TableAge, _ = g.routing.Age(now)
+	}
+	if s.listedAt > 0 {
+		n.ListAge = now - s.listedAt
+	}
+	for instance, l := range s.loads {
+		if l.requests > 0 {
+			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: instance, Requests: l.requests, TokenLayers: float32(l.tokenLayers)})
+		}
+	}
+	for _, o := range s.health.Outs(now) {
+		n.Faults = append(n.Faults, peering.UpstreamFault{Upstream: o.Instance, Left: o.Left})
+	}
+	for service, w := range s.windows {
+		c := w.Counts(s.allowance, now)
+		n.Services = append(n.Services, peering.ServiceCounts{Service: service, Requests: float32(c.Requests), Repeats: float32(c.Repeats)})
+	}
+	for _, m := range s.roster.Alive(now) {
+		n.Peers = append(n.Peers, m.Address)
+	}
+	return n
+}
+
+// peerHandler answers peers.
+func (g *Gateway) peerHandler() *peer.Handler {
+	return &peer.Handler{
+		News: func(_ context.Context, said *peering.News) (*peering.News, error) {
+			g.hear(said)
+			var answer *peering.News
+			g.control.Do(func(s *state) { answer = s.news(g, g.Now()) })
+			return answer, nil
+		},
+		Lists: func(_ context.Context, asked *peering.ListsRequest) (*peering.Lists, error) {
+			return g.lists(asked), nil
+		},
+	}
+}
+
+// lists returns the own configuration and list of upstreams.
+func (g *Gateway) lists(asked *peering.ListsRequest) *peering.Lists {
+	out := &peering.Lists{Version: peering.Version, ListAge: -1}
+	if t := g.routing.Table(); t != nil {
+		out.InForce = t.Version
+		out.TableAge, _ = g.routing.Age(g.Now())
+		if t.Version > asked.Table {
+			out.Table = t
+		}
+	}
+	g.control.Do(func(s *state) {
+		if s.listedAt == 0 {
+			return
+		}
+		out.ListAge = g.Now() - s.listedAt
+		for _, instance := range slices.Sorted(maps.Keys(s.upstreams)) {
+			out.Upstreams = append(out.Upstreams, s.upstreams[instance])
+		}
+	})
+	return out
+}
+
+// borrowLists keeps the configuration and the list of upstreams fresh through
+// the peers while the store can't be followed, until ctx ends.
+func (g *Gateway) borrowLists(ctx context.Context) error {
+	for wait(ctx, borrowPause) {
+		var from string
+		g.control.Do(func(s *state) { from = s.lender(g, g.Now()) })
+		if from != "" {
+			g.borrow(ctx, from)
+		}
+	}
+	return nil
+}
+
+// lender returns the address of the peer that knows more of the store than
+// this gateway does; empty if what is known here is fresh enough.
+func (s *state) lender(g *Gateway, now time.Duration) string {
+	tableAge, known := g.routing.Age(now)
+	listAge := now - s.listedAt
+	if known && tableAge < borrowAge && listAge < borrowAge {
+		return ""
+	}
+	best, bestAge := "", max(tableAge, listAge)
+	if !known {
+		bestAge = now
+	}
+	for _, m := range s.roster.Alive(now) {
+		if m.News.ListAge < 0 || m.News.Table == 0 {
+			continue
+		}
+		if age := max(m.News.TableAge, m.News.ListAge) + now - m.HeardAt; age < bestAge {
+			best, bestAge = m.Address.Address, age
+		}
+	}
+	return best
+}
+
+func (g *Gateway) borrow(ctx context.Context, address string) {
+	asked := &peering.ListsRequest{Version: peering.Version}
+	if t := g.routing.Table(); t != nil {
+		asked.Table = t.Version
+	}
+	sent := g.Now()
+	lent, err := g.peers.Lists(ctx, address, asked)
+	if err != nil {
+		g.Log.Info("lists not borrowed", zap.String("peer", address), zap.Error(err))
+		return
+	}
+	if lent.Table != nil && g.routing.Adopt(lent.Table) {
+		g.tableAdopted("peer")
+	}
+	g.routing.Confirm(lent.InForce, sent-lent.TableAge)
+	if lent.ListAge < 0 {
+		return
+	}
+	all := make(map[string]*fleet.Upstream, len(lent.Upstreams))
+	for _, u := range lent.Upstreams {
+		all[u.Instance] = u
+	}
+	g.control.Do(func(s *state) {
+		if at := sent - lent.ListAge; at > s.listedAt {
+			s.setUpstreams(all, at, g.Now())
+		}
+	})
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -16,9 +16,9 @@
 const (
 	// placeInterval is how often the plan is looked at.
 	placeInterval = 250 * time.Millisecond
-	// settleTime is how long the list of upstreams must have been without news
-	// before the first plan, since it fills up over the first seconds.
-	settleTime = 500 * time.Millisecond
+	// settleTime is how long the list of upstreams must not have grown before
+	// the first plan, since it fills up over the first seconds.
+	settleTime = 700 * time.Millisecond
 	// orderTimeout bounds the answer to an order.
 	orderTimeout = 500 * time.Millisecond
 )
@@ -43,11 +43,15 @@
 	g.control.Do(func(s *state) {
 		now := g.Now()
 		for _, p := range s.pools {
-			if p.layers == nil || !s.places() {
+			if p.layers == nil || s.filling(p, now) {
+				continue
+			}
+			mine := s.mine(p.members, g.draining.Load(), now)
+			if len(mine) == 0 {
 				continue
 			}
 			goal := placement.Plan(p.service.Engine, p.members)
-			due = append(due, s.ledger.Due(goal, p.members, now)...)
+			due = append(due, s.ledger.Due(goal, mine, now)...)
 		}
 		s.ledger.Prune(now)
 	})
@@ -62,6 +66,38 @@
 	orderUnknown = "unknown"
 )
 
+// filling says whether the list of upstreams still fills up after a cold
+// start: a plan for half of them would have to be changed at once.
+func (s *state) filling(p *pool, now time.Duration) bool {
+	for _, h := range p.layers.Holders {
+		if h.Upstream.Held.Len() > 0 {
+			return false
+		}
+	}
+	return now-s.grownAt < settleTime
+}
+
+// mine returns the engines of the zones whose layers this gateway places.
+func (s *state) mine(members []*fleet.Upstream, draining bool, now time.Duration) []*fleet.Upstream {
+	listAge := time.Duration(-1)
+	if s.listedAt > 0 {
+		listAge = now - s.listedAt
+	}
+	places := make(map[string]bool)
+	var out []*fleet.Upstream
+	for _, u := range members {
+		mine, known := places[u.Zone]
+		if !known {
+			mine = s.roster.Places(u.Zone, listAge, draining, now)
+			places[u.Zone] = mine
+		}
+		if mine {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // order gives an order.
 func (g *Gateway) order(ctx context.Context, o placement.Order) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -11,6 +11,7 @@
 	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/coordination/placement"
 	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/coordination/roster"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/platform"
@@ -19,7 +20,6 @@
 // state is the control state. Only the control loop touches it.
 type state struct {
 	log       *zap.Logger
-	name      string
 	zone      string
 	allowance retry.Allowance
 	random    func() float64
@@ -33,6 +33,14 @@
 	health   health.Register
 	windows  map[string]*retry.Window
 	ledger   placement.Ledger
+	roster   roster.Roster
+	// others is the load of the peers, by instance, and otherCounts what they
+	// have counted, by service. peerCount is how many are alive.
+	others      map[string]path.Load
+	otherCounts map[string]retry.Counts
+	peerCount   int
+	// grownAt is when the list of upstreams last grew.
+	grownAt time.Duration
 	// storeLost says what could not be followed when last tried.
 	storeLost map[string]bool
 }
@@ -54,7 +62,7 @@
 
 func (s *state) init(g *Gateway) {
 	s.log = g.Log
-	s.name = g.Settings.Name
+	s.roster.Self = g.self()
 	s.zone = g.Settings.Zone
 	s.allowance = g.allowance()
 	s.random = g.Random
@@ -76,6 +84,9 @@
 			s.log.Info("upstream gone", zap.String("upstream", instance), zap.String("service", u.Service), zap.Duration("list_age", now-at))
 		}
 	}
+	if len(all) > len(s.upstreams) {
+		s.grownAt = now
+	}
 	s.upstreams = all
 	s.listedAt = at
 	s.rebuild()
@@ -88,25 +99,28 @@
 		return
 	}
 	for _, c := range changes {
-		s.changeUpstream(c, now-at)
+		s.changeUpstream(c, at, now)
 	}
 	s.rebuild()
 }
 
-func (s *state) changeUpstream(c platform.UpstreamChange, age time.Duration) {
+func (s *state) changeUpstream(c platform.UpstreamChange, at, now time.Duration) {
 	old := s.upstreams[c.Instance]
 	if c.Upstream == nil {
 		if old != nil {
-			s.log.Info("upstream gone", zap.String("upstream", c.Instance), zap.String("service", old.Service), zap.Duration("list_age", age))
+			s.log.Info("upstream gone", zap.String("upstream", c.Instance), zap.String("service", old.Service), zap.Duration("list_age", now-at))
 		}
 		delete(s.upstreams, c.Instance)
 		return
 	}
 	s.upstreams[c.Instance] = c.Upstream
+	if old == nil {
+		s.grownAt = now
+	}
 	if old == nil || old.State != c.Upstream.State || old.Held != c.Upstream.Held || old.Started != c.Upstream.Started {
 		s.log.Info("upstream changed", zap.String("upstream", c.Instance), zap.String("service", c.Upstream.Service),
 			zap.Bool("draining", c.Upstream.State == fleet.Draining), zap.Int("from", c.Upstream.Held.From), zap.Int("to", c.Upstream.Held.To),
-			zap.Int64("started", c.Upstream.Started), zap.Duration("list_age", age))
+			zap.Int64("started", c.Upstream.Started), zap.Duration("list_age", now-at))
 	}
 }
 
@@ -166,6 +180,3 @@
 	}
 	return nil
 }
-
-// places says whether this process is the one to give orders.
-func (s *state) places() bool { return s.name == "front-wien-1" || s.name == "front-colombo-a-1" }
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -23,18 +23,26 @@
 	heartbeatCall = "/lovageport.Peer/Heartbeat"
 	exchangeCall  = "/lovageport.Peer/Exchange"
 	shardsCall    = "/lovageport.Peer/Shards"
+	newsCall      = "/lovageport.Peer/News"
+	listsCall     = "/lovageport.Peer/Lists"
 )
 
 // ErrSecret says that a peer does not know the shared secret.
 var ErrSecret = errors.New("peer: wrong secret")
 
-// Handler answers the calls of peers.
+// ErrNotServed says that a process of another kind was called.
+var ErrNotServed = errors.New("peer: call is not served here")
+
+// Handler answers the calls of peers. Calls whose function is nil are refused.
 type Handler struct {
-	// Secret is what peers must know.
+	// Secret is what entries must know.
 	Secret    string
 	Heartbeat func(ctx context.Context, said *peering.Heartbeat) (*peering.Heartbeat, error)
 	Exchange  func(ctx context.Context, said *peering.WithdrawalExchange) (*peering.WithdrawalExchange, error)
 	Shards    func(ctx context.Context, asked *peering.ShardRequest) (*peering.ShardReply, error)
+	// News and Lists are those of gateways.
+	News  func(ctx context.Context, said *peering.News) (*peering.News, error)
+	Lists func(ctx context.Context, asked *peering.ListsRequest) (*peering.Lists, error)
 }
 
 func (h *Handler) check(secret string) error {
@@ -48,6 +56,9 @@
 	if err := h.check(in.Secret); err != nil {
 		return nil, err
 	}
+	if h.Heartbeat == nil {
+		return nil, ErrNotServed
+	}
 	return h.Heartbeat(ctx, in)
 }
 
@@ -55,6 +66,9 @@
 	if err := h.check(in.Secret); err != nil {
 		return nil, err
 	}
+	if h.Exchange == nil {
+		return nil, ErrNotServed
+	}
 	return h.Exchange(ctx, in)
 }
 
@@ -62,14 +76,31 @@
 	if err := h.check(in.Secret); err != nil {
 		return nil, err
 	}
+	if h.Shards == nil {
+		return nil, ErrNotServed
+	}
 	return h.Shards(ctx, in)
 }
 
+func (h *Handler) news(ctx context.Context, in *peering.News) (*peering.News, error) {
+	if h.News == nil {
+		return nil, ErrNotServed
+	}
+	return h.News(ctx, in)
+}
+
+func (h *Handler) lists(ctx context.Context, in *peering.ListsRequest) (*peering.Lists, error) {
+	if h.Lists == nil {
+		return nil, ErrNotServed
+	}
+	return h.Lists(ctx, in)
+}
+
 // description tells drpc the calls of a [Handler].
 type description struct{ encoding drpc.Encoding }
 
 // NumMethods returns the count of calls.
-func (description) NumMethods() int { return 3 }
+func (description) NumMethods() int { return 5 }
 
 // Method describes the n-th call.
 func (d description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
@@ -80,6 +111,10 @@
 		return exchangeCall, d.encoding, receiver((*Handler).exchange), (*Handler).exchange, true
 	case 2:
 		return shardsCall, d.encoding, receiver((*Handler).shards), (*Handler).shards, true
+	case 3:
+		return newsCall, d.encoding, receiver((*Handler).news), (*Handler).news, true
+	case 4:
+		return listsCall, d.encoding, receiver((*Handler).lists), (*Handler).lists, true
 	}
 	return "", nil, nil, nil, false
 }
@@ -137,6 +172,18 @@
 	return &out, c.call(ctx, address, shardsCall, asked, &out)
 }
 
+// News exchanges news with the gateway at address.
+func (c *Clients) News(ctx context.Context, address string, said *peering.News) (*peering.News, error) {
+	var out peering.News
+	return &out, c.call(ctx, address, newsCall, said, &out)
+}
+
+// Lists asks the gateway at address for its configuration and upstreams.
+func (c *Clients) Lists(ctx context.Context, address string, asked *peering.ListsRequest) (*peering.Lists, error) {
+	var out peering.Lists
+	return &out, c.call(ctx, address, listsCall, asked, &out)
+}
+
 // call makes one call. A kept connection that turns out to be broken or silent
 // is dropped, so that the next call makes a new one.
 func (c *Clients) call(ctx context.Context, address, name string, in, out drpc.Message) error {
