--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -3,7 +3,10 @@
 // they say that they are well.
 package health
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Fault is why an upstream is left alone for a while.
 type Fault uint8
@@ -19,13 +22,23 @@
 	Full
 )
 
-// pauses is how long an upstream is left alone for a fault.
+// pauses is how long an upstream is left alone for a fault; an unreachable one
+// must then answer a probe.
 var pauses = [...]time.Duration{
-	Unreachable: 1500 * time.Millisecond,
+	Unreachable: 600 * time.Millisecond,
 	Misplaced:   700 * time.Millisecond,
 	Full:        100 * time.Millisecond,
 }
 
+// Times of probes.
+const (
+	// probeInterval is how often an upstream that does not answer is probed.
+	probeInterval = 800 * time.Millisecond
+	// minOutage is how long peers are told that an upstream is left alone
+	// whose probe is under way.
+	minOutage = 300 * time.Millisecond
+)
+
 // Weights of results.
 const (
 	// resultWeight is that of the newest result in the moving share of
@@ -37,6 +50,9 @@
 
 type record struct {
 	outUntil time.Duration
+	// probing says that the upstream must answer a probe before it is used
+	// again.
+	probing bool
 	// heardUntil is outUntil by the word of peers; it is not passed on, so that
 	// no outage is kept up by peers that repeat each other.
 	heardUntil time.Duration
@@ -67,21 +83,44 @@
 // until now.
 func (r *Register) Blame(instance string, f Fault, now time.Duration) bool {
 	rec := r.record(instance)
-	wasOut := now < rec.outUntil
+	wasOut := r.Out(instance, now)
 	rec.outUntil = max(rec.outUntil, now+pauses[f])
+	rec.probing = rec.probing || f == Unreachable
 	return !wasOut
 }
 
+// DueProbes returns the upstreams that should be probed now, and puts off the
+// next probe of each.
+func (r *Register) DueProbes(now time.Duration) []string {
+	var due []string
+	for instance, rec := range r.records {
+		if rec.probing && now >= rec.outUntil {
+			rec.outUntil = now + probeInterval
+			due = append(due, instance)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
+// Answered notes that an upstream has answered a probe.
+func (r *Register) Answered(instance string) {
+	if rec := r.records[instance]; rec != nil {
+		rec.probing = false
+		rec.outUntil = 0
+	}
+}
+
 // Out says whether an upstream must be left alone.
 func (r *Register) Out(instance string, now time.Duration) bool {
 	rec := r.records[instance]
-	return rec != nil && now < max(rec.outUntil, rec.heardUntil)
+	return rec != nil && (rec.probing || now < max(rec.outUntil, rec.heardUntil))
 }
 
 // Hear takes a peer's word that an upstream is to be left alone for a while.
 func (r *Register) Hear(instance string, left, now time.Duration) {
 	rec := r.record(instance)
-	rec.heardUntil = max(rec.heardUntil, now+min(left, pauses[Unreachable]))
+	rec.heardUntil = max(rec.heardUntil, now+min(left, probeInterval))
 }
 
 // Outage is an upstream that is left alone.
@@ -95,8 +134,8 @@
 func (r *Register) Outs(now time.Duration) []Outage {
 	var out []Outage
 	for instance, rec := range r.records {
-		if now < rec.outUntil {
-			out = append(out, Outage{instance, rec.outUntil - now})
+		if rec.probing || now < rec.outUntil {
+			out = append(out, Outage{instance, max(rec.outUntil-now, minOutage)})
 		}
 	}
 	return out
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -11,8 +11,10 @@
 // Weights of a plan, in the natural logarithm of a unit's room for KV cache.
 const (
 	// moveCost is what moving an engine that holds layers must gain, since it
-	// serves nothing while it loads.
-	moveCost = 0.25
+	// first ends what passes through them and then serves nothing while it
+	// loads, and unitMoveCost is added for each unit that it loads.
+	moveCost     = 0.8
+	unitMoveCost = 0.35
 	// secondHolder is what a second engine for a unit is worth: a loss then
 	// leaves the unit in its zone.
 	secondHolder = 0.7
@@ -221,10 +223,15 @@
 	return best != old
 }
 
-// keepGain is what it is worth that a member stays as it is.
+// keepGain is what it is worth that a member stays as it is, or has less to
+// load.
 func (p *planner) keepGain(i int, s span) float64 {
-	if held := p.members[i].held; held.count > 0 && s == held {
+	held := p.members[i].held
+	switch {
+	case held.count == 0:
+		return 0
+	case s == held:
 		return moveCost
 	}
-	return 0
+	return -unitMoveCost * float64(s.count)
 }
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -153,28 +153,44 @@
 const MaxListAge = 2500 * time.Millisecond
 
 // Places says whether this gateway is the one that places the layers of a
-// zone: the first by address of those in the zone whose list of upstreams is
-// fresh, or of all if there is none in the zone. Gateways that do not hear
+// zone. The first by address is, of those in the zone whose list of upstreams
+// is fresh, or else of all whose list is, or else of those in the zone: a zone
+// that is cut off from the store goes on by itself. Gateways that do not hear
 // each other may both take themselves for the one; the count of orders that
 // each order depends on keeps their orders apart.
 func (r *Roster) Places(zone string, listAge time.Duration, draining bool, now time.Duration) bool {
-	if !fresh(listAge) || draining {
+	own := candidate(r.Self, zone, listAge, draining)
+	if own == unfit {
 		return false
 	}
-	local := r.Self.Zone == zone
 	for _, m := range r.Alive(now) {
-		if !fresh(m.News.ListAge) || m.News.Draining {
-			continue
-		}
-		near := m.Zone == zone
-		switch {
-		case near && !local:
-			return false
-		case near == local && m.Address.Address < r.Self.Address:
+		rank := candidate(m.Address, zone, m.News.ListAge, m.News.Draining)
+		if rank < own || rank == own && m.Address.Address < r.Self.Address {
 			return false
 		}
 	}
 	return true
 }
 
-func fresh(listAge time.Duration) bool { return listAge >= 0 && listAge < MaxListAge }
+// Ranks of gateways that might place a zone; the least goes first.
+const (
+	freshInZone = iota
+	freshElsewhere
+	staleInZone
+	unfit
+)
+
+func candidate(a peering.Address, zone string, listAge time.Duration, draining bool) int {
+	fresh := listAge >= 0 && listAge < MaxListAge
+	switch {
+	case draining || listAge < 0:
+		return unfit
+	case fresh && a.Zone == zone:
+		return freshInZone
+	case fresh:
+		return freshElsewhere
+	case a.Zone == zone:
+		return staleInZone
+	}
+	return unfit
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -125,7 +125,7 @@
 // blameFor leaves an upstream alone for a fault.
 func (s *state) blameFor(u *fleet.Upstream, f health.Fault, now time.Duration) {
 	if s.health.Blame(u.Instance, f, now) {
-		s.log.Info("upstream left alone", zap.String("upstream", u.Instance), zap.Stringer("fault", f), zap.Duration("list_age", now-s.listedAt))
+		s.log.Info("upstream left alone", zap.String("upstream", u.Instance), zap.String("zone", u.Zone), zap.Stringer("fault", f), zap.Duration("list_age", now-s.listedAt))
 	}
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/pkg/verdict"
 )
@@ -50,6 +53,9 @@
 	if !ok {
 		return place{}, verdict.RefuseUntil(retryPauseFor, verdict.NoChain, "no upstreams in service cover all layers of %s", q.service)
 	}
+	s.log.Info("chain chosen", zap.String("request", q.ID), zap.Int("attempt", q.attempts), zap.String("upstream", found.Stages[0].Upstream.Instance),
+		zap.Int("stages", len(found.Stages)), zap.Int("zone_changes", zoneChanges(s.zone, found.Stages)), zap.Float64("fill", found.Fill),
+		zap.Float64("tokens", q.tokens), zap.Duration("list_age", now-s.listedAt), zap.Int("peers", s.peerCount))
 	for _, stage := range found.Stages {
 		l := s.load(stage.Upstream.Instance)
 		l.requests++
@@ -87,3 +93,20 @@
 	}
 	return cost + failureCost*s.health.Failures(u.Instance, now) + noise*s.random()
 }
+
+// zoneChanges returns how often a chain passes from one zone to another, the
+// way there and back included.
+func zoneChanges(zone string, stages []relay.Stage) int {
+	changes := 0
+	at := zone
+	for _, stage := range stages {
+		if stage.Upstream.Zone != at {
+			changes++
+			at = stage.Upstream.Zone
+		}
+	}
+	if at != zone {
+		changes++
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/gateway/coverage.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/state/fleet"
+)
+
+// logCoverage writes a line for each zone whose engines have come to hold all
+// layers of a service, or no longer do.
+func (s *state) logCoverage(now time.Duration) {
+	whole := make(map[string]bool)
+	for name, p := range s.pools {
+		if p.layers == nil {
+			continue
+		}
+		held := make(map[string][]fleet.Range)
+		for _, h := range p.layers.Holders {
+			held[h.Upstream.Zone] = append(held[h.Upstream.Zone], h.Upstream.Held)
+		}
+		for zone, ranges := range held {
+			whole[name+" "+zone] = covers(ranges, p.service.Engine.Layers)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(whole)) {
+		if was, known := s.whole[key]; !known || was != whole[key] {
+			s.log.Info("layers of a zone", zap.String("zone", key), zap.Bool("whole", whole[key]), zap.Duration("list_age", now-s.listedAt))
+		}
+	}
+	s.whole = whole
+}
+
+// covers says whether ranges hold all layers together.
+func covers(ranges []fleet.Range, layers int) bool {
+	slices.SortFunc(ranges, func(a, b fleet.Range) int { return a.From - b.From })
+	reached := 0
+	for _, r := range ranges {
+		if r.From > reached {
+			return false
+		}
+		reached = max(reached, r.To)
+	}
+	return reached >= layers
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -46,6 +46,7 @@
 			continue
 		}
 		g.noteStore("configuration", nil)
+		wait(ctx, watchPause)
 	}
 	return nil
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -33,10 +33,62 @@
 		for _, o := range g.dueOrders() {
 			go g.order(ctx, o)
 		}
+		for _, u := range g.unseen() {
+			go g.seeHeld(ctx, u)
+		}
 	}
 	return nil
 }
 
+// unseenAge is the age of the list of upstreams from which engines under order
+// are asked themselves what they hold.
+const unseenAge = 1500 * time.Millisecond
+
+// unseen returns the engines whose orders the list can't show taking effect,
+// since it can't be followed.
+func (g *Gateway) unseen() []*fleet.Upstream {
+	var out []*fleet.Upstream
+	g.control.Do(func(s *state) {
+		if g.Now()-s.listedAt < unseenAge {
+			return
+		}
+		for _, p := range s.pools {
+			out = append(out, s.ledger.UnderWay(p.members)...)
+		}
+	})
+	return out
+}
+
+// seeHeld asks an engine what it holds.
+func (g *Gateway) seeHeld(ctx context.Context, u *fleet.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := g.report(ctx, u)
+	if err != nil {
+		g.Log.Info("engine not asked", zap.String("upstream", u.Instance), zap.Error(err))
+		return
+	}
+	if report.Started != u.Started {
+		return
+	}
+	g.control.Do(func(s *state) {
+		s.ledger.Reported(u, report.Orders)
+		s.setHeld(u, report.Held)
+	})
+}
+
+// setHeld notes what an engine holds, until the list says otherwise.
+func (s *state) setHeld(u *fleet.Upstream, held fleet.Range) {
+	known := s.upstreams[u.Instance]
+	if known == nil || known.Started != u.Started || known.Held == held {
+		return
+	}
+	changed := *known
+	changed.Held = held
+	s.upstreams[u.Instance] = &changed
+	s.rebuild()
+}
+
 // dueOrders returns the orders to give now, and notes them as given.
 func (g *Gateway) dueOrders() []placement.Order {
 	var due []placement.Order
@@ -50,7 +102,7 @@
 			if len(mine) == 0 {
 				continue
 			}
-			goal := placement.Plan(p.service.Engine, p.members)
+			goal := placement.Plan(p.service.Engine, s.ledger.Expected(p.members, now))
 			due = append(due, s.ledger.Due(goal, mine, now)...)
 		}
 		s.ledger.Prune(now)
@@ -133,7 +185,10 @@
 func (g *Gateway) noteOrder(ctx context.Context, o placement.Order, outcome string) {
 	switch outcome {
 	case orderTaken:
-		g.control.Send(func(s *state) { s.ledger.Took(o) })
+		g.control.Send(func(s *state) {
+			s.ledger.Took(o, g.Now())
+			s.setHeld(o.Upstream, fleet.Range{})
+		})
 	case orderRefused:
 		report, err := g.report(ctx, o.Upstream)
 		if err != nil {
--- /dev/null
+++ b/internal/gateway/probe.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/protocol/relay"
+	"lovageport.example/internal/state/fleet"
+)
+
+// probeTick is how often it is looked at which upstreams to probe.
+const probeTick = 100 * time.Millisecond
+
+// probeTimeout bounds the answer to a probe.
+const probeTimeout = 300 * time.Millisecond
+
+// probe asks upstreams that did not answer whether they do now, until ctx
+// ends.
+func (g *Gateway) probe(ctx context.Context) error {
+	for wait(ctx, probeTick) {
+		for _, u := range g.dueProbes() {
+			go g.probeOne(ctx, u)
+		}
+	}
+	return nil
+}
+
+// probed is an upstream and the path of its health.
+type probed struct {
+	*fleet.Upstream
+	healthPath string
+}
+
+func (g *Gateway) dueProbes() []probed {
+	var due []probed
+	g.control.Do(func(s *state) {
+		for _, instance := range s.health.DueProbes(g.Now()) {
+			u := s.upstreams[instance]
+			if u == nil {
+				continue
+			}
+			p := probed{Upstream: u}
+			if service := s.table.Services[u.Service]; service != nil {
+				p.healthPath = service.HealthPath
+			}
+			due = append(due, p)
+		}
+	})
+	return due
+}
+
+func (g *Gateway) probeOne(ctx context.Context, u probed) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	call := &relay.Call{Upstream: u.Upstream, Method: http.MethodGet, URI: u.healthPath, Host: u.Address, Left: probeTimeout}
+	a, err := g.exchange(ctx, call)
+	if err != nil {
+		g.Log.Debug("upstream does not answer", zap.String("upstream", u.Instance), zap.Error(err))
+		return
+	}
+	defer a.Close()
+	if a.head.WrongInstance {
+		return
+	}
+	g.control.Do(func(s *state) { s.health.Answered(u.Instance) })
+	g.Log.Info("upstream answers again", zap.String("upstream", u.Instance), zap.Int("status", a.head.Status))
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -23,6 +23,7 @@
 	zone      string
 	allowance retry.Allowance
 	random    func() float64
+	now       func() time.Duration
 
 	table     *routing.Table
 	upstreams map[string]*fleet.Upstream
@@ -39,6 +40,8 @@
 	others      map[string]path.Load
 	otherCounts map[string]retry.Counts
 	peerCount   int
+	// whole says which zones hold all layers of which services.
+	whole map[string]bool
 	// grownAt is when the list of upstreams last grew.
 	grownAt time.Duration
 	// storeLost says what could not be followed when last tried.
@@ -66,6 +69,7 @@
 	s.zone = g.Settings.Zone
 	s.allowance = g.allowance()
 	s.random = g.Random
+	s.now = g.Now
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.loads = make(map[string]*load)
 	s.windows = make(map[string]*retry.Window)
@@ -148,6 +152,7 @@
 			p.layers = path.NewMap(p.service.Engine, p.members)
 		}
 	}
+	s.logCoverage(s.now())
 	live := func(instance string) bool { return s.upstreams[instance] != nil }
 	s.health.Keep(live)
 	maps.DeleteFunc(s.loads, func(instance string, l *load) bool { return l.requests == 0 && !live(instance) })
