Have requests wait for room, and doubt links between zones

Cause: a request that found no chain was refused at once, although one was back within a second; a stage that could not be reached over a cut link was left alone by its own zone.

Change: waiting by priority and fair share, with an end before the caller goes; doubts about links raise the price of leaving a zone; a request that has run on as many upstreams as it may begins at one of them again.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -53,6 +53,10 @@
 	// probing says that the upstream must answer a probe before it is used
 	// again.
 	probing bool
+	// suspected says that it should be probed at once, and suspectUntil until
+	// when it is not suspected again.
+	suspected    bool
+	suspectUntil time.Duration
 	// heardUntil is outUntil by the word of peers; it is not passed on, so that
 	// no outage is kept up by peers that repeat each other.
 	heardUntil time.Duration
@@ -89,13 +93,23 @@
 	return !wasOut
 }
 
+// Suspect has an upstream probed at once, without leaving it alone before the
+// probe has failed.
+func (r *Register) Suspect(instance string, now time.Duration) {
+	rec := r.record(instance)
+	if !rec.probing && now >= rec.suspectUntil {
+		rec.suspected = true
+		rec.suspectUntil = now + probeInterval
+	}
+}
+
 // DueProbes returns the upstreams that should be probed now, and puts off the
 // next probe of each.
 func (r *Register) DueProbes(now time.Duration) []string {
 	var due []string
 	for instance, rec := range r.records {
-		if rec.probing && now >= rec.outUntil {
-			rec.outUntil = now + probeInterval
+		if rec.suspected || rec.probing && now >= rec.outUntil {
+			rec.due(now)
 			due = append(due, instance)
 		}
 	}
@@ -103,6 +117,14 @@
 	return due
 }
 
+func (rec *record) due(now time.Duration) {
+	if rec.suspected {
+		rec.suspected = false
+		return
+	}
+	rec.outUntil = now + probeInterval
+}
+
 // Answered notes that an upstream has answered a probe.
 func (r *Register) Answered(instance string) {
 	if rec := r.records[instance]; rec != nil {
--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -13,6 +13,8 @@
 	HopCost = 0.2
 	// ZoneCost is that of passing it on to another zone.
 	ZoneCost = 2.0
+	// doubtedCost is that of a link between zones that may be cut.
+	doubtedCost = 300.0
 	// fullCost is added to a stage that has no room, so that it is used only
 	// if nothing else covers its layers.
 	fullCost = 1000.0
@@ -90,6 +92,17 @@
 	m.zoneOf = append(m.zoneOf, zone)
 }
 
+// Capacity returns the room of an upstream in token-layers; 0 if it holds
+// nothing.
+func (m *Map) Capacity(instance string) float64 {
+	for i := range m.Holders {
+		if m.Holders[i].Upstream.Instance == instance {
+			return m.Holders[i].Capacity
+		}
+	}
+	return 0
+}
+
 // Query is what a chain is wanted for.
 type Query struct {
 	// Zone is where the request comes from.
@@ -101,6 +114,11 @@
 	// Noise multiplies the cost of a holder, so that processes which see the
 	// same loads do not all choose alike; nil for none.
 	Noise func() float64
+	// Doubted says whether the link between two zones is to be avoided; nil
+	// avoids none.
+	Doubted func(a, b string) bool
+	// MayBegin says which upstreams may be the first stage; nil allows all.
+	MayBegin func(u *fleet.Upstream) bool
 	// First prefers an upstream as first stage if it can be; empty for none.
 	First string
 }
@@ -200,16 +218,23 @@
 
 // entryCost is that of reaching the first stage from the caller's zone.
 func (f *finder) entryCost(zone int) float64 {
-	if f.m.zones[zone] == f.q.Zone {
-		return 0
-	}
-	return ZoneCost
+	return f.linkCost(f.q.Zone, f.m.zones[zone])
 }
 
 func (f *finder) zoneCost(from, to int) float64 {
 	if from == to {
 		return 0
 	}
+	return f.linkCost(f.m.zones[from], f.m.zones[to])
+}
+
+func (f *finder) linkCost(from, to string) float64 {
+	switch {
+	case from == to:
+		return 0
+	case f.q.Doubted != nil && f.q.Doubted(from, to):
+		return doubtedCost
+	}
 	return ZoneCost
 }
 
@@ -219,7 +244,10 @@
 	for h := range m.Holders {
 		held := m.Holders[h].Upstream.Held
 		at := m.bounds[i]
-		if f.loads[h].Out || held.From > at || held.To <= at || first && m.zoneOf[h] != zone || h == n.holder {
+		if f.loads[h].Out || held.From > at || held.To <= at || h == n.holder {
+			continue
+		}
+		if first && (m.zoneOf[h] != zone || !f.mayBegin(h)) {
 			continue
 		}
 		for j := i + 1; j < len(m.bounds) && m.bounds[j] <= held.To; j++ {
@@ -238,6 +266,10 @@
 	}
 }
 
+func (f *finder) mayBegin(h int) bool {
+	return f.q.MayBegin == nil || f.q.MayBegin(f.m.Holders[h].Upstream)
+}
+
 // firstGain is what keeping the first stage is worth, in milliseconds for each
 // token.
 const firstGain = 50.0
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,6 +55,7 @@
 	}
 	q.sent = true
 	q.noteRun(p.upstream.Instance)
+	q.first = p.upstream.Instance
 	return a, nil
 }
 
@@ -102,24 +103,68 @@
 // blame finds the upstream at fault and leaves it alone for a while. It runs
 // in the control loop.
 func (s *state) blame(q *query, p place, e *verdict.Error, head relay.Answer, now time.Duration) {
-	culprit := p.upstream
-	if head.AtFault != "" && head.AtFault != culprit.Address {
-		if u := s.byAddress(head.AtFault); u != nil {
-			culprit = u
-		}
-	}
-	e.Upstream = culprit.Instance
+	e.Upstream = p.upstream.Instance
 	fault, found := faultOf(e, head)
-	if culprit != p.upstream || e.Run == verdict.NotRun {
-		q.shun(culprit.Instance)
-	}
 	if p.chain == nil {
 		s.health.Result(p.upstream.Instance, e.Run != verdict.NotRun, now)
 		q.shun(p.upstream.Instance)
+		if found {
+			s.blameFor(p.upstream, fault, now)
+		}
+		return
+	}
+	at := 0
+	if head.AtFault != "" {
+		at = max(0, stageAt(p, head.AtFault))
+	}
+	e.Upstream = p.chain[at].Upstream.Instance
+	if found && fault == health.Unreachable && head.NotRun && s.fill(p.chain[at].Upstream) > crowdedFill {
+		fault = health.Full
 	}
 	if found {
-		s.blameFor(culprit, fault, now)
+		s.blameStage(q, p, at, fault, now)
+	}
+}
+
+// crowdedFill is how full an upstream must be for its refusal to mean that it
+// has no memory left, rather than that it leaves or is dead.
+const crowdedFill = 0.75
+
+// fill returns how full the memory of an engine is by what is known here.
+func (s *state) fill(u *fleet.Upstream) float64 {
+	p := s.pools[u.Service]
+	if p == nil || p.layers == nil {
+		return 0
+	}
+	capacity := p.layers.Capacity(u.Instance)
+	if capacity <= 0 {
+		return 0
 	}
+	return (s.load(u.Instance).tokenLayers + s.others[u.Instance].TokenLayers) / capacity
+}
+
+// blameStage notes that a stage of a chain is at fault. If it was called from
+// another zone the link may be: the stage is then asked itself before it is
+// left alone, unless it is beyond the link.
+func (s *state) blameStage(q *query, p place, at int, f health.Fault, now time.Duration) {
+	u := p.chain[at].Upstream
+	q.shun(u.Instance)
+	from := s.zone
+	if at > 0 {
+		from = p.chain[at-1].Upstream.Zone
+	}
+	if f != health.Unreachable || from == u.Zone {
+		s.blameFor(u, f, now)
+		return
+	}
+	if s.links.Doubt(from, u.Zone, now) && at > 0 {
+		s.log.Info("link between zones doubted", zap.String("from", from), zap.String("to", u.Zone), zap.String("upstream", u.Instance))
+	}
+	if u.Zone == s.zone {
+		s.health.Suspect(u.Instance, now)
+		return
+	}
+	s.blameFor(u, f, now)
 }
 
 // blameFor leaves an upstream alone for a fault.
@@ -127,6 +172,9 @@
 	if s.health.Blame(u.Instance, f, now) {
 		s.log.Info("upstream left alone", zap.String("upstream", u.Instance), zap.String("zone", u.Zone), zap.Stringer("fault", f), zap.Duration("list_age", now-s.listedAt))
 	}
+	if f == health.Unreachable && s.links.Lost(s.zone, u.Zone, u.Instance, now) {
+		s.log.Info("link between zones doubted", zap.String("from", s.zone), zap.String("to", u.Zone), zap.String("upstream", u.Instance))
+	}
 }
 
 // faultOf returns what a failed attempt says of the upstream at fault. It says
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -3,11 +3,8 @@
 import (
 	"time"
 
-	"go.uber.org/zap"
-
 	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/coordination/retry"
-	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/pkg/verdict"
 )
@@ -28,49 +25,71 @@
 // peerCounts returns what the peers have counted for a service.
 func (s *state) peerCounts(service string) retry.Counts { return s.otherCounts[service] }
 
-// out says whether an upstream must not get a request.
-func (s *state) out(q *query, u *fleet.Upstream, now time.Duration) bool {
-	return q.shunned[u.Instance] || s.health.Out(u.Instance, now)
+// findChain finds the chain of a generation. Upstreams that failed the request
+// are passed over if others cover the layers.
+func (s *state) findChain(p *pool, q *query, now time.Duration) (place, error) {
+	found, ok := p.layers.Find(s.chainQuery(q, q.shunned, now))
+	if !ok && len(q.shunned) > 0 {
+		found, ok = p.layers.Find(s.chainQuery(q, nil, now))
+	}
+	if !ok {
+		if s.limited(q, now) {
+			return place{}, verdict.Refuse(verdict.RetryLimit, "the request has run on as many upstreams as it may")
+		}
+		return place{}, verdict.Refuse(verdict.NoChain, "no upstreams in service cover all layers of %s", q.service)
+	}
+	if found.Full {
+		return place{}, verdict.Refuse(verdict.QueueFull, "no upstreams of %s have room for %.0f tokens", q.service, q.tokens)
+	}
+	return place{upstream: found.Stages[0].Upstream, chain: found.Stages, fill: found.Fill}, nil
 }
 
-// takeChain finds the chain of a generation.
-func (s *state) takeChain(p *pool, q *query, now time.Duration) (place, error) {
-	found, ok := p.layers.Find(&path.Query{
-		Zone:   s.zone,
-		Tokens: q.tokens,
-		First:  q.first,
-		Noise:  func() float64 { return 1 + noise*(s.random()-0.5) },
+func (s *state) chainQuery(q *query, shunned map[string]bool, now time.Duration) *path.Query {
+	query := &path.Query{
+		Zone:    s.zone,
+		Tokens:  q.tokens,
+		First:   q.first,
+		Noise:   func() float64 { return 1 + noise*(s.random()-0.5) },
+		Doubted: func(a, b string) bool { return s.links.Doubted(a, b, now) },
 		Load: func(u *fleet.Upstream) path.Load {
 			l, others := s.load(u.Instance), s.others[u.Instance]
 			return path.Load{
-				Out:         s.out(q, u, now),
+				Out:         shunned[u.Instance] || s.health.Out(u.Instance, now),
 				TokenLayers: l.tokenLayers + others.TokenLayers,
 				Requests:    float64(l.requests) + others.Requests,
 				Slowdown:    1 + failureCost*s.health.Failures(u.Instance, now),
 			}
 		},
-	})
-	if !ok {
-		return place{}, verdict.RefuseUntil(retryPauseFor, verdict.NoChain, "no upstreams in service cover all layers of %s", q.service)
 	}
-	s.log.Info("chain chosen", zap.String("request", q.ID), zap.Int("attempt", q.attempts), zap.String("upstream", found.Stages[0].Upstream.Instance),
-		zap.Int("stages", len(found.Stages)), zap.Int("zone_changes", zoneChanges(s.zone, found.Stages)), zap.Float64("fill", found.Fill),
-		zap.Float64("tokens", q.tokens), zap.Duration("list_age", now-s.listedAt), zap.Int("peers", s.peerCount))
-	for _, stage := range found.Stages {
-		l := s.load(stage.Upstream.Instance)
-		l.requests++
-		l.tokenLayers += q.tokens * float64(stage.Layers.Len())
+	if s.limited(q, now) {
+		query.MayBegin = func(u *fleet.Upstream) bool { return q.ranOn[u.Instance] }
 	}
-	return place{upstream: found.Stages[0].Upstream, chain: found.Stages, fill: found.Fill}, nil
+	return query
 }
 
-// takeUpstream finds the upstream of a call to a plain service: the one with
+// limited says whether a request has run on as many upstreams as it may, so
+// that it must begin at one of them. Upstreams that have ended or can't be
+// reached do not count.
+func (s *state) limited(q *query, now time.Duration) bool {
+	ran := 0
+	for instance := range q.ranOn {
+		if s.upstreams[instance] != nil && !s.health.Out(instance, now) {
+			ran++
+		}
+	}
+	return ran >= q.route.MaxUpstreams
+}
+
+// findUpstream finds the upstream of a call to a plain service: the one with
 // the least of its places taken, in the own zone if that is no worse.
-func (s *state) takeUpstream(p *pool, q *query, now time.Duration) (place, error) {
+func (s *state) findUpstream(p *pool, q *query, now time.Duration) (place, error) {
+	if s.limited(q, now) {
+		return place{}, verdict.Refuse(verdict.RetryLimit, "the request has run on as many upstreams as it may")
+	}
 	var best *fleet.Upstream
 	least := 0.0
 	for _, u := range p.members {
-		if s.out(q, u, now) {
+		if q.shunned[u.Instance] || s.health.Out(u.Instance, now) {
 			continue
 		}
 		cost := s.callCost(u, now)
@@ -79,11 +98,22 @@
 		}
 	}
 	if best == nil {
-		return place{}, verdict.RefuseUntil(retryPauseFor, verdict.NoUpstream, "no upstream of %s can be used", q.service)
+		return place{}, verdict.Refuse(verdict.NoUpstream, "no upstream of %s can be used", q.service)
+	}
+	return place{upstream: best, fill: float64(s.load(best.Instance).requests+1) / float64(best.Slots)}, nil
+}
+
+// occupy counts an attempt as load.
+func (s *state) occupy(q *query, p place) {
+	if p.chain == nil {
+		s.load(p.upstream.Instance).requests++
+		return
+	}
+	for _, stage := range p.chain {
+		l := s.load(stage.Upstream.Instance)
+		l.requests++
+		l.tokenLayers += q.tokens * float64(stage.Layers.Len())
 	}
-	l := s.load(best.Instance)
-	l.requests++
-	return place{upstream: best, fill: float64(l.requests) / float64(best.Slots)}, nil
 }
 
 func (s *state) callCost(u *fleet.Upstream, now time.Duration) float64 {
@@ -94,12 +124,12 @@
 	return cost + failureCost*s.health.Failures(u.Instance, now) + noise*s.random()
 }
 
-// zoneChanges returns how often a chain passes from one zone to another, the
-// way there and back included.
-func zoneChanges(zone string, stages []relay.Stage) int {
+// zoneChanges returns how often a request passes from one zone to another on
+// its way, there and back.
+func zoneChanges(zone string, p place) int {
 	changes := 0
 	at := zone
-	for _, stage := range stages {
+	for _, stage := range p.chain {
 		if stage.Upstream.Zone != at {
 			changes++
 			at = stage.Upstream.Zone
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,7 @@
 	g.add(&group, ctx, g.register)
 	g.add(&group, ctx, g.tellNews)
 	g.add(&group, ctx, g.borrowLists)
+	g.add(&group, ctx, g.dispatch)
 	g.add(&group, ctx, g.probe)
 	g.add(&group, ctx, g.sweep)
 	g.add(&group, ctx, g.reloadWhenAsked)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -24,8 +24,6 @@
 	started bool
 	// last is the ID of the last event that the caller has.
 	last string
-	// quietSince is when the last event came, in Unix nanoseconds.
-	moved chan struct{}
 }
 
 // generate carries a generation. A stream that breaks goes on at other
@@ -52,7 +50,7 @@
 // ended is the verdict on a request whose time is up, or whose caller has
 // gone.
 func ended(ctx context.Context, q *query) *verdict.Error {
-	e := &verdict.Error{Run: verdict.NotRun, Reason: verdict.DeadlineExceeded, Message: "deadline exceeded", RetryAfter: retryPauseFor}
+	e := &verdict.Error{Run: verdict.NotRun, Reason: verdict.DeadlineExceeded, Message: "deadline exceeded", RetryAfter: repairTime}
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		e.Reason = verdict.CallerGone
 		e.Message = "the caller has gone"
@@ -69,9 +67,10 @@
 		return false
 	}
 	switch e.Reason {
-	case verdict.NoChain, verdict.NoUpstream, verdict.RetryBudget, verdict.RetryLimit, verdict.CallerGone:
+	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.RetryBudget, verdict.RetryLimit, verdict.CallerGone:
 		return false
 	}
+	s.setWait(s.g.Now())
 	return !s.mayHaveRun() || s.route.Repeatable()
 }
 
@@ -89,9 +88,7 @@
 
 // attempt runs the generation on one chain.
 func (s *generation) attempt(ctx context.Context) error {
-	var p place
-	var err error
-	s.g.control.Do(func(st *state) { p, err = st.take(s.query, s.g.Now()) })
+	p, err := s.g.place(ctx, s.query)
 	if err != nil {
 		return err
 	}
@@ -257,37 +254,35 @@
 func (g *Gateway) findStalled(q *query, p place) string {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	culprit := ""
 	report, err := g.report(ctx, p.upstream)
-	switch {
-	case err != nil:
-		culprit = p.upstream.Instance
-	default:
-		for _, s := range report.Stalled {
-			if s.Request == q.ID {
-				culprit = stageAt(p, s.Address)
-			}
+	at := -1
+	if err != nil {
+		at = 0
+	}
+	for _, stalled := range report.Stalled {
+		if stalled.Request == q.ID {
+			at = stageAt(p, stalled.Address)
 		}
 	}
+	culprit := ""
+	if at >= 0 {
+		culprit = p.chain[at].Upstream.Instance
+	}
 	g.Log.Info("stream silent", zap.String("request", q.ID), zap.String("upstream", p.upstream.Instance),
 		zap.String("at_fault", culprit), zap.Duration("silent", silenceBeforeDoubt), zap.Error(err))
-	if culprit == "" {
+	if at < 0 {
 		return ""
 	}
-	g.control.Do(func(s *state) {
-		q.shun(culprit)
-		if u := s.upstreams[culprit]; u != nil {
-			s.blameFor(u, health.Unreachable, g.Now())
-		}
-	})
+	g.control.Do(func(s *state) { s.blameStage(q, p, at, health.Unreachable, g.Now()) })
 	return culprit
 }
 
-func stageAt(p place, address string) string {
-	for _, s := range p.chain {
+// stageAt returns the stage at an address; negative if there is none.
+func stageAt(p place, address string) int {
+	for i, s := range p.chain {
 		if s.Upstream.Address == address {
-			return s.Upstream.Instance
+			return i
 		}
 	}
-	return ""
+	return -1
 }
--- a/internal/gateway/invoke.go
+++ b/internal/gateway/invoke.go
@@ -44,7 +44,7 @@
 		return false
 	}
 	switch e.Reason {
-	case verdict.NoUpstream, verdict.RetryBudget, verdict.RetryLimit, verdict.CallerGone:
+	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.RetryBudget, verdict.RetryLimit, verdict.CallerGone:
 		return false
 	}
 	return !q.mayHaveRun() || q.route.Repeatable()
@@ -52,9 +52,7 @@
 
 // callOnce makes one attempt and reads the whole answer.
 func (g *Gateway) callOnce(ctx context.Context, q *query) (*answer, []byte, error) {
-	var p place
-	var err error
-	g.control.Do(func(s *state) { p, err = s.take(q, g.Now()) })
+	p, err := g.place(ctx, q)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 )
@@ -59,6 +60,7 @@
 	a, err := g.exchange(ctx, call)
 	if err != nil {
 		g.Log.Debug("upstream does not answer", zap.String("upstream", u.Instance), zap.Error(err))
+		g.control.Do(func(s *state) { s.blameFor(u.Upstream, health.Unreachable, g.Now()) })
 		return
 	}
 	defer a.Close()
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -7,7 +7,6 @@
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
-	"lovageport.example/pkg/verdict"
 )
 
 // query is one request of a caller on its way.
@@ -39,6 +38,9 @@
 	// first is the first stage of the last attempt, to be kept if it is not at
 	// fault.
 	first string
+	// waitUntil is the boot time up to which it makes sense to wait for a
+	// place: after that the caller has likely gone.
+	waitUntil time.Duration
 	// attempts counts the places given.
 	attempts int
 }
@@ -69,32 +71,6 @@
 	fill float64
 }
 
-// retryPauseFor is when a caller is told to come back after a refusal.
-const retryPauseFor = 300 * time.Millisecond
-
-// take gives a request the place of its next attempt. It runs in the control
-// loop.
-func (s *state) take(q *query, now time.Duration) (place, error) {
-	p := s.pools[q.service]
-	if p == nil {
-		return place{}, verdict.RefuseUntil(retryPauseFor, verdict.NoUpstream, "no upstream of %s is in service", q.service)
-	}
-	if q.mayHaveRun() && len(q.ranOn) >= q.route.MaxUpstreams && !q.ranOn[q.first] {
-		return place{}, verdict.Refuse(verdict.RetryLimit, "the request has run on as many upstreams as it may")
-	}
-	if q.sent && !s.window(q.service).Take(s.allowance, s.peerCounts(q.service), s.processes(), now) {
-		return place{}, verdict.RefuseUntil(retryPauseFor, verdict.RetryBudget, "too many retries are under way")
-	}
-	if !q.sent && q.attempts == 0 {
-		s.window(q.service).Fresh(s.allowance, now)
-	}
-	q.attempts++
-	if p.layers != nil {
-		return s.takeChain(p, q, now)
-	}
-	return s.takeUpstream(p, q, now)
-}
-
 // give ends an attempt.
 func (s *state) give(q *query, p place) {
 	if p.chain == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -87,7 +87,7 @@
 	q := &query{Request: platform.DecodeRequest(r.Header), http: r, arrived: g.Now()}
 	t := g.routing.Table()
 	if t == nil {
-		return q, verdict.RefuseUntil(retryPauseFor, verdict.NotReady, "no configuration is known yet")
+		return q, verdict.RefuseUntil(repairTime, verdict.NotReady, "no configuration is known yet")
 	}
 	q.table = t.Version
 	q.tableAge, _ = g.routing.Age(q.arrived)
@@ -96,6 +96,7 @@
 	}
 	q.service = q.route.Backend(q.ID)
 	q.deadline = q.arrived + timeout(q)
+	q.setWait(q.arrived)
 	if err := readBody(w, q, t.Limits.MaxBodyBytes); err != nil {
 		return q, err
 	}
@@ -108,7 +109,7 @@
 	// An old table proves nothing: a route or key may have been added since.
 	deny := func(reason verdict.Reason, message string) error {
 		if q.tableAge > denyAge {
-			return verdict.RefuseUntil(retryPauseFor, verdict.NotReady, "the configuration is %v old", q.tableAge)
+			return verdict.RefuseUntil(repairTime, verdict.NotReady, "the configuration is %v old", q.tableAge)
 		}
 		return verdict.Refuse(reason, "%s", message)
 	}
@@ -126,7 +127,7 @@
 		return deny(verdict.Unauthenticated, "unknown key")
 	}
 	if q.tableAge > g.maxTableAge() {
-		return verdict.RefuseUntil(retryPauseFor, verdict.NotReady, "the configuration is %v old: the key may have been revoked", q.tableAge)
+		return verdict.RefuseUntil(repairTime, verdict.NotReady, "the configuration is %v old: the key may have been revoked", q.tableAge)
 	}
 	q.account = account.Name
 	if account.Priority != nil {
@@ -224,9 +225,6 @@
 	io.WriteString(w, e.Error()+"\n")
 }
 
-// minRetryAfter is the least time after which a caller is told to come back.
-const minRetryAfter = 50 * time.Millisecond
-
 // setConnection asks the caller to come back on another connection, which the
 // balancer gives to another process, if this one stops.
 func (g *Gateway) setConnection(h http.Header) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/coordination/admission"
 	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/coordination/placement"
@@ -32,9 +33,15 @@
 	pools    map[string]*pool
 	loads    map[string]*load
 	health   health.Register
-	windows  map[string]*retry.Window
-	ledger   placement.Ledger
-	roster   roster.Roster
+	links    health.Links
+	// waiting are the requests that wait for a place.
+	waiting admission.Queue[*waiter]
+	// drained is the rate at which waiting requests get their places, by
+	// service.
+	drained map[string]*admission.Rate
+	windows map[string]*retry.Window
+	ledger  placement.Ledger
+	roster  roster.Roster
 	// others is the load of the peers, by instance, and otherCounts what they
 	// have counted, by service. peerCount is how many are alive.
 	others      map[string]path.Load
@@ -73,6 +80,7 @@
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.loads = make(map[string]*load)
 	s.windows = make(map[string]*retry.Window)
+	s.drained = make(map[string]*admission.Rate)
 	s.storeLost = make(map[string]bool)
 }
 
