Stay in the zone, and answer streams without events

Chains left their zone for small gains.

Change: the head is written before the end; a zone change costs 8 ms for each token; a refusal that names a stage has that stage asked; memory may be promised 1.3 times.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -125,12 +125,16 @@
 	rec.outUntil = now + probeInterval
 }
 
-// Answered notes that an upstream has answered a probe.
-func (r *Register) Answered(instance string) {
-	if rec := r.records[instance]; rec != nil {
-		rec.probing = false
-		rec.outUntil = 0
+// Answered notes that an upstream has answered a probe. It says whether the
+// upstream is in use again by that.
+func (r *Register) Answered(instance string, now time.Duration) bool {
+	rec := r.records[instance]
+	if rec == nil || !rec.probing {
+		return false
 	}
+	rec.probing = false
+	rec.outUntil = now
+	return true
 }
 
 // Out says whether an upstream must be left alone.
--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -12,7 +12,7 @@
 	// HopCost is that of passing an activation on within a zone.
 	HopCost = 0.2
 	// ZoneCost is that of passing it on to another zone.
-	ZoneCost = 2.0
+	ZoneCost = 8.0
 	// doubtedCost is that of a link between zones that may be cut.
 	doubtedCost = 300.0
 	// fullCost is added to a stage that has no room, so that it is used only
@@ -20,6 +20,10 @@
 	fullCost = 1000.0
 )
 
+// Overcommit is how full an upstream may be by what its requests may come to
+// need: few need all of it, and not at once.
+const Overcommit = 1.3
+
 // loadWeight says how much a full memory raises the cost of a stage.
 const loadWeight = 4.0
 
@@ -281,7 +285,7 @@
 	time := float64(layers) * (holder.pace + holder.perRequest*load.Requests) * slowdown
 	fill := f.fill(h, layers)
 	cost := time*(1+loadWeight*fill*fill)*f.noise[h] + HopCost
-	if fill > 1 {
+	if fill > Overcommit {
 		cost += fullCost * fill
 	}
 	return cost
@@ -312,7 +316,7 @@
 		chain.Stages = append(chain.Stages, relay.Stage{Upstream: f.m.Holders[n.holder].Upstream, Layers: layers})
 		fill := f.fill(n.holder, layers.Len())
 		chain.Fill = max(chain.Fill, fill)
-		chain.Full = chain.Full || fill > 1
+		chain.Full = chain.Full || fill > Overcommit
 		i, zone = n.from, n.fromZone
 	}
 	slices.Reverse(chain.Stages)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -117,54 +117,36 @@
 	if head.AtFault != "" {
 		at = max(0, stageAt(p, head.AtFault))
 	}
-	e.Upstream = p.chain[at].Upstream.Instance
-	if found && fault == health.Unreachable && head.NotRun && s.fill(p.chain[at].Upstream) > crowdedFill {
-		fault = health.Full
-	}
+	u := p.chain[at].Upstream
+	e.Upstream = u.Instance
+	q.shun(u.Instance)
 	if found {
-		s.blameStage(q, p, at, fault, now)
+		s.blameFor(u, fault, now)
 	}
-}
-
-// crowdedFill is how full an upstream must be for its refusal to mean that it
-// has no memory left, rather than that it leaves or is dead.
-const crowdedFill = 0.75
-
-// fill returns how full the memory of an engine is by what is known here.
-func (s *state) fill(u *fleet.Upstream) float64 {
-	p := s.pools[u.Service]
-	if p == nil || p.layers == nil {
-		return 0
-	}
-	capacity := p.layers.Capacity(u.Instance)
-	if capacity <= 0 {
-		return 0
+	if fault == health.Full && head.AtFault != "" {
+		// It may also be dead or leaving; only its own answer tells.
+		s.health.Suspect(u.Instance, now)
 	}
-	return (s.load(u.Instance).tokenLayers + s.others[u.Instance].TokenLayers) / capacity
 }
 
-// blameStage notes that a stage of a chain is at fault. If it was called from
-// another zone the link may be: the stage is then asked itself before it is
-// left alone, unless it is beyond the link.
-func (s *state) blameStage(q *query, p place, at int, f health.Fault, now time.Duration) {
+// blameSilent notes the stage that a silent generation waits for. If it was
+// called from another zone the link may be at fault: the stage is then asked
+// itself before it is left alone, unless it is beyond the link.
+func (s *state) blameSilent(q *query, p place, at int, now time.Duration) {
 	u := p.chain[at].Upstream
 	q.shun(u.Instance)
 	from := s.zone
 	if at > 0 {
 		from = p.chain[at-1].Upstream.Zone
 	}
-	if f != health.Unreachable || from == u.Zone {
-		s.blameFor(u, f, now)
-		return
-	}
-	if s.links.Doubt(from, u.Zone, now) && at > 0 {
+	if s.links.Doubt(from, u.Zone, now) {
 		s.log.Info("link between zones doubted", zap.String("from", from), zap.String("to", u.Zone), zap.String("upstream", u.Instance))
 	}
-	if u.Zone == s.zone {
+	if from != u.Zone && u.Zone == s.zone {
 		s.health.Suspect(u.Instance, now)
 		return
 	}
-	s.blameFor(u, f, now)
+	s.blameFor(u, health.Unreachable, now)
 }
 
 // blameFor leaves an upstream alone for a fault.
@@ -185,8 +167,6 @@
 		return health.Unreachable, true
 	case head.WrongInstance:
 		return health.Misplaced, true
-	case head.NotRun && head.AtFault != "":
-		return health.Unreachable, true
 	case head.NotRun:
 		return health.Full, true
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -104,7 +104,7 @@
 }
 
 // occupy counts an attempt as load.
-func (s *state) occupy(q *query, p place) {
+func (s *state) occupy(q *query, p place, now time.Duration) {
 	if p.chain == nil {
 		s.load(p.upstream.Instance).requests++
 		return
@@ -112,7 +112,9 @@
 	for _, stage := range p.chain {
 		l := s.load(stage.Upstream.Instance)
 		l.requests++
-		l.tokenLayers += q.tokens * float64(stage.Layers.Len())
+		need := q.tokens * float64(stage.Layers.Len())
+		l.tokenLayers += need
+		l.note(need, now)
 	}
 }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"lovageport.example/internal/coordination/health"
 	"lovageport.example/pkg/verdict"
 	"lovageport.example/platform"
 )
@@ -132,6 +131,8 @@
 	for {
 		events, id, err := reader.next()
 		if err == io.EOF {
+			// A caller that already has all events gets an answer without any.
+			s.begin(a)
 			return nil
 		}
 		if err != nil {
@@ -273,7 +274,7 @@
 	if at < 0 {
 		return ""
 	}
-	g.control.Do(func(s *state) { s.blameStage(q, p, at, health.Unreachable, g.Now()) })
+	g.control.Do(func(s *state) { s.blameSilent(q, p, at, g.Now()) })
 	return culprit
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -64,9 +64,14 @@
 		return
 	}
 	defer a.Close()
-	if a.head.WrongInstance {
-		return
-	}
-	g.control.Do(func(s *state) { s.health.Answered(u.Instance) })
-	g.Log.Info("upstream answers again", zap.String("upstream", u.Instance), zap.Int("status", a.head.Status))
+	well := a.head.Status/100 == 2
+	g.control.Do(func(s *state) {
+		if !well {
+			s.blameFor(u.Upstream, health.Unreachable, g.Now())
+			return
+		}
+		if s.health.Answered(u.Instance, g.Now()) {
+			g.Log.Info("upstream answers again", zap.String("upstream", u.Instance), zap.Int("status", a.head.Status))
+		}
+	})
 }
