--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -25,7 +25,7 @@
 const Overcommit = 1.3
 
 // loadWeight says how much a full memory raises the cost of a stage.
-const loadWeight = 4.0
+const loadWeight = 6.0
 
 // Load is what is known of the work on an upstream.
 type Load struct {
@@ -284,7 +284,7 @@
 	slowdown := max(1, load.Slowdown)
 	time := float64(layers) * (holder.pace + holder.perRequest*load.Requests) * slowdown
 	fill := f.fill(h, layers)
-	cost := time*(1+loadWeight*fill*fill)*f.noise[h] + HopCost
+	cost := time*(1+loadWeight*fill*fill*fill*fill)*f.noise[h] + HopCost
 	if fill > Overcommit {
 		cost += fullCost * fill
 	}
