Plan layers for short steps and a second holder

Cause: the plan gave each unit as much room as possible; tokens passed more slow engines than needed (10 ms a token and more), so that streams lasted long and met more faults.

Change: the value of a plan is its step time, a second holder for each unit, and room only as far as about a hundred requests need it; a first plan is sought from several sides.

--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"lovageport.example/internal/state/fleet"
 )
 
-// Weights of a plan, in the natural logarithm of a unit's room for KV cache.
+// Weights of a plan. One is about what it is worth that a unit has a second
+// holder.
 const (
 	// moveCost is what moving an engine that holds layers must gain, since it
 	// first ends what passes through them and then serves nothing while it
@@ -17,15 +17,35 @@
 	unitMoveCost = 0.35
 	// secondHolder is what a second engine for a unit is worth: a loss then
 	// leaves the unit in its zone.
-	secondHolder = 0.7
-	// noRoom is the logarithm of the room of a unit that nobody holds.
-	noRoom = -20.0
+	secondHolder = 1.0
+	// stepWeight is what a millisecond less for each token is worth: answers
+	// that end sooner need their memory for less long and meet fewer faults.
+	stepWeight = 0.3
+	// crowdRequests is how many usual requests a unit should have room for.
+	crowdRequests = 100
+	// crowdWeight is what it costs that a unit has room for just crowdRequests.
+	crowdWeight = 1.5
+	// uncovered is the value of a unit that nobody holds.
+	uncovered = -20.0
+)
+
+// Times of a stage, to compare chains by.
+const (
+	// stageTime is the milliseconds that a stage adds to a token by itself.
+	stageTime = 0.3
+	// waitFactor is how much longer than its own pass a token is at a stage.
+	waitFactor = 1.5
+	// uncoveredTime is the milliseconds that stand for layers that nobody holds.
+	uncoveredTime = 50.0
 )
 
 // minFree is the least share of an accelerator's memory that a plan leaves for
 // KV cache.
 const minFree = 0.2
 
+// maxTurns bounds the sides from which a first plan is sought.
+const maxTurns = 8
+
 // maxRounds bounds the improvement of a plan; each round looks at every engine.
 const maxRounds = 12
 
@@ -38,8 +58,7 @@
 	}
 	goal := make(map[string]fleet.Range)
 	for _, group := range groups(e, upstreams, unit) {
-		p := newPlanner(e, group, unit)
-		p.improve()
+		p := plan(e, group, unit)
 		for i, m := range p.members {
 			if p.spans[i].count > 0 {
 				goal[m.upstream.Instance] = fleet.Range{From: p.spans[i].first * unit, To: (p.spans[i].first + p.spans[i].count) * unit}
@@ -49,6 +68,25 @@
 	return goal
 }
 
+// plan returns the improved plan of a group. One that starts from nothing is
+// sought from several sides, since improving step by step may end early.
+func plan(e *fleet.Engine, group []*fleet.Upstream, unit int) *planner {
+	best := newPlanner(e, group, unit)
+	best.improve()
+	if best.holding {
+		return best
+	}
+	for turn := 1; turn < min(maxTurns, len(best.members)); turn++ {
+		p := newPlanner(e, group, unit)
+		p.turn(turn)
+		p.improve()
+		if p.value() > best.value() {
+			best = p
+		}
+	}
+	return best
+}
+
 // unitSize returns the largest divisor of the layers that every engine can
 // hold with room beside it; 0 if there is none.
 func unitSize(e *fleet.Engine, upstreams []*fleet.Upstream) int {
@@ -110,6 +148,8 @@
 	most int
 	// room[n] is the room in tokens beside n units.
 	room []float64
+	// unitTime is the milliseconds of one unit for one token.
+	unitTime float64
 	// held is what it holds now, if that is a run of whole units.
 	held span
 }
@@ -122,12 +162,20 @@
 	// room and holders are those of each unit.
 	room    []float64
 	holders []int
+	// holding says that some member holds layers already.
+	holding bool
+	// crowd is the room in tokens that crowdRequests usual requests take.
+	crowd float64
+	// reach is used by stepTime.
+	reach []float64
 }
 
 func newPlanner(e *fleet.Engine, group []*fleet.Upstream, unit int) *planner {
 	p := &planner{units: e.Layers / unit}
 	p.room = make([]float64, p.units)
 	p.holders = make([]int, p.units)
+	p.crowd = crowdRequests * (e.MeanPrompt + e.MeanAnswer)
+	p.reach = make([]float64, p.units+1)
 	slices.SortFunc(group, func(a, b *fleet.Upstream) int {
 		return cmp.Or(cmp.Compare(maxLayers(e, b), maxLayers(e, a)), cmp.Compare(a.Instance, b.Instance))
 	})
@@ -136,6 +184,7 @@
 		if m.most == 0 {
 			continue
 		}
+		m.unitTime = e.Accelerators[u.Accelerator].Pace * e.Step.Seconds() * 1e3 / float64(p.units)
 		if m.held.count > m.most {
 			m.held = span{}
 		}
@@ -143,6 +192,7 @@
 		for n := 1; n <= m.most; n++ {
 			m.room[n] = e.RoomTokens(u.Accelerator, n*unit)
 		}
+		p.holding = p.holding || m.held.count > 0
 		p.members = append(p.members, m)
 		p.spans = append(p.spans, span{})
 		p.set(len(p.members)-1, m.held)
@@ -175,22 +225,47 @@
 func (p *planner) value() float64 {
 	total := 0.0
 	for u := range p.units {
-		total += unitValue(p.room[u], p.holders[u])
+		total += p.unitValue(p.room[u], p.holders[u])
+	}
+	return total - stepWeight*p.stepTime()
+}
+
+// stepTime returns the milliseconds that one token takes on the fastest chain.
+// A stage is busy most of the time, so that a token waits there for about half
+// a pass before its own.
+func (p *planner) stepTime() float64 {
+	p.reach[p.units] = 0
+	for u := p.units - 1; u >= 0; u-- {
+		p.reach[u] = uncoveredTime
+		for i, s := range p.spans {
+			if u < s.first || u >= s.first+s.count {
+				continue
+			}
+			for end := u + 1; end <= s.first+s.count; end++ {
+				time := stageTime + waitFactor*p.members[i].unitTime*float64(end-u) + p.reach[end]
+				p.reach[u] = min(p.reach[u], time)
+			}
+		}
 	}
-	return total
+	return p.reach[0]
 }
 
-// unitValue grows with the logarithm of the room, so that the scarcest unit
-// counts most.
-func unitValue(room float64, holders int) float64 {
+// unitValue falls steeply where there is room for few requests, and hardly
+// grows where there is plenty.
+func (p *planner) unitValue(room float64, holders int) float64 {
 	if holders == 0 {
-		return noRoom
+		return uncovered
 	}
-	value := math.Log(max(room, 1))
+	value := -crowdWeight * p.crowd / max(room, 1)
 	if holders > 1 {
 		value += secondHolder
 	}
-	return value
+	return max(value, uncovered/2)
+}
+
+// turn puts the first n members last, so that they choose last.
+func (p *planner) turn(n int) {
+	p.members = append(p.members[n:len(p.members):len(p.members)], p.members[:n]...)
 }
 
 // improve gives each member in turn the span that helps most, until none
--- a/internal/coordination/placement/plan_test.go
+++ b/internal/coordination/placement/plan_test.go
@@ -3,13 +3,14 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"lovageport.example/internal/state/fleet"
 )
 
 func testEngine() *fleet.Engine {
 	return &fleet.Engine{
-		Layers: 80, LayerMB: 1750, KVTokenBytes: 918000, MeanPrompt: 774, MeanAnswer: 200,
+		Layers: 80, Step: 1020 * time.Microsecond, LayerMB: 1750, KVTokenBytes: 918000, MeanPrompt: 774, MeanAnswer: 200,
 		Accelerators: map[string]fleet.Accelerator{
 			"a100": {MemoryMB: 72000, Pace: 2.4, ReadFactor: 3.2},
 			"l40s": {MemoryMB: 43200, Pace: 5.6, ReadFactor: 2.7},
@@ -48,6 +49,12 @@
 				holders[i]++
 			}
 		}
+		p := newPlanner(e, ups, 8)
+		for i, m := range p.members {
+			r := goal[m.upstream.Instance]
+			p.set(i, span{r.From / 8, r.Len() / 8})
+		}
+		fmt.Println(name, "step time", p.stepTime())
 		for i := range room {
 			fmt.Printf("%.0fk/%d ", room[i]/1000, holders[i])
 		}
