Have one gateway of each zone read the store often

Change: one follower for the configuration and the upstreams; gateways that hear the same version and list digest from the reader wait up to 8 s in a watch, and are woken when a peer is ahead or nobody confirms; pauses after failures grow; peers of other zones are called every 800 ms.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -16,9 +16,11 @@
 	// NearInterval is how often peers of the own zone are called, and
 	// FarInterval those of others.
 	NearInterval = 200 * time.Millisecond
-	FarInterval  = 400 * time.Millisecond
-	// aliveTime is how long after its last word a peer counts as alive.
-	aliveTime = 1200 * time.Millisecond
+	FarInterval  = 800 * time.Millisecond
+	// nearAliveTime and farAliveTime are how long after its last word a peer
+	// counts as alive.
+	nearAliveTime = 1200 * time.Millisecond
+	farAliveTime  = 2500 * time.Millisecond
 	// silentInterval is how often a peer that does not answer is called, and
 	// lostInterval one that has not for lostTime.
 	silentInterval = 600 * time.Millisecond
@@ -93,8 +95,12 @@
 // alive says whether a member was heard lately, given how many there are to be
 // called in turn.
 func (r *Roster) alive(m *Member, now time.Duration) bool {
+	limit := farAliveTime
+	if m.Zone == r.Self.Zone {
+		limit = nearAliveTime
+	}
 	rounds := time.Duration(len(r.members) / FanOut)
-	return m.HeardAt > 0 && now-m.HeardAt < aliveTime+rounds*NearInterval
+	return m.HeardAt > 0 && now-m.HeardAt < limit+rounds*NearInterval
 }
 
 // Alive returns the gateways heard lately, in the order of their addresses.
@@ -148,6 +154,17 @@
 	})
 }
 
+// Reads says whether this gateway is the one that asks the store for its zone
+// how things are: the first by address.
+func (r *Roster) Reads(now time.Duration) bool {
+	for _, m := range r.Alive(now) {
+		if m.Zone == r.Self.Zone && m.Address.Address < r.Self.Address {
+			return false
+		}
+	}
+	return true
+}
+
 // MaxListAge is how old a gateway's list of upstreams may be if it is to place
 // layers by it.
 const MaxListAge = 2500 * time.Millisecond
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -13,55 +13,120 @@
 
 // Times of following the platform's store.
 const (
-	// watchWait is how long a watch waits. Each answer, also an empty one,
-	// confirms what is known as of when the watch was sent.
-	watchWait = time.Second
-	// retryPause is the pause after a failed call.
-	retryPause = 200 * time.Millisecond
+	// readerWait is how long a watch waits in the gateway that reads for its
+	// zone. Each answer, also an empty one, confirms what is known as of when
+	// the watch was sent.
+	readerWait = time.Second
+	// otherWait is how long it waits in the others, which hear from the reader
+	// that what they know is right.
+	otherWait = 8 * time.Second
+	// minRetryPause and maxRetryPause bound the pause after failed calls.
+	minRetryPause = 200 * time.Millisecond
+	maxRetryPause = time.Second
 	// watchPause lets changes that come together arrive in one answer.
 	watchPause = 50 * time.Millisecond
 )
 
-// wakeTable has the table read soon, without waiting for the watch.
-func (g *Gateway) wakeTable() {
-	select {
-	case g.tableWake <- struct{}{}:
-	default:
-	}
+// follower keeps one thing of the store up to date.
+type follower struct {
+	g *Gateway
+	// what names the thing in logs.
+	what string
+	// wake ends a watch that may have gone silent, and a pause.
+	wake chan struct{}
+	// read takes in the whole thing and returns the revision to watch from.
+	read func(ctx context.Context) (int64, error)
+	// watch waits for changes after a revision, takes them in, and returns the
+	// revision to go on from.
+	watch func(ctx context.Context, after int64, wait time.Duration) (int64, error)
 }
 
-// followTable keeps the routing table up to date.
-func (g *Gateway) followTable(ctx context.Context) error {
+// run follows until ctx ends.
+func (f *follower) run(ctx context.Context) error {
 	var revision int64
+	pause := minRetryPause
 	for ctx.Err() == nil {
-		var err error
-		if revision == 0 {
-			revision, err = g.readTable(ctx)
-		} else {
-			revision, err = g.watchTable(ctx, revision)
-		}
+		next, err := f.step(ctx, revision)
+		f.g.noteStore(f.what, err)
 		if err != nil {
-			g.noteStore("configuration", err)
-			g.waitForTable(ctx)
+			// What was missed meanwhile is read at once when the store is back.
+			revision = 0
+			f.pause(ctx, pause)
+			pause = min(2*pause, maxRetryPause)
 			continue
 		}
-		g.noteStore("configuration", nil)
+		revision = next
+		pause = minRetryPause
 		wait(ctx, watchPause)
 	}
 	return nil
 }
 
-// waitForTable waits before the next try, until a peer has newer word.
-func (g *Gateway) waitForTable(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, retryPause)
+// step reads, or watches from a revision.
+func (f *follower) step(ctx context.Context, revision int64) (int64, error) {
+	if revision == 0 {
+		return f.read(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	woken := false
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		select {
+		case <-ctx.Done():
+		case <-f.wake:
+			woken = true
+			cancel()
+		}
+	}()
+	next, err := f.watch(ctx, revision, f.g.watchWait())
+	cancel()
+	<-ended
+	if err != nil && (woken || errors.Is(err, platform.ErrHistoryGone)) {
+		return 0, nil
+	}
+	return next, err
+}
+
+// pause waits before the next try, until a peer has newer word.
+func (f *follower) pause(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	select {
 	case <-ctx.Done():
-	case <-g.tableWake:
+	case <-f.wake:
 	}
 }
 
-// readTable reads the table. It returns the revision to watch from.
+// awake has the thing read soon, without waiting for the watch.
+func (f *follower) awake() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// watchWait returns how long a watch may wait.
+func (g *Gateway) watchWait() time.Duration {
+	reads := false
+	g.control.Do(func(s *state) { reads = s.roster.Reads(g.Now()) })
+	if reads {
+		return readerWait
+	}
+	return otherWait
+}
+
+// tableFollower follows the configuration.
+func (g *Gateway) tableFollower() *follower {
+	return &follower{g: g, what: "configuration", wake: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable}
+}
+
+// listFollower follows the list of upstreams.
+func (g *Gateway) listFollower() *follower {
+	return &follower{g: g, what: "upstreams", wake: make(chan struct{}, 1), read: g.listUpstreams, watch: g.watchUpstreams}
+}
+
 func (g *Gateway) readTable(ctx context.Context) (int64, error) {
 	sent := g.Now()
 	table, revision, err := g.store.Table(ctx)
@@ -75,25 +140,10 @@
 	return revision, nil
 }
 
-// watchTable waits for a newer table. It returns the revision to go on from; 0
-// to read anew.
-func (g *Gateway) watchTable(ctx context.Context, revision int64) (int64, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go func() {
-		select {
-		case <-ctx.Done():
-		case <-g.tableWake:
-			cancel()
-		}
-	}()
+func (g *Gateway) watchTable(ctx context.Context, after int64, wait time.Duration) (int64, error) {
 	sent := g.Now()
-	changes, err := g.store.WatchTable(ctx, revision, watchWait)
-	if errors.Is(err, platform.ErrHistoryGone) {
-		return 0, nil
-	}
+	changes, err := g.store.WatchTable(ctx, after, wait)
 	if err != nil {
-		// What was missed meanwhile is read at once when the store is back.
 		return 0, err
 	}
 	if changes.Table != nil && g.routing.Adopt(changes.Table) {
@@ -128,27 +178,6 @@
 	})
 }
 
-// followUpstreams keeps the list of upstreams up to date.
-func (g *Gateway) followUpstreams(ctx context.Context) error {
-	var revision int64
-	for ctx.Err() == nil {
-		var err error
-		if revision == 0 {
-			revision, err = g.listUpstreams(ctx)
-		} else {
-			revision, err = g.watchUpstreams(ctx, revision)
-		}
-		if err != nil {
-			g.noteStore("upstreams", err)
-			wait(ctx, retryPause)
-			continue
-		}
-		g.noteStore("upstreams", nil)
-		wait(ctx, watchPause)
-	}
-	return nil
-}
-
 func (g *Gateway) listUpstreams(ctx context.Context) (int64, error) {
 	sent := g.Now()
 	listed, err := g.store.Upstreams(ctx)
@@ -166,12 +195,9 @@
 	return listed.Revision, nil
 }
 
-func (g *Gateway) watchUpstreams(ctx context.Context, revision int64) (int64, error) {
+func (g *Gateway) watchUpstreams(ctx context.Context, after int64, wait time.Duration) (int64, error) {
 	sent := g.Now()
-	changes, err := g.store.WatchUpstreams(ctx, revision, watchWait)
-	if errors.Is(err, platform.ErrHistoryGone) {
-		return 0, nil
-	}
+	changes, err := g.store.WatchUpstreams(ctx, after, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,9 +58,9 @@
 	store   *platform.Store
 	pool    *exchange.Pool
 	peers   *peer.Clients
-	// tableWake tells the follower of the table that a newer one is there.
-	tableWake chan struct{}
-	metrics   *metrics
+	// table and list follow the configuration and the upstreams.
+	table, list *follower
+	metrics     *metrics
 	// draining says that the graceful stop has begun.
 	draining atomic.Bool
 	// inFlight counts the callers' requests at work.
@@ -88,7 +88,8 @@
 	}
 	g.store.Open()
 	g.peers = &peer.Clients{Dial: dialer, Timeout: newsTimeout}
-	g.tableWake = make(chan struct{}, 1)
+	g.table = g.tableFollower()
+	g.list = g.listFollower()
 	g.control = loop.New[state]()
 	g.control.State.init(g)
 }
@@ -111,8 +112,8 @@
 	}
 	var group run.Group
 	g.add(&group, ctx, g.control.Run)
-	g.add(&group, ctx, g.followTable)
-	g.add(&group, ctx, g.followUpstreams)
+	g.add(&group, ctx, g.table.run)
+	g.add(&group, ctx, g.list.run)
 	g.add(&group, ctx, g.placeLayers)
 	g.add(&group, ctx, g.register)
 	g.add(&group, ctx, g.tellNews)
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -139,6 +139,7 @@
 			return s.broken(ctx, p, err)
 		}
 		watch.moved()
+		s.noteEvent(s.g.Now())
 		s.begin(a)
 		if _, err := s.out.Write(events); err != nil {
 			return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.CallerGone, Err: err}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -30,6 +30,9 @@
 	// behindTime is how long a peer may have a newer configuration before the
 	// own watch is taken to have gone silent.
 	behindTime = 300 * time.Millisecond
+	// freshListAge is the age up to which a peer's list of upstreams can show
+	// that the own one has missed a change.
+	freshListAge = 1500 * time.Millisecond
 	// borrowPause is the least time between two such calls.
 	borrowPause = 300 * time.Millisecond
 )
@@ -106,21 +109,52 @@
 	g.hear(answer)
 	// The answer was made after the call was sent.
 	g.routing.Confirm(answer.Table, sent-answer.TableAge)
+	g.control.Send(func(s *state) { s.confirmList(answer, sent) })
+}
+
+// confirmList takes a peer's word on how fresh the list of upstreams is, if it
+// has the same. It runs in the control loop.
+func (s *state) confirmList(n *peering.News, sent time.Duration) {
+	if n.ListAge >= 0 && n.ListDigest == s.listDigest && s.listedAt > 0 {
+		s.listedAt = max(s.listedAt, sent-n.ListAge)
+	}
 }
 
 // hear takes in news of a peer.
 func (g *Gateway) hear(n *peering.News) {
 	g.control.Do(func(s *state) { s.hear(n, g.Now()) })
+	// The watch usually brings news within milliseconds.
 	if g.behind(n.Table) {
-		// The watch usually brings it within milliseconds.
 		time.AfterFunc(behindTime, func() {
 			if g.behind(n.Table) {
-				g.wakeTable()
+				g.table.awake()
+			}
+		})
+	}
+	if digest := g.listDiffers(n); digest != 0 {
+		time.AfterFunc(behindTime, func() {
+			if g.listDiffers(n) == digest {
+				g.list.awake()
 			}
 		})
 	}
 }
 
+// listDiffers returns the digest of the own list of upstreams if it differs
+// from that of a peer whose list is fresh; 0 if not.
+func (g *Gateway) listDiffers(n *peering.News) uint64 {
+	if n.ListAge < 0 || n.ListAge > freshListAge {
+		return 0
+	}
+	digest := uint64(0)
+	g.control.Do(func(s *state) {
+		if s.listDigest != n.ListDigest {
+			digest = s.listDigest
+		}
+	})
+	return digest
+}
+
 // behind says whether a version is newer than the one in force.
 func (g *Gateway) behind(version int64) bool {
 	t := g.routing.Table()
@@ -175,6 +209,7 @@
 	}
 	if s.listedAt > 0 {
 		n.ListAge = now - s.listedAt
+		n.ListDigest = s.listDigest
 	}
 	for instance, l := range s.loads {
 		if l.requests > 0 {
@@ -235,6 +270,7 @@
 // the peers while the store can't be followed, until ctx ends.
 func (g *Gateway) borrowLists(ctx context.Context) error {
 	for wait(ctx, borrowPause) {
+		g.wakeFollowers()
 		var from string
 		g.control.Do(func(s *state) { from = s.lender(g, g.Now()) })
 		if from != "" {
@@ -244,6 +280,20 @@
 	return nil
 }
 
+// wakeFollowers ends watches that have waited for too long: nobody has
+// confirmed meanwhile what is known here.
+func (g *Gateway) wakeFollowers() {
+	now := g.Now()
+	if age, known := g.routing.Age(now); known && age > borrowAge {
+		g.table.awake()
+	}
+	var listAge time.Duration
+	g.control.Do(func(s *state) { listAge = now - s.listedAt })
+	if listAge > borrowAge {
+		g.list.awake()
+	}
+}
+
 // lender returns the address of the peer that knows more of the store than
 // this gateway does; empty if what is known here is fresh enough.
 func (s *state) lender(g *Gateway, now time.Duration) string {
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -41,6 +41,10 @@
 	// waitUntil is the boot time up to which it makes sense to wait for a
 	// place: after that the caller has likely gone.
 	waitUntil time.Duration
+	// firstEvent is how long after its arrival the first byte of the answer
+	// was passed on, and longestPause the longest time between two events.
+	firstEvent, longestPause time.Duration
+	lastEvent                time.Duration
 	// attempts counts the places given.
 	attempts int
 }
@@ -59,6 +63,16 @@
 	q.ranOn[instance] = true
 }
 
+// noteEvent notes that a part of the answer is passed on.
+func (q *query) noteEvent(now time.Duration) {
+	if q.lastEvent == 0 {
+		q.firstEvent = now - q.arrived
+	} else {
+		q.longestPause = max(q.longestPause, now-q.lastEvent)
+	}
+	q.lastEvent = now
+}
+
 // mayHaveRun says whether an upstream may have run the request.
 func (q *query) mayHaveRun() bool { return len(q.ranOn) > 0 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -239,6 +239,8 @@
 		zap.String("request", q.ID),
 		zap.Int("status", status),
 		zap.Duration("took", g.Now()-q.arrived),
+		zap.Duration("first_event", q.firstEvent),
+		zap.Duration("longest_pause", q.longestPause),
 		zap.Int("attempts", q.attempts),
 		zap.Int64("configuration", q.table),
 		zap.Duration("configuration_age", q.tableAge),
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/admission"
@@ -31,10 +33,13 @@
 	upstreams map[string]*fleet.Upstream
 	// listedAt is the boot time as of which the list of upstreams is known.
 	listedAt time.Duration
-	pools    map[string]*pool
-	loads    map[string]*load
-	health   health.Register
-	links    health.Links
+	// listDigest is the sum of the hashes of the listed upstreams, entryHashes.
+	listDigest  uint64
+	entryHashes map[string]uint64
+	pools       map[string]*pool
+	loads       map[string]*load
+	health      health.Register
+	links       health.Links
 	// waiting are the requests that wait for a place.
 	waiting admission.Queue[*waiter]
 	// drained is the rate at which waiting requests get their places, by
@@ -97,6 +102,7 @@
 	s.random = g.Random
 	s.now = g.Now
 	s.upstreams = make(map[string]*fleet.Upstream)
+	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*load)
 	s.windows = make(map[string]*retry.Window)
 	s.drained = make(map[string]*admission.Rate)
@@ -120,6 +126,11 @@
 	}
 	s.upstreams = all
 	s.listedAt = at
+	s.listDigest = 0
+	s.entryHashes = make(map[string]uint64, len(all))
+	for instance, u := range all {
+		s.noteEntry(instance, u)
+	}
 	s.rebuild()
 }
 
@@ -136,6 +147,7 @@
 }
 
 func (s *state) changeUpstream(c platform.UpstreamChange, at, now time.Duration) {
+	s.noteEntry(c.Instance, c.Upstream)
 	old := s.upstreams[c.Instance]
 	if c.Upstream == nil {
 		if old != nil {
@@ -155,6 +167,19 @@
 	}
 }
 
+// noteEntry keeps the digest of the list; u is nil for an upstream that is
+// gone.
+func (s *state) noteEntry(instance string, u *fleet.Upstream) {
+	s.listDigest -= s.entryHashes[instance]
+	if u == nil {
+		delete(s.entryHashes, instance)
+		return
+	}
+	hash := xxhash.Sum64String(fmt.Sprint(u.Instance, u.Address, u.State, u.Held, u.Started))
+	s.entryHashes[instance] = hash
+	s.listDigest += hash
+}
+
 // rebuild makes the pools anew.
 func (s *state) rebuild() {
 	s.pools = make(map[string]*pool)
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -52,10 +52,12 @@
 	TableAge time.Duration
 	// ListAge is the time since the list of upstreams is known to have been
 	// right; negative if there is none.
-	ListAge  time.Duration
-	Loads    []UpstreamLoad
-	Faults   []UpstreamFault
-	Services []ServiceCounts
+	ListAge time.Duration
+	// ListDigest is equal for equal lists.
+	ListDigest uint64
+	Loads      []UpstreamLoad
+	Faults     []UpstreamFault
+	Services   []ServiceCounts
 	// Suspicions are requests that crashed upstreams.
 	Suspicions []Suspicion
 	// Peers are gateways that the sender has heard lately.
