--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -16,7 +16,7 @@
 	// readerWait is how long a watch waits in the gateway that reads for its
 	// zone. Each answer, also an empty one, confirms what is known as of when
 	// the watch was sent.
-	readerWait = time.Second
+	readerWait = 800 * time.Millisecond
 	// otherWait is how long it waits in the others, which hear from the reader
 	// that what they know is right.
 	otherWait = 8 * time.Second
@@ -24,7 +24,7 @@
 	minRetryPause = 200 * time.Millisecond
 	maxRetryPause = time.Second
 	// watchPause lets changes that come together arrive in one answer.
-	watchPause = 50 * time.Millisecond
+	watchPause = 150 * time.Millisecond
 )
 
 // follower keeps one thing of the store up to date.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,7 +26,7 @@
 	registerPause = time.Second
 	// borrowAge is the age of the own knowledge from which a peer's is asked
 	// for.
-	borrowAge = 1800 * time.Millisecond
+	borrowAge = 2200 * time.Millisecond
 	// behindTime is how long a peer may have a newer configuration before the
 	// own watch is taken to have gone silent.
 	behindTime = 300 * time.Millisecond
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -32,7 +32,7 @@
 
 // denyAge is the age of the table from which it is no proof that a route or a
 // key does not exist.
-const denyAge = 2500 * time.Millisecond
+const denyAge = 2800 * time.Millisecond
 
 // lowestRank is the least urgent priority of an engine.
 const lowestRank = 9
