Ask slow engines for their pace, and give an upstream's own failure

Change: a pause of 120 ms has the engines of the chain asked for their pace, which multiplies their cost; the answer of the upstream that failed is given at once if nobody else can be tried; slow plain upstreams cost more.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -60,6 +60,11 @@
 	// heardUntil is outUntil by the word of peers; it is not passed on, so that
 	// no outage is kept up by peers that repeat each other.
 	heardUntil time.Duration
+	// pace is the engine's last reported one.
+	pace      float64
+	paceDueAt time.Duration
+	// took is the moving mean of the time to answer.
+	took, tookAt time.Duration
 	// failures is the moving share of attempts that failed.
 	failures float64
 	at       time.Duration
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -9,6 +9,10 @@
 	"lovageport.example/pkg/verdict"
 )
 
+// slowAnswer is the mean time to answer that costs as much as a whole
+// upstream's places.
+const slowAnswer = 50 * time.Millisecond
+
 // Costs of an upstream of a plain service.
 const (
 	// otherZoneCost is that of leaving the zone, in places taken.
@@ -57,7 +61,7 @@
 				Out:         shunned[u.Instance] || s.health.Out(u.Instance, now),
 				TokenLayers: l.tokenLayers + others.TokenLayers,
 				Requests:    float64(l.requests) + others.Requests,
-				Slowdown:    1 + failureCost*s.health.Failures(u.Instance, now),
+				Slowdown:    s.health.Pace(u.Instance) * (1 + failureCost*s.health.Failures(u.Instance, now)),
 			}
 		},
 	}
@@ -123,6 +127,7 @@
 	if u.Zone != s.zone {
 		cost += otherZoneCost
 	}
+	cost += float64(s.health.MeanTime(u.Instance, now)) / float64(slowAnswer)
 	return cost + failureCost*s.health.Failures(u.Instance, now) + noise*s.random()
 }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -39,7 +39,7 @@
 		if ctx.Err() != nil {
 			e = ended(ctx, q)
 		}
-		if !s.mayGoOn(ctx, e) {
+		if !q.mayGoOn(ctx, e, g.Now()) {
 			s.fail(e)
 			return
 		}
@@ -60,19 +60,6 @@
 	return e
 }
 
-// mayGoOn says whether another attempt is allowed after one that failed.
-func (s *generation) mayGoOn(ctx context.Context, e *verdict.Error) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	switch e.Reason {
-	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.RetryBudget, verdict.RetryLimit, verdict.CallerGone:
-		return false
-	}
-	s.setWait(s.g.Now())
-	return !s.mayHaveRun() || s.route.Repeatable()
-}
-
 // fail ends the answer. One that has been begun is cut, so that it can't look
 // whole.
 func (s *generation) fail(e *verdict.Error) {
@@ -139,7 +126,9 @@
 			return s.broken(ctx, p, err)
 		}
 		watch.moved()
-		s.noteEvent(s.g.Now())
+		if pause := s.noteEvent(s.g.Now()); pause > slowPause {
+			s.g.askPace(p)
+		}
 		s.begin(a)
 		if _, err := s.out.Write(events); err != nil {
 			return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.CallerGone, Err: err}
@@ -153,6 +142,10 @@
 	}
 }
 
+// slowPause is the pause between events after which the engines of a chain are
+// asked whether they are slow.
+const slowPause = 120 * time.Millisecond
+
 // begin writes the head of the answer, once.
 func (s *generation) begin(a *answer) {
 	if s.started {
--- a/internal/gateway/invoke.go
+++ b/internal/gateway/invoke.go
@@ -17,41 +17,56 @@
 // another is tried.
 const callSilence = 200 * time.Millisecond
 
+// call is one call to a plain service.
+type call struct {
+	*query
+	g *Gateway
+	// failed is an upstream's own failure, which the caller gets if no other
+	// upstream can be tried.
+	failed     *answer
+	failedBody []byte
+}
+
 // invoke carries a call to a plain service.
 func (g *Gateway) invoke(ctx context.Context, w http.ResponseWriter, q *query) {
+	c := &call{query: q, g: g}
 	for {
-		a, body, err := g.callOnce(ctx, q)
+		a, body, err := c.attempt(ctx)
 		if err == nil {
-			g.metrics.first.WithLabelValues(q.service).Observe((g.Now() - q.arrived).Seconds())
-			g.logEnd(q, a.head.Status, nil)
-			g.writeAnswer(w, a, body)
+			c.answer(w, a, body)
 			return
 		}
 		e := verdict.Of(err)
 		if ctx.Err() != nil {
 			e = ended(ctx, q)
 		}
-		if !mayCallAgain(ctx, q, e) {
-			g.refuse(w, q, e)
+		if q.mayGoOn(ctx, e, g.Now()) {
+			continue
+		}
+		if c.failed != nil {
+			c.answer(w, c.failed, c.failedBody)
 			return
 		}
+		g.refuse(w, q, e)
+		return
 	}
 }
 
-// mayCallAgain says whether another attempt is allowed after one that failed.
-func mayCallAgain(ctx context.Context, q *query, e *verdict.Error) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	switch e.Reason {
-	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.RetryBudget, verdict.RetryLimit, verdict.CallerGone:
-		return false
-	}
-	return !q.mayHaveRun() || q.route.Repeatable()
+// answer gives the caller an upstream's answer.
+func (c *call) answer(w http.ResponseWriter, a *answer, body []byte) {
+	c.noteEvent(c.g.Now())
+	c.g.metrics.first.WithLabelValues(c.service).Observe(c.firstEvent.Seconds())
+	c.g.logEnd(c.query, a.head.Status, nil)
+	c.g.writeAnswer(w, a, body)
 }
 
-// callOnce makes one attempt and reads the whole answer.
-func (g *Gateway) callOnce(ctx context.Context, q *query) (*answer, []byte, error) {
+// attempt makes one attempt and reads the whole answer.
+func (c *call) attempt(ctx context.Context) (*answer, []byte, error) {
+	g, q := c.g, c.query
+	if c.failed != nil {
+		// An answer is there already: nobody waits for a place.
+		q.waitUntil = g.Now()
+	}
 	p, err := g.place(ctx, q)
 	if err != nil {
 		return nil, nil, err
@@ -62,25 +77,32 @@
 		ctx, cancel = context.WithTimeout(ctx, callSilence)
 		defer cancel()
 	}
+	began := g.Now()
 	a, err := g.send(ctx, q, p, "")
 	if err != nil {
-		return nil, nil, g.silent(q, p, err)
+		return nil, nil, g.silent(p, err)
 	}
 	defer a.Close()
 	body, err := a.ReadAll(ctx, maxAnswerBytes)
 	if err != nil {
 		return nil, nil, g.failed(q, p, err, a.head)
 	}
-	failed := a.head.Status >= http.StatusInternalServerError
-	g.control.Send(func(s *state) { s.health.Result(p.upstream.Instance, failed, g.Now()) })
-	if failed && q.route.Kind == routing.Idempotent && len(q.ranOn) < q.route.MaxUpstreams {
-		return nil, nil, g.failed(q, p, &verdict.Error{Run: verdict.Ran, Reason: verdict.UpstreamLost, Message: "upstream failed"}, a.head)
+	took := g.Now() - began
+	g.control.Send(func(s *state) { s.health.Took(p.upstream.Instance, took, g.Now()) })
+	if a.head.Status < http.StatusInternalServerError {
+		g.control.Send(func(s *state) { s.health.Result(p.upstream.Instance, false, g.Now()) })
+		return a, body, nil
+	}
+	err = g.failed(q, p, &verdict.Error{Run: verdict.Ran, Reason: verdict.UpstreamLost, Message: "upstream failed"}, a.head)
+	if q.route.Kind != routing.Idempotent {
+		return a, body, nil
 	}
-	return a, body, nil
+	c.failed, c.failedBody = a, body
+	return nil, nil, err
 }
 
 // silent notes an upstream that let a call wait for too long.
-func (g *Gateway) silent(q *query, p place, err error) error {
+func (g *Gateway) silent(p place, err error) error {
 	if verdict.Of(err).Reason == verdict.UpstreamSilent {
 		g.control.Send(func(s *state) { s.blameFor(p.upstream, health.Unreachable, g.Now()) })
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -18,10 +18,11 @@
 // probeTimeout bounds the answer to a probe.
 const probeTimeout = 300 * time.Millisecond
 
-// probe asks upstreams that did not answer whether they do now, until ctx
-// ends.
+// probe asks upstreams that did not answer, or were slow, whether they are well
+// now, until ctx ends.
 func (g *Gateway) probe(ctx context.Context) error {
 	for wait(ctx, probeTick) {
+		g.askSlow()
 		for _, u := range g.dueProbes() {
 			go g.probeOne(ctx, u)
 		}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
+	"lovageport.example/pkg/verdict"
 )
 
 // query is one request of a caller on its way.
@@ -63,19 +65,37 @@
 	q.ranOn[instance] = true
 }
 
-// noteEvent notes that a part of the answer is passed on.
-func (q *query) noteEvent(now time.Duration) {
+// noteEvent notes that a part of the answer is passed on. It returns the time
+// since the part before.
+func (q *query) noteEvent(now time.Duration) time.Duration {
 	if q.lastEvent == 0 {
 		q.firstEvent = now - q.arrived
-	} else {
-		q.longestPause = max(q.longestPause, now-q.lastEvent)
+		q.lastEvent = now
+		return 0
 	}
+	pause := now - q.lastEvent
+	q.longestPause = max(q.longestPause, pause)
 	q.lastEvent = now
+	return pause
 }
 
 // mayHaveRun says whether an upstream may have run the request.
 func (q *query) mayHaveRun() bool { return len(q.ranOn) > 0 }
 
+// mayGoOn says whether another attempt is allowed after one that failed, and
+// gives it time to wait for its place.
+func (q *query) mayGoOn(ctx context.Context, e *verdict.Error, now time.Duration) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	switch e.Reason {
+	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.RetryBudget, verdict.RetryLimit, verdict.CallerGone:
+		return false
+	}
+	q.setWait(now)
+	return !q.mayHaveRun() || q.route.Repeatable()
+}
+
 // place is where an attempt goes. It must be given back when it ends.
 type place struct {
 	upstream *fleet.Upstream
