End orders when their effect shows, and cut moves that wait too long

Cause: engines that hold layers were ordered again every six seconds and began anew each time; a move waits for streams of up to 14 s; new engines were placed before the ones that they replace had said that they leave; memory was promised 1.3 times, and 57 in 100 attempts above 1.15 were refused, which used up the retry budget.

Change: an order is under way until its effect shows or the engine reports that it is idle; after 2.5 s one in a zone that lacks layers cuts what passes; newcomers wait 0.7 s in a zone that lacks nothing; memory is promised 1.05 times.

--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -22,7 +22,7 @@
 
 // Overcommit is how full an upstream may be by what its requests may come to
 // need: few need all of it, and not at once.
-const Overcommit = 1.3
+const Overcommit = 1.05
 
 // loadWeight says how much a full memory raises the cost of a stage.
 const loadWeight = 6.0
--- a/internal/coordination/placement/ledger.go
+++ b/internal/coordination/placement/ledger.go
@@ -13,13 +13,22 @@
 	// upstreams before it is given again. Given again it depends on the same
 	// count of orders, so that only one of the two can be carried out.
 	effectTime = 1500 * time.Millisecond
-	// loadTime is how long an engine that took an order is left to it.
-	loadTime = 6 * time.Second
+	// newcomerTime is how long a new engine waits for its first order if its
+	// zone lacks nothing.
+	newcomerTime = 700 * time.Millisecond
+	// overdueTime is how long an order may be under way before the engine is
+	// asked whether it still works on it.
+	overdueTime = 5 * time.Second
+	// drainTime is how long an engine of a zone that lacks layers may let what
+	// passes through the layers to be given up end by itself.
+	drainTime = 2500 * time.Millisecond
 	// refusalPause is how long an engine that refused is left alone.
 	refusalPause = 300 * time.Millisecond
 	// underWayTime is how long an order is believed to be under way: an engine
 	// may first end what passes through the layers that it gives up.
 	underWayTime = 20 * time.Second
+	// askPause is the least time between two questions to an engine.
+	askPause = 500 * time.Millisecond
 	// forgetTime is how long an engine that is not listed is remembered.
 	forgetTime = time.Minute
 )
@@ -36,12 +45,18 @@
 	taken int64
 	// wanted is the range of the last order, and underWay says that it was
 	// taken, or may have been, but has not shown effect yet.
-	wanted    fleet.Range
-	underWay  bool
-	orderedAt time.Duration
+	wanted   fleet.Range
+	underWay bool
+	// answered says that it was taken for sure, and aborting that it cuts what
+	// passes through the layers that are given up.
+	answered, aborting bool
+	// orderedAt is when the order was given, and askedAt when the engine was
+	// last asked about it.
+	orderedAt, askedAt time.Duration
 	// quietUntil is when the next order may be given.
 	quietUntil time.Duration
-	seen       time.Duration
+	// firstSeen and seen are when the engine was first and last listed.
+	firstSeen, seen time.Duration
 }
 
 // Ledger remembers the orders given and the count that each engine has taken.
@@ -63,31 +78,60 @@
 	return r
 }
 
-// Due returns the orders that bring the engines to the goal, but for those
-// that may still take effect, and notes them as given.
-func (l *Ledger) Due(goal map[string]fleet.Range, upstreams []*fleet.Upstream, now time.Duration) []Order {
+// Due returns the orders that bring the engines to the goal, and notes them as
+// given. Left out are those that may still take effect, and engines that have
+// just come to a zone that lacks nothing: what they are to replace may be about
+// to leave. lacks says which zones lack layers.
+func (l *Ledger) Due(goal map[string]fleet.Range, upstreams []*fleet.Upstream, lacks func(zone string) bool, now time.Duration) []Order {
 	var due []Order
 	for _, u := range upstreams {
 		r := l.record(u)
+		if r.firstSeen == 0 {
+			r.firstSeen = now
+		}
 		r.seen = now
 		want, ok := goal[u.Instance]
-		if !ok || want == u.Held || u.State != fleet.Serving || now < r.quietUntil {
+		if !ok || u.State != fleet.Serving || now < r.quietUntil {
+			continue
+		}
+		if r.underWay {
+			if r.stuck(lacks(u.Zone), now) {
+				due = append(due, l.give(u, r.wanted, true, now))
+			}
+			continue
+		}
+		newcomer := u.Held.Len() == 0 && now-r.firstSeen < newcomerTime
+		if want == u.Held || newcomer && !lacks(u.Zone) {
 			continue
 		}
-		r.quietUntil = now + effectTime
-		r.wanted = want
-		r.underWay = true
-		r.orderedAt = now
-		due = append(due, Order{u, relay.Placement{Layers: want, IfOrders: r.taken}})
+		due = append(due, l.give(u, want, false, now))
 	}
 	return due
 }
 
-// Took notes that an engine took an order: it loads the layers, and is not
-// ordered again before it holds them.
-func (l *Ledger) Took(o Order, now time.Duration) {
+// give notes an order as given and returns it.
+func (l *Ledger) give(u *fleet.Upstream, want fleet.Range, abort bool, now time.Duration) Order {
+	r := l.record(u)
+	r.wanted = want
+	r.underWay = true
+	r.answered = false
+	r.aborting = abort
+	r.orderedAt = now
+	return Order{u, relay.Placement{Layers: want, Abort: abort, IfOrders: r.taken}}
+}
+
+// stuck says whether an order waits for so long for what passes through the
+// layers to be given up that it should be cut, since the zone lacks layers.
+func (r *record) stuck(lacking bool, now time.Duration) bool {
+	return lacking && r.answered && !r.aborting && now-r.orderedAt > drainTime
+}
+
+// Took notes that an engine took an order. It is not ordered again before it
+// holds the layers, or reports that it is idle: another order would have it
+// begin anew.
+func (l *Ledger) Took(o Order) {
 	r := l.record(o.Upstream)
-	r.quietUntil = now + loadTime
+	r.answered = true
 	r.taken = max(r.taken, o.Placement.IfOrders+1)
 }
 
@@ -109,7 +153,7 @@
 		if r == nil || !r.underWay {
 			continue
 		}
-		if u.Held == r.wanted || now-r.orderedAt > underWayTime {
+		if u.Held == r.wanted || r.lost(now) {
 			r.underWay = false
 			continue
 		}
@@ -120,21 +164,37 @@
 	return out
 }
 
-// UnderWay returns the engines whose orders have not shown effect yet.
-func (l *Ledger) UnderWay(upstreams []*fleet.Upstream) []*fleet.Upstream {
+// lost says whether an order has to be given up for lost.
+func (r *record) lost(now time.Duration) bool {
+	limit := effectTime
+	if r.answered {
+		limit = underWayTime
+	}
+	return now-r.orderedAt > limit
+}
+
+// Overdue returns the engines whose orders have been under way for long, or all
+// whose orders are if blind is set: the list can't show their effect then.
+func (l *Ledger) Overdue(upstreams []*fleet.Upstream, blind bool, now time.Duration) []*fleet.Upstream {
 	var out []*fleet.Upstream
 	for _, u := range upstreams {
-		if r := l.records[u.Incarnation()]; r != nil && r.underWay {
+		r := l.records[u.Incarnation()]
+		if r != nil && r.underWay && (blind || now-r.orderedAt > overdueTime) && now-r.askedAt > askPause {
+			r.askedAt = now
 			out = append(out, u)
 		}
 	}
 	return out
 }
 
-// Reported notes the count of orders that an engine reports.
-func (l *Ledger) Reported(u *fleet.Upstream, taken int64) {
+// Reported notes the count of orders that an engine reports, and whether it
+// works on one. One that is idle may be ordered again.
+func (l *Ledger) Reported(u *fleet.Upstream, taken int64, busy bool, now time.Duration) {
 	r := l.record(u)
 	r.taken = max(r.taken, taken)
+	if !busy && now-r.orderedAt > effectTime {
+		r.underWay = false
+	}
 }
 
 // Prune forgets engines that have not been listed for long.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -33,27 +33,24 @@
 		for _, o := range g.dueOrders() {
 			go g.order(ctx, o)
 		}
-		for _, u := range g.unseen() {
+		for _, u := range g.overdue() {
 			go g.seeHeld(ctx, u)
 		}
 	}
 	return nil
 }
 
-// unseenAge is the age of the list of upstreams from which engines under order
-// are asked themselves what they hold.
-const unseenAge = 1500 * time.Millisecond
+// blindAge is the age of the list of upstreams from which it can't show the
+// effect of orders.
+const blindAge = 1500 * time.Millisecond
 
-// unseen returns the engines whose orders the list can't show taking effect,
-// since it can't be followed.
-func (g *Gateway) unseen() []*fleet.Upstream {
+// overdue returns the engines that should be asked about their orders.
+func (g *Gateway) overdue() []*fleet.Upstream {
 	var out []*fleet.Upstream
 	g.control.Do(func(s *state) {
-		if g.Now()-s.listedAt < unseenAge {
-			return
-		}
+		now := g.Now()
 		for _, p := range s.pools {
-			out = append(out, s.ledger.UnderWay(p.members)...)
+			out = append(out, s.ledger.Overdue(p.members, now-s.listedAt > blindAge, now)...)
 		}
 	})
 	return out
@@ -72,7 +69,7 @@
 		return
 	}
 	g.control.Do(func(s *state) {
-		s.ledger.Reported(u, report.Orders)
+		s.ledger.Reported(u, report.Orders, report.Busy, g.Now())
 		s.setHeld(u, report.Held)
 	})
 }
@@ -103,7 +100,8 @@
 				continue
 			}
 			goal := placement.Plan(p.service.Engine, s.ledger.Expected(p.members, now))
-			due = append(due, s.ledger.Due(goal, mine, now)...)
+			lacks := func(zone string) bool { return !s.whole[p.service.Name+" "+zone] }
+			due = append(due, s.ledger.Due(goal, mine, lacks, now)...)
 		}
 		s.ledger.Prune(now)
 	})
@@ -177,7 +175,7 @@
 	g.noteOrder(ctx, o, outcome)
 	g.metrics.orders.WithLabelValues(outcome).Inc()
 	g.Log.Info("order given", zap.String("upstream", o.Upstream.Instance), zap.Int("from", o.Placement.Layers.From), zap.Int("to", o.Placement.Layers.To),
-		zap.Int64("if_orders", o.Placement.IfOrders), zap.String("outcome", outcome), zap.Int("status", status), zap.Error(err))
+		zap.Bool("abort", o.Placement.Abort), zap.Int64("if_orders", o.Placement.IfOrders), zap.String("outcome", outcome), zap.Int("status", status), zap.Error(err))
 }
 
 // noteOrder notes what became of an order. An engine that refused is asked how
@@ -186,7 +184,7 @@
 	switch outcome {
 	case orderTaken:
 		g.control.Send(func(s *state) {
-			s.ledger.Took(o, g.Now())
+			s.ledger.Took(o)
 			s.setHeld(o.Upstream, fleet.Range{})
 		})
 	case orderRefused:
@@ -197,7 +195,7 @@
 		g.control.Send(func(s *state) {
 			s.ledger.Refused(o, g.Now())
 			if err == nil && report.Started == o.Upstream.Started {
-				s.ledger.Reported(o.Upstream, report.Orders)
+				s.ledger.Reported(o.Upstream, report.Orders, report.Busy, g.Now())
 			}
 		})
 	}
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -104,6 +104,9 @@
 // Placement orders an engine to hold a range of layers.
 type Placement struct {
 	Layers fleet.Range
+	// Abort cuts what passes through the layers that are given up; otherwise
+	// it may end first.
+	Abort bool
 	// IfOrders is the count of orders that the engine must have taken; an
 	// engine that was ordered otherwise meanwhile refuses.
 	IfOrders int64
