Keep upstreams whose entries have lapsed for a while

Cause: after an outage of the store the list lacked live upstreams for two seconds, and the plan moved the others; an engine whose count of orders was overestimated was ordered in vain for 28 s; one move of the largest engine replaced two of small ones.

Change: entries that are missing when the list is back are kept for 2.2 s; the report's count of orders is believed once it can't lag; a move costs by what is held; engines out of reach are not ordered.

--- a/internal/coordination/placement/ledger.go
+++ b/internal/coordination/placement/ledger.go
@@ -27,6 +27,8 @@
 	// underWayTime is how long an order is believed to be under way: an engine
 	// may first end what passes through the layers that it gives up.
 	underWayTime = 20 * time.Second
+	// reportLag is how long an engine's report may not show an order yet.
+	reportLag = 600 * time.Millisecond
 	// askPause is the least time between two questions to an engine.
 	askPause = 500 * time.Millisecond
 	// forgetTime is how long an engine that is not listed is remembered.
@@ -50,6 +52,8 @@
 	// answered says that it was taken for sure, and aborting that it cuts what
 	// passes through the layers that are given up.
 	answered, aborting bool
+	// moving says that the engine held other layers when it was ordered.
+	moving bool
 	// orderedAt is when the order was given, and askedAt when the engine was
 	// last asked about it.
 	orderedAt, askedAt time.Duration
@@ -116,6 +120,7 @@
 	r.underWay = true
 	r.answered = false
 	r.aborting = abort
+	r.moving = u.Held.Len() > 0
 	r.orderedAt = now
 	return Order{u, relay.Placement{Layers: want, Abort: abort, IfOrders: r.taken}}
 }
@@ -123,7 +128,7 @@
 // stuck says whether an order waits for so long for what passes through the
 // layers to be given up that it should be cut, since the zone lacks layers.
 func (r *record) stuck(lacking bool, now time.Duration) bool {
-	return lacking && r.answered && !r.aborting && now-r.orderedAt > drainTime
+	return lacking && r.moving && r.answered && !r.aborting && now-r.orderedAt > drainTime
 }
 
 // Took notes that an engine took an order. It is not ordered again before it
@@ -191,7 +196,9 @@
 // works on one. One that is idle may be ordered again.
 func (l *Ledger) Reported(u *fleet.Upstream, taken int64, busy bool, now time.Duration) {
 	r := l.record(u)
-	r.taken = max(r.taken, taken)
+	if taken > r.taken || now-r.orderedAt > reportLag {
+		r.taken = taken
+	}
 	if !busy && now-r.orderedAt > effectTime {
 		r.underWay = false
 	}
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -10,9 +10,9 @@
 // Weights of a plan. One is about what it is worth that a unit has a second
 // holder.
 const (
-	// moveCost is what moving an engine that holds layers must gain, since it
-	// first ends what passes through them and then serves nothing while it
-	// loads, and unitMoveCost is added for each unit that it loads.
+	// moveCost is what moving an engine must gain for each unit that it holds,
+	// since it first ends what passes through them and then serves nothing
+	// while it loads, and unitMoveCost is added for each unit that it loads.
 	moveCost     = 0.8
 	unitMoveCost = 0.35
 	// secondHolder is what a second engine for a unit is worth: a loss then
@@ -306,7 +306,7 @@
 	case held.count == 0:
 		return 0
 	case s == held:
-		return moveCost
+		return moveCost * float64(held.count)
 	}
 	return -unitMoveCost * float64(s.count)
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -27,6 +27,12 @@
 	watchPause = 150 * time.Millisecond
 )
 
+// Names of what is followed, in logs.
+const (
+	tableName = "configuration"
+	listName  = "upstreams"
+)
+
 // follower keeps one thing of the store up to date.
 type follower struct {
 	g *Gateway
@@ -119,12 +125,12 @@
 
 // tableFollower follows the configuration.
 func (g *Gateway) tableFollower() *follower {
-	return &follower{g: g, what: "configuration", wake: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable}
+	return &follower{g: g, what: tableName, wake: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable}
 }
 
 // listFollower follows the list of upstreams.
 func (g *Gateway) listFollower() *follower {
-	return &follower{g: g, what: "upstreams", wake: make(chan struct{}, 1), read: g.listUpstreams, watch: g.watchUpstreams}
+	return &follower{g: g, what: listName, wake: make(chan struct{}, 1), read: g.listUpstreams, watch: g.watchUpstreams}
 }
 
 func (g *Gateway) readTable(ctx context.Context) (int64, error) {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -127,7 +127,8 @@
 	return now-s.grownAt < settleTime
 }
 
-// mine returns the engines of the zones whose layers this gateway places.
+// mine returns the engines of the zones whose layers this gateway places, but
+// for those that it can't reach.
 func (s *state) mine(members []*fleet.Upstream, draining bool, now time.Duration) []*fleet.Upstream {
 	listAge := time.Duration(-1)
 	if s.listedAt > 0 {
@@ -141,7 +142,7 @@
 			mine = s.roster.Places(u.Zone, listAge, draining, now)
 			places[u.Zone] = mine
 		}
-		if mine {
+		if mine && !s.health.Out(u.Instance, now) && !s.links.Doubted(s.zone, u.Zone, now) {
 			out = append(out, u)
 		}
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -53,6 +53,11 @@
 	others      map[string]path.Load
 	otherCounts map[string]retry.Counts
 	peerCount   int
+	// listBackAt is when the list was last read after it could not be, and
+	// lapsed are the upstreams, by instance, that are kept until a time though
+	// it does not name them.
+	listBackAt time.Duration
+	lapsed     map[string]time.Duration
 	// whole says which zones hold all layers of which services.
 	whole map[string]bool
 	// grownAt is when the list of upstreams last grew.
@@ -104,6 +109,7 @@
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*load)
+	s.lapsed = make(map[string]time.Duration)
 	s.windows = make(map[string]*retry.Window)
 	s.drained = make(map[string]*admission.Rate)
 	s.storeLost = make(map[string]bool)
@@ -114,23 +120,32 @@
 	s.rebuild()
 }
 
+// lapseTime is how long after the store is back an upstream that it no longer
+// lists is kept: entries that lapsed while the store was away come back within
+// two seconds if the upstream lives.
+const lapseTime = 2200 * time.Millisecond
+
 // setUpstreams puts a whole list in place of what was known as of at.
 func (s *state) setUpstreams(all map[string]*fleet.Upstream, at, now time.Duration) {
-	for instance, u := range s.upstreams {
-		if all[instance] == nil {
-			s.log.Info("upstream gone", zap.String("upstream", instance), zap.String("service", u.Service), zap.Duration("list_age", now-at))
-		}
+	if s.storeLost[listName] {
+		s.listBackAt = now
 	}
 	if len(all) > len(s.upstreams) {
 		s.grownAt = now
 	}
-	s.upstreams = all
-	s.listedAt = at
 	s.listDigest = 0
 	s.entryHashes = make(map[string]uint64, len(all))
 	for instance, u := range all {
 		s.noteEntry(instance, u)
 	}
+	old := s.upstreams
+	s.upstreams = all
+	s.listedAt = at
+	for instance, u := range old {
+		if all[instance] == nil {
+			s.lose(u, now)
+		}
+	}
 	s.rebuild()
 }
 
@@ -141,21 +156,21 @@
 		return
 	}
 	for _, c := range changes {
-		s.changeUpstream(c, at, now)
+		s.changeUpstream(c, now)
 	}
 	s.rebuild()
 }
 
-func (s *state) changeUpstream(c platform.UpstreamChange, at, now time.Duration) {
+func (s *state) changeUpstream(c platform.UpstreamChange, now time.Duration) {
 	s.noteEntry(c.Instance, c.Upstream)
 	old := s.upstreams[c.Instance]
 	if c.Upstream == nil {
 		if old != nil {
-			s.log.Info("upstream gone", zap.String("upstream", c.Instance), zap.String("service", old.Service), zap.Duration("list_age", now-at))
+			s.lose(old, now)
 		}
-		delete(s.upstreams, c.Instance)
 		return
 	}
+	delete(s.lapsed, c.Instance)
 	s.upstreams[c.Instance] = c.Upstream
 	if old == nil {
 		s.grownAt = now
@@ -163,7 +178,39 @@
 	if old == nil || old.State != c.Upstream.State || old.Held != c.Upstream.Held || old.Started != c.Upstream.Started {
 		s.log.Info("upstream changed", zap.String("upstream", c.Instance), zap.String("service", c.Upstream.Service),
 			zap.Bool("draining", c.Upstream.State == fleet.Draining), zap.Int("from", c.Upstream.Held.From), zap.Int("to", c.Upstream.Held.To),
-			zap.Int64("started", c.Upstream.Started), zap.Duration("list_age", now-at))
+			zap.Int64("started", c.Upstream.Started), zap.Duration("list_age", now-s.listedAt))
+	}
+}
+
+// lose takes out an upstream that the list does not name any more, or keeps it
+// for a while if its entry may just have lapsed.
+func (s *state) lose(u *fleet.Upstream, now time.Duration) {
+	until := s.listBackAt + lapseTime
+	if s.listBackAt > 0 && now < until && u.State == fleet.Serving {
+		s.lapsed[u.Instance] = until
+		s.upstreams[u.Instance] = u
+		return
+	}
+	delete(s.upstreams, u.Instance)
+	delete(s.lapsed, u.Instance)
+	s.log.Info("upstream gone", zap.String("upstream", u.Instance), zap.String("service", u.Service), zap.Duration("list_age", now-s.listedAt))
+}
+
+// loseLapsed takes out upstreams whose entries have not come back in time.
+func (s *state) loseLapsed(now time.Duration) {
+	lost := false
+	for instance, until := range s.lapsed {
+		if now < until {
+			continue
+		}
+		lost = true
+		if u := s.upstreams[instance]; u != nil {
+			s.lose(u, now)
+		}
+		delete(s.lapsed, instance)
+	}
+	if lost {
+		s.rebuild()
 	}
 }
 
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -60,7 +60,10 @@
 // dispatch lets waiting requests in from time to time, until ctx ends.
 func (g *Gateway) dispatch(ctx context.Context) error {
 	for wait(ctx, dispatchTick) {
-		g.control.Send(func(s *state) { s.dispatch(g.Now()) })
+		g.control.Send(func(s *state) {
+			s.loseLapsed(g.Now())
+			s.dispatch(g.Now())
+		})
 	}
 	return nil
 }
