--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -222,7 +222,11 @@
 
 // entryCost is that of reaching the first stage from the caller's zone.
 func (f *finder) entryCost(zone int) float64 {
-	return f.linkCost(f.q.Zone, f.m.zones[zone])
+	if f.m.zones[zone] == f.q.Zone {
+		return 0
+	}
+	// Only the events come back over the link, no activations.
+	return f.linkCost(f.q.Zone, f.m.zones[zone]) / 2
 }
 
 func (f *finder) zoneCost(from, to int) float64 {
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -177,7 +177,11 @@
 	p.crowd = crowdRequests * (e.MeanPrompt + e.MeanAnswer)
 	p.reach = make([]float64, p.units+1)
 	slices.SortFunc(group, func(a, b *fleet.Upstream) int {
-		return cmp.Or(cmp.Compare(maxLayers(e, b), maxLayers(e, a)), cmp.Compare(a.Instance, b.Instance))
+		// Those that hold nothing choose first: they cost nothing to place.
+		return cmp.Or(
+			cmp.Compare(min(a.Held.Len(), 1), min(b.Held.Len(), 1)),
+			cmp.Compare(maxLayers(e, b), maxLayers(e, a)),
+			cmp.Compare(a.Instance, b.Instance))
 	})
 	for _, u := range group {
 		m := member{upstream: u, most: min(p.units, maxLayers(e, u)/unit), held: heldSpan(u, unit)}
--- /dev/null
+++ b/internal/coordination/roster/roster_test.go
@@ -0,0 +1,109 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageport.example/internal/protocol/peering"
+)
+
+func address(zone, host string) peering.Address {
+	return peering.Address{Gateway: host, Zone: zone, Address: host + ":1"}
+}
+
+// news returns word of a gateway whose list of upstreams is of an age.
+func news(zone, host string, listAge time.Duration) *peering.News {
+	return &peering.News{Version: peering.Version, Address: address(zone, host), ListAge: listAge}
+}
+
+func TestPlaces(t *testing.T) {
+	const fresh, stale = time.Second, 5 * time.Second
+	for _, test := range []struct {
+		name    string
+		self    peering.Address
+		listAge time.Duration
+		peers   []*peering.News
+		drain   bool
+		zone    string
+		want    bool
+	}{
+		{name: "alone in the zone", self: address("a", "h2"), listAge: fresh, zone: "a", want: true},
+		{name: "first of the zone", self: address("a", "h2"), listAge: fresh, peers: []*peering.News{news("a", "h3", fresh)}, zone: "a", want: true},
+		{name: "second of the zone", self: address("a", "h2"), listAge: fresh, peers: []*peering.News{news("a", "h1", fresh)}, zone: "a"},
+		{name: "the first is stale", self: address("a", "h2"), listAge: fresh, peers: []*peering.News{news("a", "h1", stale)}, zone: "a", want: true},
+		{name: "another zone has its own", self: address("a", "h1"), listAge: fresh, peers: []*peering.News{news("b", "h2", fresh)}, zone: "b"},
+		{name: "another zone has none", self: address("a", "h1"), listAge: fresh, peers: []*peering.News{news("c", "h2", fresh)}, zone: "b", want: true},
+		{name: "another zone's own is stale", self: address("a", "h1"), listAge: fresh, peers: []*peering.News{news("b", "h0", stale)}, zone: "b", want: true},
+		{name: "cut off with the own zone", self: address("a", "h1"), listAge: stale, peers: []*peering.News{news("a", "h2", stale)}, zone: "a", want: true},
+		{name: "cut off, other zones are not", self: address("a", "h1"), listAge: stale, peers: []*peering.News{news("b", "h2", fresh)}, zone: "a"},
+		{name: "cut off from another zone", self: address("a", "h1"), listAge: stale, zone: "b"},
+		{name: "leaving", self: address("a", "h1"), listAge: fresh, drain: true, zone: "a"},
+		{name: "no list yet", self: address("a", "h1"), listAge: -1, zone: "a"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := &Roster{Self: test.self}
+			for _, n := range test.peers {
+				r.Hear(n, time.Minute)
+			}
+			qt.Assert(t, r.Places(test.zone, test.listAge, test.drain, time.Minute), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestTakeOverFromASilentGateway(t *testing.T) {
+	c := qt.New(t)
+	r := &Roster{Self: address("a", "h2")}
+	r.Hear(news("a", "h1", time.Second), time.Minute)
+	c.Assert(r.Places("a", time.Second, false, time.Minute+nearAliveTime-time.Millisecond), qt.IsFalse)
+	c.Assert(r.Places("a", time.Second, false, time.Minute+nearAliveTime), qt.IsTrue)
+	c.Assert(r.Reads(time.Minute+nearAliveTime), qt.IsTrue)
+}
+
+func TestLearnsFromHearsay(t *testing.T) {
+	c := qt.New(t)
+	r := &Roster{Self: address("a", "h1")}
+	n := news("a", "h2", time.Second)
+	n.Peers = []peering.Address{address("b", "h3"), r.Self}
+	r.Hear(n, time.Minute)
+	c.Assert(r.Due(time.Minute), qt.DeepEquals, []string{"h2:1", "h3:1"})
+	c.Assert(r.Due(time.Minute), qt.HasLen, 0)
+	c.Assert(r.Alive(time.Minute), qt.HasLen, 1, qt.Commentf("h3 was not heard itself"))
+}
+
+func TestCallsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	r := &Roster{Self: address("a", "self")}
+	for i := range 100 {
+		r.Hear(news("a", fmt.Sprintf("h%d", i), time.Second), time.Minute)
+	}
+	called := make(map[string]bool)
+	now := time.Minute
+	for len(called) < 100 {
+		due := r.Due(now)
+		c.Assert(len(due) <= FanOut, qt.IsTrue)
+		for _, a := range due {
+			called[a] = true
+		}
+		now += 50 * time.Millisecond
+		c.Assert(now < time.Minute+2*time.Second, qt.IsTrue, qt.Commentf("some are never called"))
+	}
+	c.Assert(r.Alive(now), qt.HasLen, 100)
+}
+
+func TestSilentPeersAreCalledLessAndForgotten(t *testing.T) {
+	c := qt.New(t)
+	r := &Roster{Self: address("a", "h1")}
+	r.Learn([]peering.Address{{Address: "seed:1"}}, true, time.Second)
+	r.Learn([]peering.Address{{Address: "other:1"}}, false, time.Second)
+	calls := 0
+	for now := time.Second; now < 2*time.Minute; now += 50 * time.Millisecond {
+		r.Prune(now)
+		calls += len(r.Due(now))
+	}
+	c.Assert(calls < 100, qt.IsTrue, qt.Commentf("%d calls", calls))
+	c.Assert(r.members["seed:1"], qt.IsNotNil)
+	c.Assert(r.members["other:1"], qt.IsNil)
+}
