--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -31,6 +31,9 @@
 	repairTime = time.Second
 )
 
+// maxAttempts bounds the attempts of a request, also those that were refused.
+const maxAttempts = 8
+
 // waiter is a request that asks for a place.
 type waiter struct {
 	q     *query
@@ -198,6 +201,9 @@
 	if pool == nil {
 		return place{}, verdict.Refuse(verdict.NoUpstream, "no upstream of %s is in service", q.service)
 	}
+	if q.attempts >= maxAttempts {
+		return place{}, verdict.Refuse(verdict.RetryLimit, "given up after %d attempts", q.attempts)
+	}
 	var p place
 	var err error
 	if pool.layers != nil {
