Repair sooner: borrow as soon as a peer knows more, plan around the dead

Change: gateways that follow the list themselves place first; lists are borrowed at once when a peer that follows has another; engines of the own zone that fail two probes are planned around; small engines move first.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -53,6 +53,8 @@
 	// probing says that the upstream must answer a probe before it is used
 	// again.
 	probing bool
+	// failedProbes counts the probes since the last answer.
+	failedProbes int
 	// suspected says that it should be probed at once, and suspectUntil until
 	// when it is not suspected again.
 	suspected    bool
@@ -130,11 +132,28 @@
 	rec.outUntil = now + probeInterval
 }
 
+// ProbeFailed notes that an upstream did not answer a probe.
+func (r *Register) ProbeFailed(instance string) { r.record(instance).failedProbes++ }
+
+// lostProbes is how many probes in a row go without answer before an upstream
+// counts as lost.
+const lostProbes = 2
+
+// Lost says whether an upstream is to be taken for gone although it is listed.
+func (r *Register) Lost(instance string) bool {
+	rec := r.records[instance]
+	return rec != nil && rec.probing && rec.failedProbes >= lostProbes
+}
+
 // Answered notes that an upstream has answered a probe. It says whether the
 // upstream is in use again by that.
 func (r *Register) Answered(instance string, now time.Duration) bool {
 	rec := r.records[instance]
-	if rec == nil || !rec.probing {
+	if rec == nil {
+		return false
+	}
+	rec.failedProbes = 0
+	if !rec.probing {
 		return false
 	}
 	rec.probing = false
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -176,13 +176,7 @@
 	p.holders = make([]int, p.units)
 	p.crowd = crowdRequests * (e.MeanPrompt + e.MeanAnswer)
 	p.reach = make([]float64, p.units+1)
-	slices.SortFunc(group, func(a, b *fleet.Upstream) int {
-		// Those that hold nothing choose first: they cost nothing to place.
-		return cmp.Or(
-			cmp.Compare(min(a.Held.Len(), 1), min(b.Held.Len(), 1)),
-			cmp.Compare(maxLayers(e, b), maxLayers(e, a)),
-			cmp.Compare(a.Instance, b.Instance))
-	})
+	slices.SortFunc(group, inOrder(e))
 	for _, u := range group {
 		m := member{upstream: u, most: min(p.units, maxLayers(e, u)/unit), held: heldSpan(u, unit)}
 		if m.most == 0 {
@@ -204,6 +198,20 @@
 	return p
 }
 
+// inOrder puts first those that hold nothing, since they cost nothing to place,
+// the large ones before the small ones; then those that hold layers, the small
+// ones before the large ones, since they cost less to move.
+func inOrder(e *fleet.Engine) func(a, b *fleet.Upstream) int {
+	return func(a, b *fleet.Upstream) int {
+		holding := cmp.Compare(min(a.Held.Len(), 1), min(b.Held.Len(), 1))
+		size := cmp.Compare(maxLayers(e, b), maxLayers(e, a))
+		if a.Held.Len() > 0 {
+			size = -size
+		}
+		return cmp.Or(holding, size, cmp.Compare(a.Instance, b.Instance))
+	}
+}
+
 func heldSpan(u *fleet.Upstream, unit int) span {
 	if u.Held.Len() <= 0 || u.Held.From%unit != 0 || u.Held.To%unit != 0 {
 		return span{}
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -169,20 +169,21 @@
 // layers by it.
 const MaxListAge = 2500 * time.Millisecond
 
-// Places says whether this gateway is the one that places the layers of a
-// zone. The first by address is, of those in the zone whose list of upstreams
-// is fresh, or else of all whose list is, or else of those in the zone: a zone
-// that is cut off from the store goes on by itself. Gateways that do not hear
-// each other may both take themselves for the one; the count of orders that
-// each order depends on keeps their orders apart.
-func (r *Roster) Places(zone string, listAge time.Duration, draining bool, now time.Duration) bool {
-	own := candidate(r.Self, zone, listAge, draining)
+// Places says whether this gateway, which would say n of itself, is the one
+// that places the layers of a zone. The first by address is, of those in the
+// zone that follow the list of upstreams, or else of those in the zone that
+// have a fresh one from peers, or else of all that follow it, or else of those
+// in the zone: a zone that is cut off from the store goes on by itself.
+// Gateways that do not hear each other may both take themselves for the one;
+// the count of orders that each order depends on keeps their orders apart.
+func (r *Roster) Places(zone string, n *peering.News, now time.Duration) bool {
+	own := rank(n, zone)
 	if own == unfit {
 		return false
 	}
 	for _, m := range r.Alive(now) {
-		rank := candidate(m.Address, zone, m.News.ListAge, m.News.Draining)
-		if rank < own || rank == own && m.Address.Address < r.Self.Address {
+		other := rank(&m.News, zone)
+		if other < own || other == own && m.Address.Address < r.Self.Address {
 			return false
 		}
 	}
@@ -191,22 +192,26 @@
 
 // Ranks of gateways that might place a zone; the least goes first.
 const (
-	freshInZone = iota
-	freshElsewhere
+	followsInZone = iota
+	freshInZone
+	followsElsewhere
 	staleInZone
 	unfit
 )
 
-func candidate(a peering.Address, zone string, listAge time.Duration, draining bool) int {
-	fresh := listAge >= 0 && listAge < MaxListAge
+func rank(n *peering.News, zone string) int {
+	fresh := n.ListAge >= 0 && n.ListAge < MaxListAge
+	near := n.Zone == zone
 	switch {
-	case draining || listAge < 0:
+	case n.Draining || n.ListAge < 0:
 		return unfit
-	case fresh && a.Zone == zone:
+	case near && fresh && n.Follows:
+		return followsInZone
+	case near && fresh:
 		return freshInZone
-	case fresh:
-		return freshElsewhere
-	case a.Zone == zone:
+	case fresh && n.Follows:
+		return followsElsewhere
+	case near:
 		return staleInZone
 	}
 	return unfit
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -16,7 +16,13 @@
 
 // news returns word of a gateway whose list of upstreams is of an age.
 func news(zone, host string, listAge time.Duration) *peering.News {
-	return &peering.News{Version: peering.Version, Address: address(zone, host), ListAge: listAge}
+	return &peering.News{Version: peering.Version, Address: address(zone, host), ListAge: listAge, Follows: listAge < MaxListAge}
+}
+
+// borrowed makes it word of a gateway that has its list from peers.
+func borrowed(n *peering.News) *peering.News {
+	n.Follows = false
+	return n
 }
 
 func TestPlaces(t *testing.T) {
@@ -40,6 +46,8 @@
 		{name: "cut off with the own zone", self: address("a", "h1"), listAge: stale, peers: []*peering.News{news("a", "h2", stale)}, zone: "a", want: true},
 		{name: "cut off, other zones are not", self: address("a", "h1"), listAge: stale, peers: []*peering.News{news("b", "h2", fresh)}, zone: "a"},
 		{name: "cut off from another zone", self: address("a", "h1"), listAge: stale, zone: "b"},
+		{name: "the first only borrows its list", self: address("a", "h2"), listAge: fresh, peers: []*peering.News{borrowed(news("a", "h1", fresh))}, zone: "a", want: true},
+		{name: "the zone's own only borrows", self: address("a", "h1"), listAge: fresh, peers: []*peering.News{borrowed(news("b", "h2", fresh))}, zone: "b"},
 		{name: "leaving", self: address("a", "h1"), listAge: fresh, drain: true, zone: "a"},
 		{name: "no list yet", self: address("a", "h1"), listAge: -1, zone: "a"},
 	} {
@@ -48,7 +56,9 @@
 			for _, n := range test.peers {
 				r.Hear(n, time.Minute)
 			}
-			qt.Assert(t, r.Places(test.zone, test.listAge, test.drain, time.Minute), qt.Equals, test.want)
+			own := news(test.self.Zone, "", test.listAge)
+			own.Draining = test.drain
+			qt.Assert(t, r.Places(test.zone, own, time.Minute), qt.Equals, test.want)
 		})
 	}
 }
@@ -57,8 +67,9 @@
 	c := qt.New(t)
 	r := &Roster{Self: address("a", "h2")}
 	r.Hear(news("a", "h1", time.Second), time.Minute)
-	c.Assert(r.Places("a", time.Second, false, time.Minute+nearAliveTime-time.Millisecond), qt.IsFalse)
-	c.Assert(r.Places("a", time.Second, false, time.Minute+nearAliveTime), qt.IsTrue)
+	own := news("a", "h2", time.Second)
+	c.Assert(r.Places("a", own, time.Minute+nearAliveTime-time.Millisecond), qt.IsFalse)
+	c.Assert(r.Places("a", own, time.Minute+nearAliveTime), qt.IsTrue)
 	c.Assert(r.Reads(time.Minute+nearAliveTime), qt.IsTrue)
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -210,6 +210,7 @@
 	if s.listedAt > 0 {
 		n.ListAge = now - s.listedAt
 		n.ListDigest = s.listDigest
+		n.Follows = !s.storeLost[listName]
 	}
 	for instance, l := range s.loads {
 		if l.requests > 0 {
@@ -299,7 +300,7 @@
 func (s *state) lender(g *Gateway, now time.Duration) string {
 	tableAge, known := g.routing.Age(now)
 	listAge := now - s.listedAt
-	if known && tableAge < borrowAge && listAge < borrowAge {
+	if known && tableAge < borrowAge && listAge < borrowAge && !s.outdated(g, now) {
 		return ""
 	}
 	best, bestAge := "", max(tableAge, listAge)
@@ -317,6 +318,20 @@
 	return best
 }
 
+// outdated says whether a peer is known to know more while the store can't be
+// followed.
+func (s *state) outdated(g *Gateway, now time.Duration) bool {
+	for _, m := range s.roster.Alive(now) {
+		if !m.News.Follows || m.News.ListAge > freshListAge {
+			continue
+		}
+		if s.storeLost[listName] && m.News.ListDigest != s.listDigest || s.storeLost[tableName] && g.behind(m.News.Table) {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Gateway) borrow(ctx context.Context, address string) {
 	asked := &peering.ListsRequest{Version: peering.Version}
 	if t := g.routing.Table(); t != nil {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/placement"
+	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/platform"
@@ -95,11 +96,11 @@
 			if p.layers == nil || s.filling(p, now) {
 				continue
 			}
-			mine := s.mine(p.members, g.draining.Load(), now)
+			mine := s.mine(p.members, s.news(g, now), now)
 			if len(mine) == 0 {
 				continue
 			}
-			goal := placement.Plan(p.service.Engine, s.ledger.Expected(p.members, now))
+			goal := placement.Plan(p.service.Engine, s.ledger.Expected(s.alive(p.members), now))
 			lacks := func(zone string) bool { return !s.whole[p.service.Name+" "+zone] }
 			due = append(due, s.ledger.Due(goal, mine, lacks, now)...)
 		}
@@ -127,19 +128,27 @@
 	return now-s.grownAt < settleTime
 }
 
+// alive returns the engines but for those of the own zone that do not answer;
+// for other zones the way there may be at fault.
+func (s *state) alive(members []*fleet.Upstream) []*fleet.Upstream {
+	var out []*fleet.Upstream
+	for _, u := range members {
+		if u.Zone != s.zone || !s.health.Lost(u.Instance) {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
 // mine returns the engines of the zones whose layers this gateway places, but
 // for those that it can't reach.
-func (s *state) mine(members []*fleet.Upstream, draining bool, now time.Duration) []*fleet.Upstream {
-	listAge := time.Duration(-1)
-	if s.listedAt > 0 {
-		listAge = now - s.listedAt
-	}
+func (s *state) mine(members []*fleet.Upstream, own *peering.News, now time.Duration) []*fleet.Upstream {
 	places := make(map[string]bool)
 	var out []*fleet.Upstream
 	for _, u := range members {
 		mine, known := places[u.Zone]
 		if !known {
-			mine = s.roster.Places(u.Zone, listAge, draining, now)
+			mine = s.roster.Places(u.Zone, own, now)
 			places[u.Zone] = mine
 		}
 		if mine && !s.health.Out(u.Instance, now) && !s.links.Doubted(s.zone, u.Zone, now) {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -61,7 +61,10 @@
 	a, err := g.exchange(ctx, call)
 	if err != nil {
 		g.Log.Debug("upstream does not answer", zap.String("upstream", u.Instance), zap.Error(err))
-		g.control.Do(func(s *state) { s.blameFor(u.Upstream, health.Unreachable, g.Now()) })
+		g.control.Do(func(s *state) {
+			s.health.ProbeFailed(u.Instance)
+			s.blameFor(u.Upstream, health.Unreachable, g.Now())
+		})
 		return
 	}
 	defer a.Close()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -176,7 +176,7 @@
 		s.grownAt = now
 	}
 	if old == nil || old.State != c.Upstream.State || old.Held != c.Upstream.Held || old.Started != c.Upstream.Started {
-		s.log.Info("upstream changed", zap.String("upstream", c.Instance), zap.String("service", c.Upstream.Service),
+		s.log.Info("upstream changed", zap.String("upstream", c.Instance), zap.String("service", c.Upstream.Service), zap.String("zone", c.Upstream.Zone), zap.String("accelerator", c.Upstream.Accelerator),
 			zap.Bool("draining", c.Upstream.State == fleet.Draining), zap.Int("from", c.Upstream.Held.From), zap.Int("to", c.Upstream.Held.To),
 			zap.Int64("started", c.Upstream.Started), zap.Duration("list_age", now-s.listedAt))
 	}
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -53,6 +53,8 @@
 	// ListAge is the time since the list of upstreams is known to have been
 	// right; negative if there is none.
 	ListAge time.Duration
+	// Follows says that the sender follows the list itself, not through peers.
+	Follows bool
 	// ListDigest is equal for equal lists.
 	ListDigest uint64
 	Loads      []UpstreamLoad
