Reset connections whose exchange was given up

Closing a connection lets the network deliver what it holds up.

Change: an exchange that is given up resets its connection.

--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -67,7 +67,7 @@
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(aLongTimeAgo) })
 	fail := func(err error) error {
 		stop()
-		conn.Close()
+		conn.abort()
 		return lost(ctx, err)
 	}
 	sent, err := send(conn, r)
@@ -213,7 +213,11 @@
 // and the request has left whole.
 func (a *Answer) Close() {
 	running := a.stop()
-	if !running || !a.whole || a.Unframed || a.keep < 0 || !a.hasLeft() || a.conn.reader.Buffered() > 0 {
+	switch {
+	case !running, !a.whole, !a.hasLeft():
+		a.conn.abort()
+		return
+	case a.Unframed, a.keep < 0, a.conn.reader.Buffered() > 0:
 		a.conn.Close()
 		return
 	}
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -260,3 +261,20 @@
 	qt.Assert(t, errors.As(err, &e), qt.IsTrue)
 	qt.Assert(t, e.Reason, qt.Equals, verdict.UpstreamProtocol)
 }
+
+// TestGivenUpRequestIsReset: a connection that is closed in the ordinary way
+// would still deliver what the network has held up.
+func TestGivenUpRequestIsReset(t *testing.T) {
+	c := qt.New(t)
+	ended := make(chan error, 1)
+	p := newPeer(t, func(p *peer, conn net.Conn, reader *bufio.Reader) {
+		p.read(reader)
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := get(ctx, newPool(), p.address)
+	c.Assert(verdict.Of(err).Reason, qt.Equals, verdict.UpstreamSilent)
+	c.Assert(errors.Is(<-ended, syscall.ECONNRESET), qt.IsTrue)
+}
--- a/internal/transport/exchange/pool.go
+++ b/internal/transport/exchange/pool.go
@@ -142,6 +142,16 @@
 	p.idle = nil
 }
 
+// abort closes a connection whose exchange was given up. It resets it, so that
+// bytes that the network holds up are not delivered, and run, much later.
+func (c *connection) abort() {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		// The connection may be closed already; there is nothing left to do then.
+		_ = conn.SetLinger(0)
+	}
+	c.Close()
+}
+
 // quiet says whether nothing has arrived on a kept connection, neither bytes
 // that nobody asked for nor its end.
 func (c *connection) quiet() bool {
