Refuse requests that have crashed three upstreams

A connection that breaks with nobody listening any more makes a suspect of the request; suspicions are told to peers. The test fails without it (more than three engines crash).

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -18,8 +18,8 @@
 	Time = 10 * time.Minute
 	// SuspectTime is how long a suspicion lasts.
 	SuspectTime = 2 * time.Minute
-	// Limit is the count of crashes that makes a suspect a culprit.
-	Limit = 2
+	// DefaultLimit is the count of crashes that makes a suspect a culprit.
+	DefaultLimit = 2
 	// SameCrash is the time within which two reports of an upstream's crash
 	// mean the same one.
 	SameCrash = 5 * time.Second
@@ -47,14 +47,14 @@
 }
 
 // until returns when the suspicion ends.
-func (s *Suspicion) until() time.Time {
+func (s *Suspicion) until(limit int) time.Time {
 	var last time.Time
 	for _, c := range s.Crashes {
 		if c.At.After(last) {
 			last = c.At
 		}
 	}
-	if len(s.Crashes) >= Limit {
+	if len(s.Crashes) >= limit {
 		return last.Add(Time)
 	}
 	return last.Add(SuspectTime)
@@ -72,9 +72,23 @@
 
 // Register holds suspicions. Its zero value holds none.
 type Register struct {
+	// Limit is the count of crashes that makes a suspect a culprit;
+	// DefaultLimit if 0. Where suspects are not kept apart it must be higher.
+	Limit int
+
 	suspicions map[string]Suspicion
 }
 
+func (r *Register) limit() int {
+	if r.Limit > 0 {
+		return r.Limit
+	}
+	return DefaultLimit
+}
+
+// Empty says whether there are no suspicions.
+func (r *Register) Empty() bool { return len(r.suspicions) == 0 }
+
 // Add notes crashes with a request in flight, from here or from a peer. It
 // says whether one of them was news.
 func (r *Register) Add(fingerprint string, crashes []Crash, now time.Time) bool {
@@ -88,7 +102,7 @@
 		s.Crashes = append(s.Crashes[:len(s.Crashes):len(s.Crashes)], c)
 		news = true
 	}
-	if !news || now.After(s.until()) {
+	if !news || now.After(s.until(r.limit())) {
 		return false
 	}
 	if r.suspicions == nil {
@@ -101,7 +115,7 @@
 // current returns the suspicion of a fingerprint that still lasts.
 func (r *Register) current(fingerprint string, now time.Time) Suspicion {
 	s := r.suspicions[fingerprint]
-	if now.After(s.until()) {
+	if now.After(s.until(r.limit())) {
 		return Suspicion{}
 	}
 	return s
@@ -115,17 +129,17 @@
 // Quarantined returns how long a request is refused; 0 if it is not.
 func (r *Register) Quarantined(fingerprint string, now time.Time) time.Duration {
 	s := r.current(fingerprint, now)
-	if len(s.Crashes) < Limit {
+	if len(s.Crashes) < r.limit() {
 		return 0
 	}
-	return s.until().Sub(now)
+	return s.until(r.limit()).Sub(now)
 }
 
 // All returns the suspicions that last.
 func (r *Register) All(now time.Time) []Suspicion {
 	var all []Suspicion
 	for f, s := range r.suspicions {
-		if now.After(s.until()) {
+		if now.After(s.until(r.limit())) {
 			delete(r.suspicions, f)
 			continue
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,6 +92,9 @@
 	if e.Reason == verdict.CallerGone {
 		return e
 	}
+	if e.Reason == verdict.UpstreamLost && head.Status == 0 {
+		g.checkCrash(context.Background(), q, p.upstream)
+	}
 	g.control.Do(func(s *state) { s.blame(q, p, e, head, g.Now()) })
 	g.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
 	g.Log.Info("attempt failed", zap.String("request", q.ID), zap.Int("attempt", q.attempts),
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -164,6 +164,7 @@
 	}
 	s.g.Log.Info("stream broke", zap.String("request", s.ID), zap.Int("attempt", s.attempts), zap.String("upstream", p.upstream.Instance),
 		zap.String("last_event", s.last), zap.Error(err))
+	s.g.checkCrash(ctx, s.query, p.upstream)
 	return e
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -172,6 +172,7 @@
 			s.health.Hear(f.Upstream, f.Left, now)
 		}
 	}
+	s.hearSuspicions(n.Suspicions, now)
 	s.mergeLoads(now)
 	if after := s.roster.Alive(now); len(after) != before {
 		s.log.Info("peers changed", zap.Int("alive", len(after)), zap.String("heard", n.Gateway))
@@ -224,6 +225,7 @@
 		c := w.Counts(s.allowance, now)
 		n.Services = append(n.Services, peering.ServiceCounts{Service: service, Requests: float32(c.Requests), Repeats: float32(c.Repeats)})
 	}
+	n.Suspicions = s.wireSuspicions(now)
 	for _, m := range s.roster.Alive(now) {
 		n.Peers = append(n.Peers, m.Address)
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -14,6 +14,7 @@
 	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/coordination/placement"
+	"lovageport.example/internal/coordination/quarantine"
 	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/coordination/roster"
 	"lovageport.example/internal/state/fleet"
@@ -40,6 +41,8 @@
 	loads       map[string]*load
 	health      health.Register
 	links       health.Links
+	// suspicions are the requests that were in flight where upstreams crashed.
+	suspicions quarantine.Register
 	// waiting are the requests that wait for a place.
 	waiting admission.Queue[*waiter]
 	// drained is the rate at which waiting requests get their places, by
@@ -106,6 +109,7 @@
 	s.allowance = g.allowance()
 	s.random = g.Random
 	s.now = g.Now
+	s.suspicions.Limit = crashLimit
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*load)
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -204,6 +204,9 @@
 	if q.attempts >= maxAttempts {
 		return place{}, verdict.Refuse(verdict.RetryLimit, "given up after %d attempts", q.attempts)
 	}
+	if err := s.quarantined(q, now); err != nil {
+		return place{}, err
+	}
 	var p place
 	var err error
 	if pool.layers != nil {
