--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -18,7 +18,7 @@
 	NearInterval = 200 * time.Millisecond
 	FarInterval  = 800 * time.Millisecond
 	// nearAliveTime and farAliveTime are how long after its last word a peer
-	// counts as alive.
+	// counts as alive, where there are few.
 	nearAliveTime = 1200 * time.Millisecond
 	farAliveTime  = 2500 * time.Millisecond
 	// silentInterval is how often a peer that does not answer is called, and
@@ -33,6 +33,11 @@
 // FanOut is how many peers are called in one round.
 const FanOut = 12
 
+// fewPeers is how many peers, of the own zone and of others, are called at the
+// shortest interval; more are called less often each, so that the calls of one
+// gateway do not grow with their number.
+const fewPeers = 6
+
 // Member is another gateway.
 type Member struct {
 	peering.Address
@@ -92,15 +97,33 @@
 	r.Learn(n.Peers, false, now)
 }
 
-// alive says whether a member was heard lately, given how many there are to be
-// called in turn.
+// crowding returns by how much the intervals of a member are longer than the
+// shortest, for the number of members like it.
+func (r *Roster) crowding(m *Member) time.Duration {
+	like := 0
+	for _, other := range r.members {
+		if (other.Zone == r.Self.Zone) == (m.Zone == r.Self.Zone) {
+			like++
+		}
+	}
+	return time.Duration(max(1, like/fewPeers))
+}
+
+// callInterval returns how often a member that answers is called.
+func (r *Roster) callInterval(m *Member) time.Duration {
+	if m.Zone == r.Self.Zone {
+		return NearInterval * r.crowding(m)
+	}
+	return FarInterval * r.crowding(m)
+}
+
+// alive says whether a member was heard lately.
 func (r *Roster) alive(m *Member, now time.Duration) bool {
-	limit := farAliveTime
+	limit, base := farAliveTime, FarInterval
 	if m.Zone == r.Self.Zone {
-		limit = nearAliveTime
+		limit, base = nearAliveTime, NearInterval
 	}
-	rounds := time.Duration(len(r.members) / FanOut)
-	return m.HeardAt > 0 && now-m.HeardAt < limit+rounds*NearInterval
+	return m.HeardAt > 0 && now-m.HeardAt < limit+r.callInterval(m)-base
 }
 
 // Alive returns the gateways heard lately, in the order of their addresses.
@@ -141,10 +164,8 @@
 		return lostInterval
 	case !r.alive(m, now):
 		return silentInterval
-	case m.Zone == r.Self.Zone:
-		return NearInterval
 	}
-	return FarInterval
+	return r.callInterval(m)
 }
 
 // Prune forgets members that have been silent for long.
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -84,24 +84,35 @@
 	c.Assert(r.Alive(time.Minute), qt.HasLen, 1, qt.Commentf("h3 was not heard itself"))
 }
 
-func TestCallsAreBounded(t *testing.T) {
-	c := qt.New(t)
-	r := &Roster{Self: address("a", "self")}
-	for i := range 100 {
-		r.Hear(news("a", fmt.Sprintf("h%d", i), time.Second), time.Minute)
-	}
-	called := make(map[string]bool)
-	now := time.Minute
-	for len(called) < 100 {
-		due := r.Due(now)
-		c.Assert(len(due) <= FanOut, qt.IsTrue)
-		for _, a := range due {
-			called[a] = true
-		}
-		now += 50 * time.Millisecond
-		c.Assert(now < time.Minute+2*time.Second, qt.IsTrue, qt.Commentf("some are never called"))
+// TestCallsDoNotGrowWithThePeers counts the calls of a gateway among many.
+func TestCallsDoNotGrowWithThePeers(t *testing.T) {
+	for _, n := range []int{6, 30, 100, 330} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := qt.New(t)
+			r := &Roster{Self: address("a", "self")}
+			for i := range n {
+				r.Hear(news([]string{"a", "b", "c"}[i%3], fmt.Sprintf("h%d", i), time.Second), time.Minute)
+			}
+			called := make(map[string]int)
+			calls := 0
+			const seconds = 20
+			for now := time.Minute; now < time.Minute+seconds*time.Second; now += 50 * time.Millisecond {
+				for _, a := range r.Due(now) {
+					called[a]++
+					calls++
+					// Those that are called answer.
+					for _, m := range r.members {
+						if m.Address.Address == a {
+							m.HeardAt = now
+						}
+					}
+				}
+				c.Assert(len(r.Alive(now)), qt.Equals, n, qt.Commentf("at %v", now-time.Minute))
+			}
+			c.Assert(calls/seconds <= 60, qt.IsTrue, qt.Commentf("%d calls a second", calls/seconds))
+			c.Assert(called, qt.HasLen, n)
+		})
 	}
-	c.Assert(r.Alive(now), qt.HasLen, 100)
 }
 
 func TestSilentPeersAreCalledLessAndForgotten(t *testing.T) {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -7,6 +7,7 @@
 
 	"lovageport.example/internal/coordination/dispatch"
 	"lovageport.example/internal/coordination/membership"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/catalog"
 	"lovageport.example/internal/state/configuration"
 	"lovageport.example/internal/state/withdrawal"
@@ -18,8 +19,6 @@
 	tickInterval = 20 * time.Millisecond
 	// pruneInterval is how often old state is forgotten.
 	pruneInterval = 10 * time.Second
-	// eventBuffer is how many functions may wait for the loop.
-	eventBuffer = 1024
 )
 
 // state is the control state. Only the control loop touches it.
@@ -56,45 +55,29 @@
 
 // control runs functions on the control state, one at a time.
 type control struct {
-	events chan func(*state)
-	view   atomic.Pointer[view]
-	state  state
+	*loop.Loop[state]
+	view atomic.Pointer[view]
 	// waiting says that requests wait for a place.
 	waiting atomic.Bool
-	// done is closed when the loop has ended.
-	done chan struct{}
 	// changed is told of each new view.
 	changed func(*view)
 }
 
 func newControl() *control {
-	c := &control{events: make(chan func(*state), eventBuffer), done: make(chan struct{})}
+	c := &control{Loop: loop.New[state]()}
+	c.After = func(s *state) { c.waiting.Store(s.dispatcher.Waiting()) }
 	c.view.Store(&view{catalog: catalog.New(configuration.Accepted{})})
 	return c
 }
 
-// run runs the loop until ctx ends.
-func (c *control) run(ctx context.Context) error {
-	defer close(c.done)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case event := <-c.events:
-			event(&c.state)
-			c.waiting.Store(c.state.dispatcher.Waiting())
-		}
-	}
-}
-
 // tick has the loop look at waiting requests, if there are any, and at old
 // state from time to time, until ctx ends.
 func (c *control) tick(ctx context.Context) error {
 	pruned := time.Now()
-	for wait(ctx, tickInterval) {
+	for loop.Wait(ctx, tickInterval) {
 		if c.waiting.Load() || time.Since(pruned) >= pruneInterval {
 			pruned = time.Now()
-			c.do(tend)
+			c.Do(tend)
 		}
 	}
 	return nil
@@ -112,34 +95,6 @@
 	s.members.Prune(now)
 }
 
-// do runs f on the control state and waits for it. It says whether f ran.
-func (c *control) do(f func(*state)) bool {
-	ran := make(chan struct{})
-	event := func(s *state) {
-		f(s)
-		close(ran)
-	}
-	select {
-	case c.events <- event:
-	case <-c.done:
-		return false
-	}
-	select {
-	case <-ran:
-		return true
-	case <-c.done:
-		return false
-	}
-}
-
-// send runs f on the control state without waiting for it.
-func (c *control) send(f func(*state)) {
-	select {
-	case c.events <- f:
-	case <-c.done:
-	}
-}
-
 // publish makes the state's changes visible to requests. It runs in the loop.
 func (c *control) publish(s *state) {
 	old := c.view.Load()
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"lovageport.example/internal/loop"
 )
 
 // drainPoll is how often a drain looks whether all requests have ended.
@@ -21,17 +23,17 @@
 	case <-e.drainAsked:
 	}
 	e.Log.Info("draining", zap.Int64("in_flight", e.inFlight.Load()))
-	e.control.do(func(s *state) {
+	e.control.Do(func(s *state) {
 		s.draining = true
 		e.control.publish(s)
 	})
 	// New requests are served during the notice: the balancer still sends some.
-	if !wait(ctx, e.Settings.Drain.Notice.Duration) {
+	if !loop.Wait(ctx, e.Settings.Drain.Notice.Duration) {
 		return nil
 	}
 	end := time.Now().Add(e.Settings.Drain.Timeout.Duration)
 	for e.unfinished() > 0 && time.Now().Before(end) {
-		if !wait(ctx, drainPoll) {
+		if !loop.Wait(ctx, drainPoll) {
 			return nil
 		}
 	}
@@ -52,11 +54,3 @@
 		close(e.drainAsked)
 	}
 }
-
-// wait waits for d. It says false if ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	<-timer.Done()
-	return ctx.Err() == nil
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/route"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/setting"
 	"lovageport.example/internal/state/catalog"
 	"lovageport.example/internal/state/claim"
@@ -101,12 +102,12 @@
 // queued returns how many requests wait for a place.
 func (e *Entry) queued() float64 {
 	queued := 0
-	e.control.do(func(s *state) { _, queued = s.dispatcher.Counts() })
+	e.control.Do(func(s *state) { _, queued = s.dispatcher.Counts() })
 	return float64(queued)
 }
 
 func (e *Entry) prepareState() {
-	s := &e.control.state
+	s := &e.control.State
 	s.members.Self = e.Settings.Name
 	s.members.List(e.seeds())
 	s.dispatcher.Zone = e.Settings.Zone
@@ -132,18 +133,18 @@
 		return err
 	}
 	var g run.Group
-	e.add(&g, ctx, e.control.run)
-	e.add(&g, ctx, e.control.tick)
-	e.add(&g, ctx, e.drainWhenAsked)
-	e.add(&g, ctx, e.followHead)
-	e.add(&g, ctx, e.pollHead)
-	e.add(&g, ctx, e.adoptWhenWoken)
-	e.add(&g, ctx, e.followWithdrawals)
-	e.add(&g, ctx, e.followVMs)
-	e.add(&g, ctx, e.beat)
-	e.add(&g, ctx, e.sweepClaims)
-	e.add(&g, ctx, e.later.run)
-	e.add(&g, ctx, func(ctx context.Context) error {
+	loop.Add(&g, ctx, e.control.Run)
+	loop.Add(&g, ctx, e.control.tick)
+	loop.Add(&g, ctx, e.drainWhenAsked)
+	loop.Add(&g, ctx, e.followHead)
+	loop.Add(&g, ctx, e.pollHead)
+	loop.Add(&g, ctx, e.adoptWhenWoken)
+	loop.Add(&g, ctx, e.followWithdrawals)
+	loop.Add(&g, ctx, e.followVMs)
+	loop.Add(&g, ctx, e.beat)
+	loop.Add(&g, ctx, e.sweepClaims)
+	loop.Add(&g, ctx, e.later.run)
+	loop.Add(&g, ctx, func(ctx context.Context) error {
 		return peer.Serve(ctx, listeners.peers, e.peerHandler(), e.logPeerError)
 	})
 	callers := e.callerServer().HTTP()
@@ -156,12 +157,6 @@
 	return err
 }
 
-// add adds an actor that ends with its context.
-func (e *Entry) add(g *run.Group, ctx context.Context, actor func(context.Context) error) {
-	ctx, cancel := context.WithCancel(ctx)
-	g.Add(func() error { return actor(ctx) }, func(error) { cancel() })
-}
-
 // serve adds an HTTP server.
 func (e *Entry) serve(g *run.Group, listener net.Listener, server *http.Server) {
 	g.Add(func() error {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/membership"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/object"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/configuration"
@@ -54,7 +55,7 @@
 			none()
 			patience = watchWait
 		default:
-			wait(ctx, retryInterval)
+			loop.Wait(ctx, retryInterval)
 		}
 	}
 	return nil
@@ -62,7 +63,7 @@
 
 func (e *Entry) heardPlatform() {
 	now := time.Now()
-	e.control.send(func(s *state) {
+	e.control.Send(func(s *state) {
 		s.platformAt = now
 		s.confirm(0, now)
 	})
@@ -85,7 +86,7 @@
 // offer takes note of a head and wakes the adopter if it is newer.
 func (e *Entry) offer(head configuration.Head) {
 	newer := false
-	e.control.do(func(s *state) { newer = s.adopter.Offer(head) })
+	e.control.Do(func(s *state) { newer = s.adopter.Offer(head) })
 	if newer {
 		e.wakeAdopter()
 	}
@@ -101,7 +102,7 @@
 // pollHead asks for the head beside the watch, which may have gone silent, and
 // is the regular sign of life of the platform.
 func (e *Entry) pollHead(ctx context.Context) error {
-	for wait(ctx, pollInterval) {
+	for loop.Wait(ctx, pollInterval) {
 		head, err := e.stored.ReadHead(ctx)
 		if err != nil {
 			continue
@@ -121,7 +122,7 @@
 		case <-e.wake:
 		}
 		for !e.adopt(ctx) {
-			if !wait(ctx, retryInterval) {
+			if !loop.Wait(ctx, retryInterval) {
 				return nil
 			}
 		}
@@ -135,12 +136,12 @@
 	defer cancel()
 	e.fetchHead(ctx)
 	var missing []string
-	e.control.do(func(s *state) { missing = s.adopter.Missing() })
+	e.control.Do(func(s *state) { missing = s.adopter.Missing() })
 	for _, name := range missing {
 		e.fetchShard(ctx, name)
 	}
 	done := true
-	e.control.do(func(s *state) {
+	e.control.Do(func(s *state) {
 		adopted, err := s.adopter.Adopt()
 		if err != nil {
 			e.Log.Error("configuration not adopted", zap.Error(err))
@@ -179,7 +180,7 @@
 
 func (e *Entry) needsHead() bool {
 	needs := false
-	e.control.do(func(s *state) { needs = s.adopter.NeedsHead() })
+	e.control.Do(func(s *state) { needs = s.adopter.NeedsHead() })
 	return needs
 }
 
@@ -187,7 +188,7 @@
 // own availability zone first.
 func (e *Entry) newestPeers() []membership.Peer {
 	var near, far []membership.Peer
-	e.control.do(func(s *state) {
+	e.control.Do(func(s *state) {
 		for _, p := range s.members.Peers() {
 			switch {
 			case p.Generation < s.adopter.Highest() || p.Generation == 0:
@@ -225,7 +226,7 @@
 
 func (e *Entry) addShard(shard configuration.Shard) bool {
 	var err error
-	e.control.do(func(s *state) { err = s.adopter.Add(shard) })
+	e.control.Do(func(s *state) { err = s.adopter.Add(shard) })
 	return err == nil
 }
 
@@ -244,7 +245,7 @@
 
 // mergeWithdrawals takes in withdrawals from the platform or from a peer.
 func (e *Entry) mergeWithdrawals(all []withdrawal.Withdrawal) {
-	e.control.do(func(s *state) {
+	e.control.Do(func(s *state) {
 		s.withdrawalsRead = true
 		s.register.Merge(all)
 		e.control.publish(s)
@@ -255,14 +256,14 @@
 func (e *Entry) followVMs(ctx context.Context) error {
 	for {
 		list, err := e.objects.VMs(ctx)
-		e.control.do(func(s *state) {
+		e.control.Do(func(s *state) {
 			s.vmsRead = true
 			if err == nil {
 				e.takeVMs(s, list)
 			}
 			e.control.publish(s)
 		})
-		if !wait(ctx, vmInterval) {
+		if !loop.Wait(ctx, vmInterval) {
 			return nil
 		}
 	}
@@ -298,7 +299,7 @@
 
 // sweepClaims removes old claims, a random part at a time.
 func (e *Entry) sweepClaims(ctx context.Context) error {
-	for wait(ctx, sweepInterval) {
+	for loop.Wait(ctx, sweepInterval) {
 		if e.Random == nil {
 			continue
 		}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -206,7 +206,7 @@
 }
 
 func (e *Entry) report(name string, load *engine.Load) {
-	e.control.send(func(s *state) {
+	e.control.Send(func(s *state) {
 		s.dispatcher.Report(name, load.Running, load.Leaving, time.Now())
 	})
 }
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -9,6 +9,7 @@
 
 	"lovageport.example/internal/coordination/membership"
 	"lovageport.example/internal/coordination/quarantine"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/transport/peer"
 )
@@ -32,7 +33,7 @@
 func (e *Entry) beat(ctx context.Context) error {
 	for round := 0; ; round++ {
 		e.beatAll(ctx, e.targets(round))
-		if !wait(ctx, e.Settings.Peers.HeartbeatInterval.Duration) {
+		if !loop.Wait(ctx, e.Settings.Peers.HeartbeatInterval.Duration) {
 			return nil
 		}
 	}
@@ -42,7 +43,7 @@
 // never called gets one at once: readiness waits for it.
 func (e *Entry) targets(round int) []membership.Peer {
 	var peers []membership.Peer
-	e.control.do(func(s *state) { peers = s.members.Peers() })
+	e.control.Do(func(s *state) { peers = s.members.Peers() })
 	far := make(map[string][]membership.Peer)
 	var targets []membership.Peer
 	for _, p := range peers {
@@ -72,13 +73,13 @@
 		group.Go(func() { e.beatOne(ctx, p, said) })
 	}
 	group.Wait()
-	e.control.do(e.control.publish)
+	e.control.Do(e.control.publish)
 }
 
 func (e *Entry) beatOne(ctx context.Context, p membership.Peer, said *peering.Heartbeat) {
 	answer, err := e.clients.Heartbeat(ctx, p.Address, said)
 	if err != nil {
-		e.control.do(func(s *state) { s.members.Tried(p.Name, time.Now()) })
+		e.control.Do(func(s *state) { s.members.Tried(p.Name, time.Now()) })
 		e.Log.Debug("peer not reached", zap.String("peer", p.Name), zap.Error(err))
 		return
 	}
@@ -96,7 +97,7 @@
 		Zone:    e.Settings.Zone,
 		Address: e.Settings.Listen.Peers,
 	}
-	e.control.do(func(s *state) {
+	e.control.Do(func(s *state) {
 		now := time.Now()
 		said.Generation = s.adopter.Generation()
 		said.Withdrawals = s.register.Digest()
@@ -125,7 +126,7 @@
 // hear takes in a heartbeat. It says whether the withdrawals differ.
 func (e *Entry) hear(said *peering.Heartbeat) bool {
 	differ, behind := false, false
-	e.control.do(func(s *state) {
+	e.control.Do(func(s *state) {
 		now := time.Now()
 		s.members.Hear(membership.Peer{
 			Name:        said.Entry,
@@ -178,7 +179,7 @@
 		Secret:  e.Settings.Peers.Secret,
 		Entry:   e.Settings.Name,
 	}
-	e.control.do(func(s *state) { out.Withdrawals = s.register.All() })
+	e.control.Do(func(s *state) { out.Withdrawals = s.register.All() })
 	return out
 }
 
@@ -196,7 +197,7 @@
 		},
 		Shards: func(_ context.Context, asked *peering.ShardRequest) (*peering.ShardReply, error) {
 			reply := &peering.ShardReply{Version: peering.Version}
-			e.control.do(func(s *state) {
+			e.control.Do(func(s *state) {
 				reply.Head = s.adopter.Accepted().Head
 				reply.Shards = s.adopter.Shards(asked.Shards)
 			})
@@ -212,6 +213,6 @@
 	ctx, cancel := context.WithTimeout(ctx, alarmTimeout)
 	defer cancel()
 	var peers []membership.Peer
-	e.control.do(func(s *state) { peers = s.members.Peers() })
+	e.control.Do(func(s *state) { peers = s.members.Peers() })
 	e.beatAll(ctx, peers)
 }
--- a/internal/entry/later.go
+++ b/internal/entry/later.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"lovageport.example/internal/loop"
 )
 
 // Bounds of work that is put off.
@@ -48,7 +50,7 @@
 func (q *laterQueue) run(ctx context.Context) error {
 	for {
 		if !q.flush(ctx) {
-			if !wait(ctx, laterInterval) {
+			if !loop.Wait(ctx, laterInterval) {
 				return nil
 			}
 			continue
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/membership"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/catalog"
 	"lovageport.example/internal/state/configuration"
 	"lovageport.example/internal/state/store"
@@ -71,7 +72,7 @@
 	if err != nil {
 		return change, repeated, err
 	}
-	e.control.do(func(s *state) { s.adopter.Seen(change.Generation) })
+	e.control.Do(func(s *state) { s.adopter.Seen(change.Generation) })
 	e.wakeAdopter()
 	e.awaitAdopted(ctx, change.Generation)
 	return change, repeated, nil
@@ -83,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, adoptTimeout)
 	defer cancel()
 	for e.control.view.Load().catalog.Generation() < generation {
-		if !wait(ctx, 5*time.Millisecond) {
+		if !loop.Wait(ctx, 5*time.Millisecond) {
 			return
 		}
 	}
@@ -119,7 +120,7 @@
 	if err := e.checkDisposal(o, upstreams); err != nil {
 		return operator.Spread{}, err
 	}
-	e.control.do(func(s *state) {
+	e.control.Do(func(s *state) {
 		for _, name := range upstreams {
 			s.register.Withdraw(withdrawal.Withdrawal{ID: id + "/" + name, Upstream: name, Operator: o.Name, At: time.Now()})
 		}
@@ -134,7 +135,7 @@
 	if err := e.checkDisposal(o, upstreams); err != nil {
 		return operator.Spread{}, err
 	}
-	e.control.do(func(s *state) {
+	e.control.Do(func(s *state) {
 		for _, name := range upstreams {
 			s.register.Lift(name, time.Now())
 		}
@@ -150,7 +151,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	var peers []membership.Peer
-	e.control.do(func(s *state) { peers = s.members.Peers() })
+	e.control.Do(func(s *state) { peers = s.members.Peers() })
 	var (
 		mu    sync.Mutex
 		out   = operator.Spread{InForceAt: []string{e.Settings.Name}}
@@ -198,7 +199,7 @@
 			e.mergeWithdrawals(all)
 		}
 		var value []byte
-		e.control.do(func(s *state) {
+		e.control.Do(func(s *state) {
 			s.register.Prune(time.Now())
 			value, err = s.register.Encode()
 		})
@@ -217,7 +218,7 @@
 // status returns what this entry knows.
 func (e *Entry) status() operator.Status {
 	out := operator.Status{Entry: e.Settings.Name, Zone: e.Settings.Zone, Version: e.Version}
-	e.control.do(func(s *state) {
+	e.control.Do(func(s *state) {
 		now := time.Now()
 		out.Generation = s.adopter.Generation()
 		out.Ready = s.ready
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -46,7 +46,7 @@
 
 func (p *placer) enter(submit bool) error {
 	var err error
-	ran := p.entry.control.do(func(s *state) {
+	ran := p.entry.control.Do(func(s *state) {
 		now := time.Now()
 		if err = s.dispatcher.Open(p.request, now); err == nil && submit {
 			p.submitted = true
@@ -61,7 +61,7 @@
 
 // close lets the request go.
 func (p *placer) close() {
-	p.entry.control.do(func(s *state) { s.dispatcher.Close(p.request) })
+	p.entry.control.Do(func(s *state) { s.dispatcher.Close(p.request) })
 }
 
 // place waits for the place of the next attempt.
@@ -74,7 +74,7 @@
 		return r.place, r.err
 	case <-ctx.Done():
 	}
-	p.entry.control.do(func(s *state) { s.dispatcher.Cancel(p.request) })
+	p.entry.control.Do(func(s *state) { s.dispatcher.Cancel(p.request) })
 	select {
 	case r := <-p.replies:
 		// The place came in the same moment; nothing was sent there.
@@ -93,13 +93,13 @@
 		p.submitted = false
 		return true
 	}
-	return p.entry.control.do(func(s *state) { s.dispatcher.Submit(p.request, time.Now()) })
+	return p.entry.control.Do(func(s *state) { s.dispatcher.Submit(p.request, time.Now()) })
 }
 
 // finish ends an attempt. A crash is told to the peers before the request goes
 // on.
 func (p *placer) finish(ctx context.Context, place dispatch.Placement, outcome dispatch.Outcome) {
-	p.entry.control.do(func(s *state) {
+	p.entry.control.Do(func(s *state) {
 		now := time.Now()
 		if !outcome.Fault.Harmless() {
 			// The next attempt may wait as long as a fresh request. One that was
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"lovageport.example/internal/loop"
 )
 
 // Times of the graceful stop.
@@ -29,7 +31,7 @@
 	asked := time.Now()
 	g.draining.Store(true)
 	g.Log.Info("drain started", zap.Int64("in_flight", g.inFlight.Load()))
-	if !wait(ctx, notice) {
+	if !loop.Wait(ctx, notice) {
 		return nil
 	}
 	left := g.Settings.Bounds.Grace.Duration - stopMargin - time.Since(asked)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/platform"
 )
@@ -63,7 +64,7 @@
 		}
 		revision = next
 		pause = minRetryPause
-		wait(ctx, watchPause)
+		loop.Wait(ctx, watchPause)
 	}
 	return nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,18 +111,18 @@
 		return fmt.Errorf("gateway: %w", err)
 	}
 	var group run.Group
-	g.add(&group, ctx, g.control.Run)
-	g.add(&group, ctx, g.table.run)
-	g.add(&group, ctx, g.list.run)
-	g.add(&group, ctx, g.placeLayers)
-	g.add(&group, ctx, g.register)
-	g.add(&group, ctx, g.tellNews)
-	g.add(&group, ctx, g.borrowLists)
-	g.add(&group, ctx, g.dispatch)
-	g.add(&group, ctx, g.probe)
-	g.add(&group, ctx, g.sweep)
-	g.add(&group, ctx, g.reloadWhenAsked)
-	g.add(&group, ctx, func(ctx context.Context) error {
+	loop.Add(&group, ctx, g.control.Run)
+	loop.Add(&group, ctx, g.table.run)
+	loop.Add(&group, ctx, g.list.run)
+	loop.Add(&group, ctx, g.placeLayers)
+	loop.Add(&group, ctx, g.register)
+	loop.Add(&group, ctx, g.tellNews)
+	loop.Add(&group, ctx, g.borrowLists)
+	loop.Add(&group, ctx, g.dispatch)
+	loop.Add(&group, ctx, g.probe)
+	loop.Add(&group, ctx, g.sweep)
+	loop.Add(&group, ctx, g.reloadWhenAsked)
+	loop.Add(&group, ctx, func(ctx context.Context) error {
 		return peer.Serve(ctx, peers, g.peerHandler(), func(err error) { g.Log.Debug("peer connection ended", zap.Error(err)) })
 	})
 	callers := &http.Server{Handler: g.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -142,19 +142,13 @@
 			return err
 		}
 	}
-	g.add(&group, ctx, func(ctx context.Context) error { return g.drainWhenAsked(ctx, callers) })
+	loop.Add(&group, ctx, func(ctx context.Context) error { return g.drainWhenAsked(ctx, callers) })
 	g.Log.Info("started", zap.String("gateway", g.Settings.Name), zap.String("zone", g.Settings.Zone), zap.String("version", g.Version))
 	err = group.Run()
 	g.Log.Info("stopped", zap.Error(err))
 	return err
 }
 
-// add adds an actor that ends with its context.
-func (g *Gateway) add(group *run.Group, ctx context.Context, actor func(context.Context) error) {
-	ctx, cancel := context.WithCancel(ctx)
-	group.Add(func() error { return actor(ctx) }, func(error) { cancel() })
-}
-
 // serve opens a listener and adds its server.
 func (g *Gateway) serve(group *run.Group, ctx context.Context, address string, server *http.Server) error {
 	listener, err := g.Listen(ctx, "tcp", address)
@@ -191,20 +185,8 @@
 
 // sweep closes idle connections from time to time, until ctx ends.
 func (g *Gateway) sweep(ctx context.Context) error {
-	for wait(ctx, sweepInterval) {
+	for loop.Wait(ctx, sweepInterval) {
 		g.pool.Sweep(time.Now())
 	}
 	return nil
 }
-
-// wait waits for d. It says false if ctx ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,7 @@
 
 	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/transport/peer"
@@ -53,7 +54,7 @@
 			break
 		}
 		g.Log.Warn("gateway not registered", zap.Error(err))
-		if !wait(ctx, registerPause) {
+		if !loop.Wait(ctx, registerPause) {
 			return nil
 		}
 	}
@@ -82,7 +83,7 @@
 // tellNews calls the peers that are due, until ctx ends.
 func (g *Gateway) tellNews(ctx context.Context) error {
 	g.learnSeeds(g.Settings.Peers.Seeds)
-	for wait(ctx, newsTick) {
+	for loop.Wait(ctx, newsTick) {
 		var due []string
 		var said *peering.News
 		g.control.Do(func(s *state) {
@@ -226,12 +227,25 @@
 		n.Services = append(n.Services, peering.ServiceCounts{Service: service, Requests: float32(c.Requests), Repeats: float32(c.Repeats)})
 	}
 	n.Suspicions = s.wireSuspicions(now)
-	for _, m := range s.roster.Alive(now) {
-		n.Peers = append(n.Peers, m.Address)
-	}
+	n.Peers = s.somePeers(now)
 	return n
 }
 
+// toldPeers is how many peers are named to another at a time; over several
+// calls all are.
+const toldPeers = 6
+
+// somePeers returns some of the peers that are alive.
+func (s *state) somePeers(now time.Duration) []peering.Address {
+	alive := s.roster.Alive(now)
+	var out []peering.Address
+	first := int(s.random() * float64(len(alive)))
+	for i := range min(toldPeers, len(alive)) {
+		out = append(out, alive[(first+i)%len(alive)].Address)
+	}
+	return out
+}
+
 // peerHandler answers peers.
 func (g *Gateway) peerHandler() *peer.Handler {
 	return &peer.Handler{
@@ -272,7 +286,7 @@
 // borrowLists keeps the configuration and the list of upstreams fresh through
 // the peers while the store can't be followed, until ctx ends.
 func (g *Gateway) borrowLists(ctx context.Context) error {
-	for wait(ctx, borrowPause) {
+	for loop.Wait(ctx, borrowPause) {
 		g.wakeFollowers()
 		var from string
 		g.control.Do(func(s *state) { from = s.lender(g, g.Now()) })
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/placement"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
@@ -30,7 +31,7 @@
 // placeLayers gives orders to engines as long as this process is the one to do
 // so, until ctx ends.
 func (g *Gateway) placeLayers(ctx context.Context) error {
-	for wait(ctx, placeInterval) {
+	for loop.Wait(ctx, placeInterval) {
 		for _, o := range g.dueOrders() {
 			go g.order(ctx, o)
 		}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/health"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 )
@@ -21,7 +22,7 @@
 // probe asks upstreams that did not answer, or were slow, whether they are well
 // now, until ctx ends.
 func (g *Gateway) probe(ctx context.Context) error {
-	for wait(ctx, probeTick) {
+	for loop.Wait(ctx, probeTick) {
 		g.askSlow()
 		for _, u := range g.dueProbes() {
 			go g.probeOne(ctx, u)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -278,13 +278,3 @@
 	}
 	return w
 }
-
-// byAddress returns the upstream that is listed at an address.
-func (s *state) byAddress(address string) *fleet.Upstream {
-	for _, u := range s.upstreams {
-		if u.Address == address {
-			return u
-		}
-	}
-	return nil
-}
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/admission"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/pkg/declaration"
 	"lovageport.example/pkg/verdict"
@@ -62,7 +63,7 @@
 
 // dispatch lets waiting requests in from time to time, until ctx ends.
 func (g *Gateway) dispatch(ctx context.Context) error {
-	for wait(ctx, dispatchTick) {
+	for loop.Wait(ctx, dispatchTick) {
 		g.control.Send(func(s *state) {
 			s.loseLapsed(g.Now())
 			s.dispatch(g.Now())
--- /dev/null
+++ b/internal/loop/actor.go
@@ -0,0 +1,22 @@
+package loop
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/run"
+)
+
+// Add adds an actor to a group that ends with its context.
+func Add(g *run.Group, ctx context.Context, actor func(context.Context) error) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error { return actor(ctx) }, func(error) { cancel() })
+}
+
+// Wait waits for d. It says false if ctx ended first.
+func Wait(ctx context.Context, d time.Duration) bool {
+	timer, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-timer.Done()
+	return ctx.Err() == nil
+}
