Read anew before refusing on old knowledge

Cause: a VM that wakes after a suspension of four seconds refused the requests that had come meanwhile, although the store answers within milliseconds (wrong-answers on Ceylon, 14.048 s).

Change: unless the store is known to be out of reach, a request waits up to 0.25 s for a read; a follower that is woken reads at once.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/platform"
 )
@@ -64,7 +63,9 @@
 		}
 		revision = next
 		pause = minRetryPause
-		loop.Wait(ctx, watchPause)
+		if f.pause(ctx, watchPause) {
+			revision = 0
+		}
 	}
 	return nil
 }
@@ -74,35 +75,41 @@
 	if revision == 0 {
 		return f.read(ctx)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	woken := false
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		select {
-		case <-ctx.Done():
+		case <-watching.Done():
 		case <-f.wake:
 			woken = true
 			cancel()
 		}
 	}()
-	next, err := f.watch(ctx, revision, f.g.watchWait())
+	next, err := f.watch(watching, revision, f.g.watchWait())
 	cancel()
 	<-ended
-	if err != nil && (woken || errors.Is(err, platform.ErrHistoryGone)) {
+	switch {
+	case err != nil && woken:
+		return f.read(ctx)
+	case errors.Is(err, platform.ErrHistoryGone):
 		return 0, nil
 	}
 	return next, err
 }
 
-// pause waits before the next try, until a peer has newer word.
-func (f *follower) pause(ctx context.Context, d time.Duration) {
+// pause waits, but no longer than until the follower is woken. It says whether
+// that was so.
+func (f *follower) pause(ctx context.Context, d time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
 	select {
 	case <-ctx.Done():
+		return false
 	case <-f.wake:
+		return true
 	}
 }
 
@@ -171,8 +178,11 @@
 
 // noteStore logs when the store is lost or regained.
 func (g *Gateway) noteStore(what string, err error) {
+	lost := err != nil
+	if what == tableName {
+		g.tableLost.Store(lost)
+	}
 	g.control.Send(func(s *state) {
-		lost := err != nil
 		if s.storeLost[what] == lost {
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,9 @@
 	// table and list follow the configuration and the upstreams.
 	table, list *follower
 	metrics     *metrics
+	// tableLost says that the configuration could not be followed when last
+	// tried.
+	tableLost atomic.Bool
 	// draining says that the graceful stop has begun.
 	draining atomic.Bool
 	// inFlight counts the callers' requests at work.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/pkg/verdict"
@@ -91,7 +92,14 @@
 	}
 	q.table = t.Version
 	q.tableAge, _ = g.routing.Age(q.arrived)
-	if err := g.authorize(q, t); err != nil {
+	err := g.authorize(q, t)
+	if verdict.Of(err).Reason == verdict.NotReady && g.refresh(r.Context()) {
+		t = g.routing.Table()
+		q.table = t.Version
+		q.tableAge, _ = g.routing.Age(g.Now())
+		err = g.authorize(q, t)
+	}
+	if err != nil {
 		return q, err
 	}
 	q.service = q.route.Backend(q.ID)
@@ -104,6 +112,33 @@
 	return q, nil
 }
 
+// Times of waiting for fresh knowledge.
+const (
+	// refreshTime is how long a request waits for it; the store answers within
+	// milliseconds.
+	refreshTime = 250 * time.Millisecond
+	refreshTick = 10 * time.Millisecond
+)
+
+// refresh has the configuration confirmed, unless the store is known to be out
+// of reach: a VM that has been suspended knows only old things, but can know
+// better at once. It says whether what is known is fresh.
+func (g *Gateway) refresh(ctx context.Context) bool {
+	if g.tableLost.Load() {
+		return false
+	}
+	g.table.awake()
+	for waited := time.Duration(0); waited < refreshTime; waited += refreshTick {
+		if !loop.Wait(ctx, refreshTick) {
+			return false
+		}
+		if age, known := g.routing.Age(g.Now()); known && age < denyAge {
+			return true
+		}
+	}
+	return false
+}
+
 // authorize finds the route, and the client account that the key belongs to.
 func (g *Gateway) authorize(q *query, t *routing.Table) error {
 	// An old table proves nothing: a route or key may have been added since.
