Try failed streams elsewhere, and leave the store when stopping

A stream that an engine answers with a failure of its own goes to another if its route may be resumed; the caller gets the failure if none is left. Upstreams that failed a request are not asked again by it once it has run on as many as it may.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,6 +123,9 @@
 	u := p.chain[at].Upstream
 	e.Upstream = u.Instance
 	q.shun(u.Instance)
+	if e.Run == verdict.Ran {
+		s.health.Result(u.Instance, true, now)
+	}
 	if found {
 		s.blameFor(u, fault, now)
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -33,7 +33,7 @@
 // are passed over if others cover the layers.
 func (s *state) findChain(p *pool, q *query, now time.Duration) (place, error) {
 	found, ok := p.layers.Find(s.chainQuery(q, q.shunned, now))
-	if !ok && len(q.shunned) > 0 {
+	if !ok && len(q.shunned) > 0 && !s.limited(q, now) {
 		found, ok = p.layers.Find(s.chainQuery(q, nil, now))
 	}
 	if !ok {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -40,5 +40,19 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		g.Log.Warn("drain timed out", zap.Int64("in_flight", g.inFlight.Load()), zap.Error(err))
 	}
+	g.unregister()
 	return nil
 }
+
+// unregisterTimeout bounds the last call of a process that stops.
+const unregisterTimeout = 200 * time.Millisecond
+
+// unregister removes the own entry from the store. One that stays there only
+// has others call in vain for a while.
+func (g *Gateway) unregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), unregisterTimeout)
+	defer cancel()
+	if err := g.store.Unregister(ctx, g.Settings.Name); err != nil {
+		g.Log.Warn("gateway not unregistered", zap.Error(err))
+	}
+}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -21,6 +21,10 @@
 	out http.ResponseWriter
 	// started says that the head of the answer has been written.
 	started bool
+	// failed is an upstream's own failure, which the caller gets if no other
+	// upstream can be tried.
+	failed     *answer
+	failedBody []byte
 	// last is the ID of the last event that the caller has.
 	last string
 }
@@ -63,7 +67,12 @@
 // fail ends the answer. One that has been begun is cut, so that it can't look
 // whole.
 func (s *generation) fail(e *verdict.Error) {
-	if !s.started {
+	switch {
+	case !s.started && s.failed != nil:
+		s.g.logEnd(s.query, s.failed.head.Status, nil)
+		s.g.writeAnswer(s.out, s.failed, s.failedBody)
+		return
+	case !s.started:
 		s.g.refuse(s.out, s.query, e)
 		return
 	}
@@ -89,7 +98,7 @@
 	}
 	defer a.Close()
 	if a.head.Status != http.StatusOK {
-		return s.passOn(ctx, a)
+		return s.passOn(ctx, p, a)
 	}
 	return watch.explain(s.copyEvents(ctx, p, a, watch))
 }
@@ -97,14 +106,19 @@
 // maxFailureBytes bounds the body of an answer that is no stream.
 const maxFailureBytes = 1 << 20
 
-// passOn gives the caller an answer that is no stream, if none has begun.
-func (s *generation) passOn(ctx context.Context, a *answer) error {
+// passOn gives the caller an answer that is no stream, if none has begun. A
+// failure is kept until no other upstream can be tried.
+func (s *generation) passOn(ctx context.Context, p place, a *answer) error {
 	body, err := a.ReadAll(ctx, maxFailureBytes)
 	if err != nil {
 		return err
 	}
-	if s.started {
+	switch {
+	case s.started:
 		return protocolError("status " + strconv.Itoa(a.head.Status) + " to a resumed stream")
+	case a.head.Status >= http.StatusInternalServerError && s.route.Repeatable():
+		s.failed, s.failedBody = a, body
+		return s.g.failed(s.query, p, &verdict.Error{Run: verdict.Ran, Reason: verdict.UpstreamLost, Message: "upstream failed"}, a.head)
 	}
 	s.started = true
 	s.g.writeAnswer(s.out, a, body)
