--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -108,7 +108,7 @@
 }
 
 // occupy counts an attempt as load.
-func (s *state) occupy(q *query, p place, now time.Duration) {
+func (s *state) occupy(q *query, p place) {
 	if p.chain == nil {
 		s.load(p.upstream.Instance).requests++
 		return
@@ -116,9 +116,7 @@
 	for _, stage := range p.chain {
 		l := s.load(stage.Upstream.Instance)
 		l.requests++
-		need := q.tokens * float64(stage.Layers.Len())
-		l.tokenLayers += need
-		l.note(need, now)
+		l.tokenLayers += q.tokens * float64(stage.Layers.Len())
 	}
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -82,24 +81,6 @@
 type load struct {
 	requests    int
 	tokenLayers float64
-	// recent is what was placed lately: the peers, which see the same loads,
-	// will have placed as much without having said so yet.
-	recent   float64
-	recentAt time.Duration
-}
-
-// newsDelay is how long it takes for a peer's placements to be known here.
-const newsDelay = 250 * time.Millisecond
-
-// placed returns how many token-layers were placed within about newsDelay.
-func (l *load) placed(now time.Duration) float64 {
-	return l.recent * math.Exp(-float64(now-l.recentAt)/float64(newsDelay))
-}
-
-// note counts a placement.
-func (l *load) note(tokenLayers float64, now time.Duration) {
-	l.recent = l.placed(now) + tokenLayers
-	l.recentAt = now
 }
 
 func (s *state) init(g *Gateway) {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -222,7 +222,7 @@
 		return place{}, err
 	}
 	q.attempts++
-	s.occupy(q, p, now)
+	s.occupy(q, p)
 	s.log.Info("place given", zap.String("request", q.ID), zap.Int("attempt", q.attempts), zap.String("upstream", p.upstream.Instance),
 		zap.Int("stages", len(p.chain)), zap.Int("zone_changes", zoneChanges(s.zone, p)), zap.Float64("fill", p.fill),
 		zap.Float64("tokens", q.tokens), zap.Duration("list_age", now-s.listedAt), zap.Int("peers", s.peerCount))
