--- a/cmd/lovageport/serve.go
+++ b/cmd/lovageport/serve.go
@@ -58,14 +58,20 @@
 
 // checkCommand checks files.
 type checkCommand struct {
-	Config string   `type:"path" help:"Settings file."`
-	Files  []string `short:"f" type:"path" help:"Declared files; checked as one set."`
+	Config  string   `type:"path" help:"Settings file of an entry."`
+	Gateway string   `type:"path" help:"Settings file of a gateway."`
+	Files   []string `short:"f" type:"path" help:"Declared files; checked as one set."`
 }
 
 // Run checks the files and prints every fault.
 func (c *checkCommand) Run() error {
-	if c.Config == "" && len(c.Files) == 0 {
-		return &badInputError{fmt.Errorf("nothing to check: give --config or -f")}
+	if c.Config == "" && c.Gateway == "" && len(c.Files) == 0 {
+		return &badInputError{fmt.Errorf("nothing to check: give --config, --gateway or -f")}
+	}
+	if c.Gateway != "" {
+		if _, err := setting.LoadGateway(c.Gateway); err != nil {
+			return &badInputError{err}
+		}
 	}
 	if c.Config != "" {
 		if _, err := setting.Load(c.Config); err != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -90,14 +90,10 @@
 	if t == nil {
 		return q, verdict.RefuseUntil(repairTime, verdict.NotReady, "no configuration is known yet")
 	}
-	q.table = t.Version
-	q.tableAge, _ = g.routing.Age(q.arrived)
-	err := g.authorize(q, t)
-	if verdict.Of(err).Reason == verdict.NotReady && g.refresh(r.Context()) {
+	err := g.authorize(q, t, q.arrived)
+	if err != nil && verdict.Of(err).Reason == verdict.NotReady && g.refresh(r.Context()) {
 		t = g.routing.Table()
-		q.table = t.Version
-		q.tableAge, _ = g.routing.Age(g.Now())
-		err = g.authorize(q, t)
+		err = g.authorize(q, t, g.Now())
 	}
 	if err != nil {
 		return q, err
@@ -139,8 +135,11 @@
 	return false
 }
 
-// authorize finds the route, and the client account that the key belongs to.
-func (g *Gateway) authorize(q *query, t *routing.Table) error {
+// authorize finds the route, and the client account that the key belongs to, by
+// what is known at a boot time.
+func (g *Gateway) authorize(q *query, t *routing.Table, now time.Duration) error {
+	q.table = t.Version
+	q.tableAge, _ = g.routing.Age(now)
 	// An old table proves nothing: a route or key may have been added since.
 	deny := func(reason verdict.Reason, message string) error {
 		if q.tableAge > denyAge {
--- a/internal/setting/gateway.go
+++ b/internal/setting/gateway.go
@@ -59,8 +59,6 @@
 	RetryShare  float64              `toml:",omitempty"`
 	RetrySlack  float64              `toml:",omitempty"`
 	RetryWindow declaration.Duration `toml:",omitempty"`
-	// Stall is how long an engine waits for a stage that does not answer.
-	Stall declaration.Duration `toml:",omitempty"`
 }
 
 // Defaults of a gateway's settings that may be left out.
@@ -71,7 +69,6 @@
 	DefaultRetryShare   = 0.1
 	DefaultRetrySlack   = 50.0
 	DefaultRetryWindow  = 10 * time.Second
-	DefaultStall        = 3 * time.Second
 )
 
 // LoadGateway reads, checks and completes the settings of a gateway. The error
@@ -115,7 +112,6 @@
 	c.duration("Bounds", "Grace", g.Bounds.Grace)
 	c.duration("Bounds", "Revocation", g.Bounds.Revocation)
 	c.duration("Bounds", "RetryWindow", g.Bounds.RetryWindow)
-	c.duration("Bounds", "Stall", g.Bounds.Stall)
 	c.require(g.Bounds.RetryShare >= 0, "Bounds", "RetryShare", "must not be negative")
 	c.require(g.Bounds.RetrySlack >= 0, "Bounds", "RetrySlack", "must not be negative")
 	if g.Log.Level != "" {
@@ -132,6 +128,5 @@
 	setDefault(&g.Bounds.RetryShare, DefaultRetryShare)
 	setDefault(&g.Bounds.RetrySlack, DefaultRetrySlack)
 	setDefault(&g.Bounds.RetryWindow, declaration.Span(DefaultRetryWindow))
-	setDefault(&g.Bounds.Stall, declaration.Span(DefaultStall))
 	setDefault(&g.Log.Level, "info")
 }
