Take no refusal of another request for one's own

Cause: the check of the request's ID came after that of not-run, so that a late extra answer which refuses another request would have had a booking sent again. Found by reading; the test fails without the change.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,13 +42,14 @@
 	}
 	head := a.head
 	switch {
+	case head.Request != "" && head.Request != q.ID:
+		// What it says, also that it did not run, is about that one.
+		a.Close()
+		return nil, g.failed(q, p, protocolError("answer to another request"), relay.Answer{Status: head.Status})
 	case head.NotRun:
 		a.Close()
 		q.sent = true
 		return nil, g.failed(q, p, &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamBusy, Message: "upstream refused"}, head)
-	case head.Request != "" && head.Request != q.ID:
-		a.Close()
-		return nil, g.failed(q, p, protocolError("answer to another request"), head)
 	case head.Encoded, head.Status/100 == 2 && !head.Signed:
 		a.Close()
 		return nil, g.failed(q, p, protocolError("answer is not the upstream's own"), head)
