--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -91,6 +91,7 @@
 	s.random = g.Random
 	s.now = g.Now
 	s.suspicions.Limit = crashLimit
+	s.waiting.Max = maxWaiting
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*load)
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -32,6 +32,10 @@
 	repairTime = time.Second
 )
 
+// maxWaiting bounds the requests that wait for one service, since their bodies
+// are kept in memory.
+const maxWaiting = 1024
+
 // maxAttempts bounds the attempts of a request, also those that were refused.
 const maxAttempts = 8
 
