End the watch of a stream with the stream, and log the status that was passed on

Cause: a stream that ended while its engine was asked why it is silent had its watch start anew, and the engine was asked every half second for as long as the process ran. A generation answered with a failure was logged as 200.

Also removed: options of an exchange, a method of its pool and one of the engine that nothing used.

--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,8 +20,9 @@
 	*query
 	g   *Gateway
 	out http.ResponseWriter
-	// started says that the head of the answer has been written.
+	// started says that the head of the answer has been written, with status.
 	started bool
+	status  int
 	// failed is an upstream's own failure, which the caller gets if no other
 	// upstream can be tried.
 	failed     *answer
@@ -32,11 +34,11 @@
 // generate carries a generation. A stream that breaks goes on at other
 // upstreams within the same answer, if its route allows that.
 func (g *Gateway) generate(ctx context.Context, w http.ResponseWriter, q *query) {
-	s := &generation{query: q, g: g, out: w, last: q.ResumeAfter}
+	s := &generation{query: q, g: g, out: w, status: http.StatusOK, last: q.ResumeAfter}
 	for {
 		err := s.attempt(ctx)
 		if err == nil {
-			g.logEnd(q, http.StatusOK, nil)
+			g.logEnd(q, s.status, nil)
 			return
 		}
 		e := verdict.Of(err)
@@ -77,7 +79,7 @@
 		return
 	}
 	s.g.metrics.refusals.WithLabelValues(string(e.Reason), e.Run.String()).Inc()
-	s.g.logEnd(s.query, http.StatusOK, e)
+	s.g.logEnd(s.query, s.status, e)
 	panic(http.ErrAbortHandler)
 }
 
@@ -121,6 +123,7 @@
 		return s.g.failed(s.query, p, &verdict.Error{Run: verdict.Ran, Reason: verdict.UpstreamLost, Message: "upstream failed"}, a.head)
 	}
 	s.started = true
+	s.status = a.head.Status
 	s.g.writeAnswer(s.out, a, body)
 	return nil
 }
@@ -221,25 +224,44 @@
 	q      *query
 	p      place
 	cancel context.CancelFunc
-	timer  *time.Timer
 	fault  chan string
+
+	mu sync.Mutex
+	// timer runs until the watch is stopped. Both are guarded by mu.
+	timer   *time.Timer
+	stopped bool
 }
 
 func newSilence(g *Gateway, q *query, p place, cancel context.CancelFunc) *silence {
 	w := &silence{g: g, q: q, p: p, cancel: cancel, fault: make(chan string, 1)}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(silenceBeforeDoubt, w.ask)
 	return w
 }
 
-func (w *silence) moved() { w.timer.Reset(silenceBeforeDoubt) }
+// moved begins the wait anew. It does nothing after stop, so that a question
+// that is under way then is the last one.
+func (w *silence) moved() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(silenceBeforeDoubt)
+	}
+}
 
-func (w *silence) stop() { w.timer.Stop() }
+func (w *silence) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
 
 // ask asks the first upstream which stage does not answer.
 func (w *silence) ask() {
 	culprit := w.g.findStalled(w.q, w.p)
 	if culprit == "" {
-		w.timer.Reset(silenceBeforeDoubt)
+		w.moved()
 		return
 	}
 	w.fault <- culprit
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -100,14 +100,6 @@
 	return max(0, free*bytesPerMB/perToken)
 }
 
-// MaxLayers returns how many layers fit on an accelerator.
-func (e *Engine) MaxLayers(accelerator string) int {
-	if e.LayerMB <= 0 {
-		return 0
-	}
-	return min(e.Layers, int(e.Accelerators[accelerator].MemoryMB/e.LayerMB))
-}
-
 // bytesPerMB is the size of the MB in which memory is stated.
 const bytesPerMB = 1e6
 
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -21,10 +21,6 @@
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
-	// Fresh asks for a new connection.
-	Fresh bool
-	// Connect bounds the time to connect; the dialer's bound if 0.
-	Connect time.Duration
 }
 
 // Answer is what came back. Its body must be read to its end or given up, and
@@ -60,7 +56,7 @@
 // [verdict.Error]: not-run if no connection was made. When ctx ends, so does
 // the exchange.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Answer, error) {
-	conn, err := p.connect(ctx, r)
+	conn, err := p.take(ctx, r.Address, time.Now())
 	if err != nil {
 		return nil, &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamRefused, Err: err}
 	}
@@ -93,25 +89,6 @@
 	}, nil
 }
 
-func (p *Pool) connect(ctx context.Context, r *Request) (*connection, error) {
-	if r.Connect > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, r.Connect)
-		defer cancel()
-	}
-	if !r.Fresh {
-		return p.take(ctx, r.Address, time.Now())
-	}
-	conn, err := p.Dial(ctx, "tcp", r.Address)
-	if err != nil {
-		return nil, err
-	}
-	if p.Opened != nil {
-		p.Opened()
-	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
-}
-
 // keepFor returns how long the connection of an answer may be kept; negative
 // if it may not.
 func keepFor(response *http.Response) time.Duration {
--- a/internal/transport/exchange/pool.go
+++ b/internal/transport/exchange/pool.go
@@ -42,8 +42,6 @@
 	reader *bufio.Reader
 	// idleUntil is when the connection must not be used any more.
 	idleUntil time.Time
-	// used says that the connection has carried an exchange.
-	used bool
 }
 
 // take returns a kept connection, or a new one.
@@ -85,7 +83,6 @@
 	if keep <= 0 {
 		keep = defaultIdle
 	}
-	c.used = true
 	c.idleUntil = now.Add(keep - idleMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -120,16 +117,6 @@
 	}
 }
 
-// Drop closes the kept connections to an upstream.
-func (p *Pool) Drop(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		c.Close()
-	}
-	delete(p.idle, address)
-}
-
 // Close closes all kept connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
