End the dials that wait when the stand-in network is shut down

An HTTP transport detaches a dial from its request; CloseIdleConnections cancels only dials whose request is gone by then, so a request cancelled a moment later leaves its dial for good, and the stand-in network waited only for the dial's context.

Ruled out: the product's own dials; they are bounded by limitDial and markDial, whose frames are not in the trace.

Change: Shutdown ends waiting dials. TestShutdownEndsDials plays the order and failed with the same panic before.

--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -21,6 +21,8 @@
 	conns map[*conn]bool
 	// cut lists the one-way pairs over which nothing passes. Guarded by mu.
 	cut map[pair]bool
+	// down is closed by Shutdown; nil until the first listener. Guarded by mu.
+	down chan struct{}
 }
 
 type pair struct{ from, to string }
@@ -108,9 +110,14 @@
 		n.cut[pair{from.Name, to.Zone}] || n.cut[pair{from.Zone, to.Name}]
 }
 
-// Shutdown closes everything, as at the end of a test.
+// Shutdown closes everything, as at the end of a test, and ends the dials that
+// wait: an HTTP transport leaves a dial whose request is gone to itself.
 func (n *Network) Shutdown() {
 	n.mu.Lock()
+	if n.down != nil {
+		close(n.down)
+		n.down = nil
+	}
 	var open []*listener
 	for _, l := range n.listeners {
 		open = append(open, l)
@@ -144,6 +151,9 @@
 		n.listeners = make(map[string]*listener)
 		n.conns = make(map[*conn]bool)
 	}
+	if n.down == nil {
+		n.down = make(chan struct{})
+	}
 	l := &listener{
 		network: n,
 		host:    h,
@@ -159,14 +169,18 @@
 func (h *Host) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n := h.network
 	n.mu.Lock()
-	l := n.listeners[address]
+	l, down := n.listeners[address], n.down
 	n.mu.Unlock()
 	if l == nil {
 		return nil, fmt.Errorf("network: dial %s: %w", address, syscall.ECONNREFUSED)
 	}
 	if n.isCut(h, l.host) || n.isCut(l.host, h) || l.frozen.Load() {
-		<-ctx.Done()
-		return nil, ctx.Err()
+		select {
+		case <-down:
+			return nil, fmt.Errorf("network: dial %s: %w", address, syscall.ENETDOWN)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
 	near, far := n.pipe(h, l)
 	select {
--- /dev/null
+++ b/internal/standin/network/network_test.go
@@ -0,0 +1,43 @@
+package network_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageport.example/internal/standin/network"
+)
+
+// TestShutdownEndsDials: an HTTP transport that is closed while a request
+// still waits for a frozen host leaves the dial behind for good, so that the
+// network has to end it.
+func TestShutdownEndsDials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var n network.Network
+		const address = "frozen:1"
+		_, err := n.Host("frozen", "wien").Listen(t.Context(), "tcp", address)
+		qt.Assert(t, err, qt.IsNil)
+		n.Freeze(address, true)
+
+		transport := &http.Transport{DialContext: n.Host("caller", "wien").Dial}
+		ctx, cancel := context.WithCancel(t.Context())
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+		qt.Assert(t, err, qt.IsNil)
+		answered := make(chan error)
+		go func() {
+			response, err := transport.RoundTrip(request)
+			if err == nil {
+				response.Body.Close()
+			}
+			answered <- err
+		}()
+		synctest.Wait()
+		transport.CloseIdleConnections()
+		cancel()
+		qt.Check(t, <-answered, qt.ErrorIs, context.Canceled)
+		n.Shutdown()
+	})
+}
