Tell a request's story from logs: lovageport explain

Cause: after a failed request, on-call engineers had to join the logs of all gateways by hand; chains were logged by their first upstream alone, so that an event on a later stage could not be joined at all.

Change: 'lovageport explain ID [FILE...]' reads logs from files or standard input, joins what changed about the upstreams that the request met, whoever saw it, and prints it in order with the outcome and where to look. 'place given' names the whole chain, every line names its gateway, fill is rounded.

Ruled out: keeping the story in the process (memory, and gone with the VM).

--- a/cmd/lovageport/main.go
+++ b/cmd/lovageport/main.go
@@ -23,6 +23,7 @@
 	Apply    applyCommand    `cmd:"" help:"Make declared files the accepted configuration."`
 	Diff     diffCommand     `cmd:"" help:"Show what apply would change."`
 	Get      getCommand      `cmd:"" help:"Print the accepted configuration."`
+	Explain  explainCommand  `cmd:"" help:"Tell from logs what happened to a request."`
 	Status   statusCommand   `cmd:"" help:"Show an entry, its peers and the upstreams."`
 	Withdraw withdrawCommand `cmd:"" help:"Take upstreams out of service."`
 	Return   returnCommand   `cmd:"" help:"Put withdrawn upstreams back in service."`
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,7 @@
 	if g.Now == nil {
 		g.Now = clock.Boot
 	}
+	g.Log = g.Log.With(zap.String("gateway", g.Settings.Name))
 	g.metrics = newMetrics(g)
 	dialer := dial.New(connectTimeout, silenceTimeout)
 	g.pool = &exchange.Pool{Dial: dialer, Opened: g.metrics.connections.Inc}
@@ -146,7 +147,7 @@
 		}
 	}
 	loop.Add(&group, ctx, func(ctx context.Context) error { return g.drainWhenAsked(ctx, callers) })
-	g.Log.Info("started", zap.String("gateway", g.Settings.Name), zap.String("zone", g.Settings.Zone), zap.String("version", g.Version))
+	g.Log.Info("started", zap.String("zone", g.Settings.Zone), zap.String("version", g.Version))
 	err = group.Run()
 	g.Log.Info("stopped", zap.Error(err))
 	return err
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"lovageport.example/internal/protocol/relay"
@@ -105,6 +106,18 @@
 	fill float64
 }
 
+// String names the upstreams of the chain in their order, for logs.
+func (p place) String() string {
+	var b strings.Builder
+	for i, stage := range p.chain {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(stage.Upstream.Instance)
+	}
+	return b.String()
+}
+
 // give ends an attempt.
 func (s *state) give(q *query, p place) {
 	if p.chain == nil {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -228,7 +229,7 @@
 	q.attempts++
 	s.occupy(q, p)
 	s.log.Info("place given", zap.String("request", q.ID), zap.Int("attempt", q.attempts), zap.String("upstream", p.upstream.Instance),
-		zap.Int("stages", len(p.chain)), zap.Int("zone_changes", zoneChanges(s.zone, p)), zap.Float64("fill", p.fill),
+		zap.Stringer("chain", p), zap.Int("stages", len(p.chain)), zap.Int("zone_changes", zoneChanges(s.zone, p)), zap.Float64("fill", math.Round(p.fill*1000)/1000),
 		zap.Float64("tokens", q.tokens), zap.Duration("list_age", now-s.listedAt), zap.Int("peers", s.peerCount))
 	return p, nil
 }
--- /dev/null
+++ b/internal/history/log.go
@@ -0,0 +1,176 @@
+package history
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// ErrUnknown says that no line names the request.
+var ErrUnknown = errors.New("history: no line about this request")
+
+// maxLineBytes bounds a line of a log.
+const maxLineBytes = 1 << 20
+
+// Log holds the lines of the logs of several processes that may matter to one
+// request. Set Request, and Read each log.
+type Log struct {
+	// Request is the ID of the request asked for.
+	Request string
+	// Skipped counts the lines that are not events.
+	Skipped int
+
+	// own are the events about the request, others those about no request.
+	own, others []*Event
+}
+
+// Read takes in the log of a process; source names it where its lines don't.
+func (l *Log) Read(r io.Reader, source string) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		e := parse(lines.Text(), source)
+		if e == nil {
+			l.Skipped++
+			continue
+		}
+		switch e.Request() {
+		case l.Request:
+			l.own = append(l.own, e)
+		case "":
+			l.others = append(l.others, e)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("history: %s: %w", source, err)
+	}
+	return nil
+}
+
+// Story is what happened to a request.
+type Story struct {
+	Request string
+	// Moments are in the order of their times.
+	Moments []*Moment
+	// Start is when the request arrived, as far as can be told.
+	Start time.Time
+	// End is the last event about the request; it says how the request ended,
+	// unless that line is missing.
+	End *Event
+}
+
+// Moment is an event of a story.
+type Moment struct {
+	*Event
+	// Others counts the further processes that saw the same shortly after.
+	Others int
+}
+
+// Ended says whether the story has the line on how the request ended.
+func (s *Story) Ended() bool { return s.End.Name == answeredEvent || s.End.Name == failedEvent }
+
+// Story returns the events about the request, and the changes from before its
+// start to after its end that bear on it. It fails with [ErrUnknown] if there
+// is no line about the request.
+func (l *Log) Story(before, after time.Duration) (*Story, error) {
+	if len(l.own) == 0 {
+		return nil, fmt.Errorf("%w: %s", ErrUnknown, l.Request)
+	}
+	slices.SortStableFunc(l.own, byTime)
+	s := &Story{Request: l.Request, Start: startOf(l.own), End: l.own[len(l.own)-1]}
+	m := l.met()
+	events := slices.Clone(l.own)
+	for _, e := range l.others {
+		if e.Time.Before(s.Start.Add(-before)) || e.Time.After(s.End.Time.Add(after)) {
+			continue
+		}
+		if m.bears(e) {
+			events = append(events, e)
+		}
+	}
+	slices.SortStableFunc(events, byTime)
+	for _, e := range events {
+		s.add(e, &m)
+	}
+	return s, nil
+}
+
+func byTime(a, b *Event) int { return a.Time.Compare(b.Time) }
+
+// echoTime is how long after an event others may see the same: about the time
+// that a change takes to reach every process.
+const echoTime = 2 * time.Second
+
+// add adds the next event. What the process that served the request saw always
+// stands by itself; what others saw stands once.
+func (s *Story) add(e *Event, m *met) {
+	if !m.gateways[e.Gateway] {
+		if first := s.find(e); first != nil {
+			first.Others++
+			return
+		}
+	}
+	s.Moments = append(s.Moments, &Moment{Event: e})
+}
+
+// find returns the moment of another process at which it saw the same as e.
+func (s *Story) find(e *Event) *Moment {
+	for _, m := range slices.Backward(s.Moments) {
+		if e.Time.Sub(m.Time) > echoTime {
+			return nil
+		}
+		if m.Gateway != e.Gateway && m.same(e) {
+			return m
+		}
+	}
+	return nil
+}
+
+// startOf returns when the request arrived: the line on its end says how long
+// it took.
+func startOf(own []*Event) time.Time {
+	start := own[0].Time
+	last := own[len(own)-1]
+	took, err := time.ParseDuration(last.Value(tookKey))
+	if err != nil {
+		return start
+	}
+	if arrived := last.Time.Add(-took); arrived.Before(start) {
+		return arrived
+	}
+	return start
+}
+
+// met is what a request met on its way.
+type met struct {
+	gateways, upstreams map[string]bool
+}
+
+// met returns what the request met.
+func (l *Log) met() met {
+	m := met{gateways: make(map[string]bool), upstreams: make(map[string]bool)}
+	for _, e := range l.own {
+		m.gateways[e.Gateway] = true
+		for _, key := range upstreamKeys {
+			for name := range strings.SplitSeq(e.Value(key), ",") {
+				m.upstreams[name] = true
+			}
+		}
+	}
+	return m
+}
+
+// bears says whether an event about no request may explain what happened to
+// this one: any change of one of its upstreams, whoever saw it, and any change
+// of the process that served it that is not about an upstream.
+func (m *met) bears(e *Event) bool {
+	upstream := e.Value(upstreamKey)
+	if upstream != "" {
+		return m.upstreams[upstream]
+	}
+	return m.gateways[e.Gateway]
+}
