Leave an upstream alone as soon as it is found crashed

Ruled out: leaving alone every upstream that breaks a stream; a crash further down the chain breaks it too, and the first engine is well.

Change: checkCrash blames the upstream.

--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/coordination/quarantine"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
@@ -28,7 +29,7 @@
 }
 
 // checkCrash notes a crash if an upstream that broke off a request does not
-// listen any more.
+// listen any more, and leaves it alone.
 func (g *Gateway) checkCrash(ctx context.Context, q *query, u *fleet.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, connectProbeTimeout)
 	defer cancel()
@@ -42,6 +43,7 @@
 	}
 	g.Log.Info("upstream crashed", zap.String("request", q.ID), zap.String("upstream", u.Instance))
 	g.control.Do(func(s *state) {
+		s.blameFor(u, health.Unreachable, g.Now())
 		now := asTime(g.Now())
 		s.suspicions.Add(q.fingerprint(), []quarantine.Crash{{Upstream: u.Instance, At: now}}, now)
 	})
