Keep the sums of what peers carry by their differences

Ruled out: adding up less often, which leaves the loads older.

Change: tally.Tally replaces one peer's word in the sums; the roster keeps its members in order and their numbers by zone. mergeLoads and its maps are gone.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -57,6 +56,12 @@
 	// Self is the own address.
 	Self    peering.Address
 	members map[string]*Member
+	// ordered are the members in the order of their addresses.
+	ordered []*Member
+	// near and far count the members of the own zone and of others; they are
+	// counted anew before use if recount is set.
+	near, far int
+	recount   bool
 }
 
 // Learn takes in gateways that others or the settings name.
@@ -69,6 +74,7 @@
 		m.seed = m.seed || seed
 		if m.Gateway == "" {
 			m.Address = a
+			r.recount = true
 		}
 	}
 }
@@ -81,6 +87,11 @@
 	if m == nil {
 		m = &Member{Address: peering.Address{Address: address}, addedAt: now}
 		r.members[address] = m
+		at, _ := slices.BinarySearchFunc(r.ordered, address, func(m *Member, address string) int {
+			return cmp.Compare(m.Address.Address, address)
+		})
+		r.ordered = slices.Insert(r.ordered, at, m)
+		r.recount = true
 	}
 	return m
 }
@@ -91,6 +102,7 @@
 		return
 	}
 	m := r.member(n.Address.Address, now)
+	r.recount = r.recount || m.Zone != n.Address.Zone
 	m.Address = n.Address
 	m.News = *n
 	m.HeardAt = now
@@ -100,15 +112,27 @@
 // crowding returns by how much the intervals of a member are longer than the
 // shortest, for the number of members like it.
 func (r *Roster) crowding(m *Member) time.Duration {
-	like := 0
-	for _, other := range r.members {
-		if (other.Zone == r.Self.Zone) == (m.Zone == r.Self.Zone) {
-			like++
-		}
+	if r.recount {
+		r.count()
+	}
+	like := r.far
+	if m.Zone == r.Self.Zone {
+		like = r.near
 	}
 	return time.Duration(max(1, like/fewPeers))
 }
 
+func (r *Roster) count() {
+	r.near, r.far, r.recount = 0, 0, false
+	for _, m := range r.ordered {
+		if m.Zone == r.Self.Zone {
+			r.near++
+		} else {
+			r.far++
+		}
+	}
+}
+
 // callInterval returns how often a member that answers is called.
 func (r *Roster) callInterval(m *Member) time.Duration {
 	if m.Zone == r.Self.Zone {
@@ -128,27 +152,31 @@
 
 // Alive returns the gateways heard lately, in the order of their addresses.
 func (r *Roster) Alive(now time.Duration) []*Member {
-	var out []*Member
-	for _, address := range slices.Sorted(maps.Keys(r.members)) {
-		if m := r.members[address]; r.alive(m, now) {
+	out := make([]*Member, 0, len(r.ordered))
+	for _, m := range r.ordered {
+		if r.alive(m, now) {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+// AliveAt says whether the gateway at an address was heard lately.
+func (r *Roster) AliveAt(address string, now time.Duration) bool {
+	m := r.members[address]
+	return m != nil && r.alive(m, now)
+}
+
 // Due returns the addresses to call now, those due for longest first, and
 // notes them as called.
 func (r *Roster) Due(now time.Duration) []string {
 	var due []*Member
-	for _, m := range r.members {
+	for _, m := range r.ordered {
 		if now >= m.dueAt {
 			due = append(due, m)
 		}
 	}
-	slices.SortFunc(due, func(a, b *Member) int {
-		return cmp.Or(cmp.Compare(a.dueAt, b.dueAt), cmp.Compare(a.Address.Address, b.Address.Address))
-	})
+	slices.SortStableFunc(due, func(a, b *Member) int { return cmp.Compare(a.dueAt, b.dueAt) })
 	var out []string
 	for _, m := range due[:min(len(due), FanOut)] {
 		m.calledAt = now
@@ -170,8 +198,13 @@
 
 // Prune forgets members that have been silent for long.
 func (r *Roster) Prune(now time.Duration) {
-	maps.DeleteFunc(r.members, func(_ string, m *Member) bool {
-		return !m.seed && now-max(m.HeardAt, m.addedAt) > forgetTime
+	r.ordered = slices.DeleteFunc(r.ordered, func(m *Member) bool {
+		forgotten := !m.seed && now-max(m.HeardAt, m.addedAt) > forgetTime
+		if forgotten {
+			delete(r.members, m.Address.Address)
+			r.recount = true
+		}
+		return forgotten
 	})
 }
 
--- /dev/null
+++ b/internal/coordination/tally/tally.go
@@ -0,0 +1,79 @@
+// Package tally adds up what the peers say that they carry.
+//
+// Each word of a peer replaces its last one. Sums are kept up to date by the
+// difference, so that the work for a word grows with what the peer says and
+// not with the number of peers.
+package tally
+
+import (
+	"lovageport.example/internal/coordination/path"
+	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/protocol/peering"
+)
+
+// Tally is the sum of what some peers said last. Its zero value is empty.
+type Tally struct {
+	// said is the last word of each peer, by address.
+	said   map[string]word
+	loads  map[string]path.Load
+	counts map[string]retry.Counts
+}
+
+// word is what one peer said.
+type word struct {
+	loads  []peering.UpstreamLoad
+	counts []peering.ServiceCounts
+}
+
+// Put replaces what the peer at an address said.
+func (t *Tally) Put(address string, n *peering.News) {
+	if t.said == nil {
+		t.said = make(map[string]word)
+		t.loads = make(map[string]path.Load)
+		t.counts = make(map[string]retry.Counts)
+	}
+	t.add(t.said[address], -1)
+	now := word{n.Loads, n.Services}
+	t.said[address] = now
+	t.add(now, 1)
+}
+
+// Keep drops what was said by peers for which alive says false.
+func (t *Tally) Keep(alive func(address string) bool) {
+	for address, w := range t.said {
+		if !alive(address) {
+			t.add(w, -1)
+			delete(t.said, address)
+		}
+	}
+}
+
+// Len returns how many peers are counted.
+func (t *Tally) Len() int { return len(t.said) }
+
+// Load returns what the peers have under way at an upstream.
+func (t *Tally) Load(instance string) path.Load { return t.loads[instance] }
+
+// Counts returns what the peers have counted for a service.
+func (t *Tally) Counts(service string) retry.Counts { return t.counts[service] }
+
+// add adds a word to the sums, or takes it away if sign is negative.
+func (t *Tally) add(w word, sign float64) {
+	for _, l := range w.loads {
+		sum := t.loads[l.Upstream]
+		sum.Requests += sign * float64(l.Requests)
+		sum.TokenLayers += sign * float64(l.TokenLayers)
+		if sum.Requests <= 0 {
+			// Without requests nothing is carried, whatever rounding left.
+			delete(t.loads, l.Upstream)
+			continue
+		}
+		t.loads[l.Upstream] = sum
+	}
+	for _, c := range w.counts {
+		sum := t.counts[c.Service]
+		sum.Requests = max(0, sum.Requests+sign*float64(c.Requests))
+		sum.Repeats = max(0, sum.Repeats+sign*float64(c.Repeats))
+		t.counts[c.Service] = sum
+	}
+}
--- /dev/null
+++ b/internal/coordination/tally/tally_test.go
@@ -0,0 +1,84 @@
+package tally_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageport.example/internal/coordination/path"
+	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/coordination/tally"
+	"lovageport.example/internal/protocol/peering"
+)
+
+// TestSums compares the sums with those of all last words, after each of many
+// words, and after peers fell silent.
+func TestSums(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			var sums tally.Tally
+			last := make(map[string]*peering.News)
+			for range 500 {
+				peer := fmt.Sprint("p", random.IntN(12))
+				if random.IntN(10) == 0 {
+					delete(last, peer)
+					sums.Keep(func(address string) bool { return last[address] != nil })
+				} else {
+					last[peer] = randomNews(random)
+					sums.Put(peer, last[peer])
+				}
+				check(t, &sums, last)
+			}
+			clear(last)
+			sums.Keep(func(string) bool { return false })
+			check(t, &sums, last)
+		})
+	}
+}
+
+func randomNews(random *rand.Rand) *peering.News {
+	n := &peering.News{}
+	for i := range 5 {
+		if random.IntN(2) == 0 {
+			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: fmt.Sprint("u", i), Requests: 1 + random.IntN(9), TokenLayers: random.Float32() * 1e6})
+		}
+	}
+	n.Services = []peering.ServiceCounts{{Service: "s", Requests: random.Float32() * 100, Repeats: random.Float32()}}
+	return n
+}
+
+func check(t *testing.T, sums *tally.Tally, last map[string]*peering.News) {
+	t.Helper()
+	loads := make(map[string]path.Load)
+	var counts retry.Counts
+	for n := range maps.Values(last) {
+		for _, l := range n.Loads {
+			sum := loads[l.Upstream]
+			sum.Requests += float64(l.Requests)
+			sum.TokenLayers += float64(l.TokenLayers)
+			loads[l.Upstream] = sum
+		}
+		for _, c := range n.Services {
+			counts.Requests += float64(c.Requests)
+			counts.Repeats += float64(c.Repeats)
+		}
+	}
+	qt.Assert(t, sums.Len(), qt.Equals, len(last))
+	for i := range 5 {
+		got, want := sums.Load(fmt.Sprint("u", i)), loads[fmt.Sprint("u", i)]
+		qt.Assert(t, got.Requests, qt.Equals, want.Requests)
+		near(t, got.TokenLayers, want.TokenLayers)
+	}
+	near(t, sums.Counts("s").Requests, counts.Requests)
+	near(t, sums.Counts("s").Repeats, counts.Repeats)
+}
+
+// near allows for rounding.
+func near(t *testing.T, got, want float64) {
+	t.Helper()
+	qt.Assert(t, got-want < 1e-6 && want-got < 1e-6, qt.IsTrue, qt.Commentf("%v, not %v", got, want))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,8 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"lovageport.example/internal/coordination/path"
-	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
@@ -89,6 +87,7 @@
 		g.control.Do(func(s *state) {
 			now := g.Now()
 			s.roster.Prune(now)
+			s.dropSilent(now)
 			if due = s.roster.Due(now); len(due) > 0 {
 				said = s.news(g, now)
 			}
@@ -164,7 +163,6 @@
 
 // hear runs in the control loop.
 func (s *state) hear(n *peering.News, now time.Duration) {
-	before := len(s.roster.Alive(now))
 	s.roster.Hear(n, now)
 	for _, f := range n.Faults {
 		u := s.upstreams[f.Upstream]
@@ -174,31 +172,23 @@
 		}
 	}
 	s.hearSuspicions(n.Suspicions, now)
-	s.mergeLoads(now)
-	if after := s.roster.Alive(now); len(after) != before {
-		s.log.Info("peers changed", zap.Int("alive", len(after)), zap.String("heard", n.Gateway))
+	before := s.peers.Len()
+	if n.Address.Address != s.roster.Self.Address {
+		s.peers.Put(n.Address.Address, n)
 	}
+	s.peersChanged(before, n.Gateway)
 }
 
-// mergeLoads sums the loads of all peers that are alive.
-func (s *state) mergeLoads(now time.Duration) {
-	s.others = make(map[string]path.Load, len(s.upstreams))
-	s.otherCounts = make(map[string]retry.Counts)
-	alive := s.roster.Alive(now)
-	s.peerCount = len(alive)
-	for _, m := range alive {
-		for _, l := range m.News.Loads {
-			sum := s.others[l.Upstream]
-			sum.Requests += float64(l.Requests)
-			sum.TokenLayers += float64(l.TokenLayers)
-			s.others[l.Upstream] = sum
-		}
-		for _, c := range m.News.Services {
-			sum := s.otherCounts[c.Service]
-			sum.Requests += float64(c.Requests)
-			sum.Repeats += float64(c.Repeats)
-			s.otherCounts[c.Service] = sum
-		}
+// dropSilent forgets what peers carry that have not been heard lately.
+func (s *state) dropSilent(now time.Duration) {
+	before := s.peers.Len()
+	s.peers.Keep(func(address string) bool { return s.roster.AliveAt(address, now) })
+	s.peersChanged(before, "")
+}
+
+func (s *state) peersChanged(before int, heard string) {
+	if after := s.peers.Len(); after != before {
+		s.log.Info("peers changed", zap.Int("alive", after), zap.String("heard", heard))
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/peers_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageport.example/internal/protocol/peering"
+	"lovageport.example/internal/state/fleet"
+)
+
+// crowd returns a state among peers of three zones that each use some of the
+// engines, and a function that returns the next news of one of them.
+func crowd(t testing.TB, peers, engines int) (*state, func() *peering.News) {
+	s := newState(t)
+	all := make(map[string]*fleet.Upstream)
+	for i := range engines {
+		name := fmt.Sprintf("e%d", i)
+		all[name] = &fleet.Upstream{Instance: name, Service: "llm", Zone: fmt.Sprint(i % 3), Accelerator: "big", Slots: 192, Held: fleet.Range{From: 0, To: 10}}
+	}
+	s.setUpstreams(all, time.Second, time.Second)
+	next := 0
+	return s, func() *peering.News {
+		next++
+		i := next % peers
+		n := &peering.News{Version: peering.Version, Table: 1, ListDigest: s.listDigest, Follows: true}
+		n.Address = peering.Address{Gateway: fmt.Sprint("g", i), Zone: fmt.Sprint(i % 3), Address: fmt.Sprintf("10.0.%d.1:1", i)}
+		for k := range engines / 2 {
+			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: fmt.Sprintf("e%d", (i+k)%engines), Requests: 1, TokenLayers: 1000})
+		}
+		return n
+	}
+}
+
+// TestWorkForAWordDoesNotGrowWithThePeers compares the time to take in the
+// words of few peers and of many.
+func TestWorkForAWordDoesNotGrowWithThePeers(t *testing.T) {
+	few, many := hearTime(t, 5), hearTime(t, 330)
+	// Memory that is used less often is slower; growth would be 66-fold.
+	qt.Check(t, many < 10*few, qt.IsTrue, qt.Commentf("%v among 5 peers, %v among 330", few, many))
+}
+
+// hearTime returns the least time that some words of peers took.
+func hearTime(t *testing.T, peers int) time.Duration {
+	s, next := crowd(t, peers, 86)
+	now := 2 * time.Second
+	for range peers {
+		s.hear(next(), now)
+	}
+	least := time.Hour
+	for range 10 {
+		var words []*peering.News
+		for range 50 {
+			words = append(words, next())
+		}
+		began := time.Now()
+		for _, n := range words {
+			s.hear(n, now)
+		}
+		least = min(least, time.Since(began))
+	}
+	return least
+}
+
+// BenchmarkHear is the work for one word of a peer, by the number of peers.
+func BenchmarkHear(b *testing.B) {
+	for _, peers := range []int{5, 30, 90, 330} {
+		b.Run(fmt.Sprint(peers), func(b *testing.B) {
+			s, next := crowd(b, peers, 86)
+			now := 2 * time.Second
+			for range peers {
+				s.hear(next(), now)
+			}
+			b.ResetTimer()
+			for b.Loop() {
+				now += 10 * time.Millisecond
+				s.hear(next(), now)
+			}
+		})
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -16,6 +16,7 @@
 	"lovageport.example/internal/coordination/quarantine"
 	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/coordination/roster"
+	"lovageport.example/internal/coordination/tally"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/platform"
@@ -50,11 +51,8 @@
 	windows map[string]*retry.Window
 	ledger  placement.Ledger
 	roster  roster.Roster
-	// others is the load of the peers, by instance, and otherCounts what they
-	// have counted, by service. peerCount is how many are alive.
-	others      map[string]path.Load
-	otherCounts map[string]retry.Counts
-	peerCount   int
+	// peers sums what the peers that are alive carry.
+	peers tally.Tally
 	// listBackAt is when the list was last read after it could not be, and
 	// lapsed are the upstreams, by instance, that are kept until a time though
 	// it does not name them.
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -23,7 +23,7 @@
 const usualTokens = 1000
 
 // newState returns the control state of a gateway before one engine.
-func newState(t *testing.T) *state {
+func newState(t testing.TB) *state {
 	g := &Gateway{Log: zap.NewNop(), Random: func() float64 { return 0.5 }, Now: func() time.Duration { return 0 }}
 	g.Settings = testSettings()
 	s := &state{}
