Let gateways that do not read for their zone watch the list at longer intervals

Ruled out: passing entries on in the peers' words: entries carry no revision there, so an older one could come back.

Change: others than the reader of a zone pause for longer the more gateways there are, up to 1 s; on the small sites nothing changes.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -219,6 +219,26 @@
 	return true
 }
 
+// Pauses between two watches of a list, so that changes that come together
+// arrive in one answer.
+const (
+	// ReaderPause is that of a gateway that reads for its zone.
+	ReaderPause = 150 * time.Millisecond
+	// maxWatchPause keeps what the others know younger than MaxListAge.
+	maxWatchPause = time.Second
+)
+
+// WatchPause returns the pause between two watches of the list of upstreams.
+// Those who don't read for their zone pause for longer the more they are, so
+// that the calls of all for a change do not grow with their number.
+func (r *Roster) WatchPause(now time.Duration) time.Duration {
+	if r.Reads(now) {
+		return ReaderPause
+	}
+	pause := ReaderPause * time.Duration(max(1, len(r.ordered)/fewPeers))
+	return min(pause, maxWatchPause)
+}
+
 // MaxListAge is how old a gateway's list of upstreams may be if it is to place
 // layers by it.
 const MaxListAge = 2500 * time.Millisecond
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -73,6 +73,32 @@
 	c.Assert(r.Reads(time.Minute+nearAliveTime), qt.IsTrue)
 }
 
+// TestWatchPause: the first of the zone watches closely, the others the less
+// the more gateways there are.
+func TestWatchPause(t *testing.T) {
+	for _, x := range []struct {
+		peers int
+		self  string
+		want  time.Duration
+	}{
+		{peers: 0, self: "h0", want: ReaderPause},
+		{peers: 5, self: "h0", want: ReaderPause},
+		{peers: 5, self: "h9", want: ReaderPause},
+		{peers: 12, self: "h99", want: 2 * ReaderPause},
+		{peers: 90, self: "h0", want: ReaderPause},
+		{peers: 90, self: "h99", want: time.Second},
+		{peers: 330, self: "h99", want: time.Second},
+	} {
+		t.Run(fmt.Sprint(x.peers, x.self), func(t *testing.T) {
+			r := &Roster{Self: address("a", x.self)}
+			for i := range x.peers {
+				r.Hear(news([]string{"a", "b", "c"}[i%3], fmt.Sprintf("h5%d", i), time.Second), time.Minute)
+			}
+			qt.Check(t, r.WatchPause(time.Minute), qt.Equals, x.want)
+		})
+	}
+}
+
 func TestLearnsFromHearsay(t *testing.T) {
 	c := qt.New(t)
 	r := &Roster{Self: address("a", "h1")}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/coordination/roster"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/platform"
 )
@@ -23,8 +25,6 @@
 	// minRetryPause and maxRetryPause bound the pause after failed calls.
 	minRetryPause = 200 * time.Millisecond
 	maxRetryPause = time.Second
-	// watchPause lets changes that come together arrive in one answer.
-	watchPause = 150 * time.Millisecond
 )
 
 // Names of what is followed, in logs.
@@ -42,6 +42,9 @@
 	wake chan struct{}
 	// read takes in the whole thing and returns the revision to watch from.
 	read func(ctx context.Context) (int64, error)
+	// rest returns the pause between two watches: changes that come together
+	// then arrive in one answer.
+	rest func() time.Duration
 	// watch waits for changes after a revision, takes them in, and returns the
 	// revision to go on from.
 	watch func(ctx context.Context, after int64, wait time.Duration) (int64, error)
@@ -63,7 +66,7 @@
 		}
 		revision = next
 		pause = minRetryPause
-		if f.pause(ctx, watchPause) {
+		if f.pauseBetween(ctx) {
 			revision = 0
 		}
 	}
@@ -100,6 +103,23 @@
 	return next, err
 }
 
+// pauseBetween pauses between two watches. It says whether the whole thing is
+// to be read instead of the next one. A wake during a longer pause is dropped:
+// the next watch brings at once what was missed, and whoever finds that it has
+// gone silent wakes again.
+func (f *follower) pauseBetween(ctx context.Context) bool {
+	d := f.rest()
+	if d <= roster.ReaderPause {
+		return f.pause(ctx, d)
+	}
+	loop.Wait(ctx, d)
+	select {
+	case <-f.wake:
+	default:
+	}
+	return false
+}
+
 // pause waits, but no longer than until the follower is woken. It says whether
 // that was so.
 func (f *follower) pause(ctx context.Context, d time.Duration) bool {
@@ -133,12 +153,20 @@
 
 // tableFollower follows the configuration.
 func (g *Gateway) tableFollower() *follower {
-	return &follower{g: g, what: tableName, wake: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable}
+	return &follower{g: g, what: tableName, wake: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable,
+		rest: func() time.Duration { return roster.ReaderPause }}
 }
 
 // listFollower follows the list of upstreams.
 func (g *Gateway) listFollower() *follower {
-	return &follower{g: g, what: listName, wake: make(chan struct{}, 1), read: g.listUpstreams, watch: g.watchUpstreams}
+	return &follower{g: g, what: listName, wake: make(chan struct{}, 1), read: g.listUpstreams, watch: g.watchUpstreams, rest: g.listPause}
+}
+
+// listPause is the pause between two watches of the list.
+func (g *Gateway) listPause() time.Duration {
+	var d time.Duration
+	g.control.Do(func(s *state) { d = s.roster.WatchPause(g.Now()) })
+	return d
 }
 
 func (g *Gateway) readTable(ctx context.Context) (int64, error) {
