Hold retries of all processes to the allowance also in bursts, and let zones speak for their gateways

Streams were cut at all 77 gateways at once; each knew what peers of other zones had sent with a delay of up to 8 s and could take all that seemed left.

Ruled out: a fixed part for each process, which leaves what others don't use.

Peers of other zones are told the sums of the zone, so that any one of its gateways brings the counts and loads of all.

Tests: replays of outages with 4 to 330 processes; zones' sums.

--- a/internal/coordination/retry/window_test.go
+++ b/internal/coordination/retry/window_test.go
@@ -1,65 +1,96 @@
 package retry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 )
 
-// TestWindowKeepsToTheAllowance replays an outage: each request is tried again
-// as often as it may be, by four processes that know each other's counts with a
+// TestWindowKeepsToTheAllowance replays outages: requests are tried again as
+// often as they may be, by processes that know each other's counts with a
 // delay. Together they stay within the allowance in every window.
 func TestWindowKeepsToTheAllowance(t *testing.T) {
-	const (
-		processes = 4
-		perSecond = 20
-		newsDelay = 300 * time.Millisecond
-	)
-	allowance := Allowance{Share: 0.2, Slack: 100, Window: 10 * time.Second}
-	windows := make([]Window, processes)
-	told := make([]Counts, processes)
+	for _, x := range []struct {
+		name string
+		outage
+	}{
+		{"few processes, always", outage{processes: 4, perSecond: 20, newsDelay: 300 * time.Millisecond, slack: 100, tries: 3}},
+		{"six, streams cut every 5 s", outage{processes: 6, perSecond: 13, newsDelay: 800 * time.Millisecond, slack: 196, burst: 60}},
+		{"many, streams cut every 5 s", outage{processes: 77, perSecond: 4, newsDelay: 1400 * time.Millisecond, slack: 338, burst: 12}},
+		{"many, always", outage{processes: 77, perSecond: 4, newsDelay: 1400 * time.Millisecond, slack: 338, tries: 3}},
+		{"hundreds, streams cut every 5 s", outage{processes: 330, perSecond: 4, newsDelay: 1400 * time.Millisecond, slack: 1400, burst: 12}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			repeats, allowed := x.play(t)
+			qt.Assert(t, repeats > allowed/2, qt.IsTrue, qt.Commentf("%.0f repeats, %.0f allowed: most of the allowance is used", repeats, allowed))
+		})
+	}
+}
+
+// outage is a time in which requests fail.
+type outage struct {
+	processes, perSecond int
+	// newsDelay is how often the processes hear of each other's counts.
+	newsDelay time.Duration
+	slack     float64
+	// tries is how many repeats each request asks for, and burst how many each
+	// process asks for at once every 5 s.
+	tries, burst int
+}
+
+// play returns how many repeats were sent in a minute, and how many the
+// allowance has room for.
+func (o *outage) play(t *testing.T) (sent, allowed float64) {
+	t.Helper()
+	allowance := Allowance{Share: 0.2, Slack: o.slack, Window: 10 * time.Second}
+	windows := make([]Window, o.processes)
+	told := make([]Counts, o.processes)
+	var all Counts
 	var repeats, requests []time.Duration
-	step := time.Second / perSecond
+	step := time.Second / time.Duration(o.perSecond)
 	for now := time.Second; now < 60*time.Second; now += step {
-		if now%newsDelay < step {
+		if now%o.newsDelay < step {
+			all = Counts{}
 			for i := range windows {
 				told[i] = windows[i].Counts(allowance, now)
+				all.Requests += told[i].Requests
+				all.Repeats += told[i].Repeats
 			}
 		}
+		asked := o.tries
+		if now%(5*time.Second) < step {
+			asked += o.burst
+		}
 		for i := range windows {
 			windows[i].Fresh(allowance, now)
 			requests = append(requests, now)
-			var peers Counts
-			for j := range told {
-				if j != i {
-					peers.Requests += told[j].Requests
-					peers.Repeats += told[j].Repeats
-				}
-			}
-			for range 3 {
-				if windows[i].Take(allowance, peers, processes, now) {
+			peers := Counts{Requests: all.Requests - told[i].Requests, Repeats: all.Repeats - told[i].Repeats}
+			for range asked {
+				if windows[i].Take(allowance, peers, o.processes, now) {
 					repeats = append(repeats, now)
 				}
 			}
 		}
 	}
-	within := func(times []time.Duration, end time.Duration) float64 {
-		n := 0.0
-		for _, at := range times {
-			if at > end-allowance.Window && at <= end {
-				n++
-			}
-		}
-		return n
-	}
 	for end := 11 * time.Second; end < 60*time.Second; end += 100 * time.Millisecond {
 		got, most := within(repeats, end), allowance.Share*within(requests, end)+allowance.Slack
 		if got > most {
 			t.Fatalf("%v repeats in the window to %v, allowed %v", got, end, most)
 		}
 	}
-	qt.Assert(t, len(repeats) > 400, qt.IsTrue, qt.Commentf("%d repeats: the allowance is used", len(repeats)))
+	windowsPlayed := (59 * time.Second).Seconds() / allowance.Window.Seconds()
+	return float64(len(repeats)), allowance.Share*float64(len(requests)) + allowance.Slack*windowsPlayed
+}
+
+// within counts the times in the 10 s to end; times are in order.
+func within(times []time.Duration, end time.Duration) float64 {
+	after := func(limit time.Duration) int {
+		at, _ := slices.BinarySearch(times, limit+1)
+		return at
+	}
+	return float64(after(end) - after(end-10*time.Second))
 }
 
 func TestWindowForgets(t *testing.T) {
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -46,9 +46,9 @@
 	HeardAt time.Duration
 
 	seed bool
-	// calledAt and dueAt are when it was and will be called.
-	calledAt, dueAt time.Duration
-	addedAt         time.Duration
+	// dueAt is when it will be called.
+	dueAt   time.Duration
+	addedAt time.Duration
 }
 
 // Roster holds the other gateways by address. Its zero value knows none.
@@ -161,15 +161,9 @@
 	return out
 }
 
-// AliveAt says whether the gateway at an address was heard lately.
-func (r *Roster) AliveAt(address string, now time.Duration) bool {
-	m := r.members[address]
-	return m != nil && r.alive(m, now)
-}
-
-// Due returns the addresses to call now, those due for longest first, and
-// notes them as called.
-func (r *Roster) Due(now time.Duration) []string {
+// Due returns the members to call now, those due for longest first, and notes
+// them as called.
+func (r *Roster) Due(now time.Duration) []*Member {
 	var due []*Member
 	for _, m := range r.ordered {
 		if now >= m.dueAt {
@@ -177,13 +171,11 @@
 		}
 	}
 	slices.SortStableFunc(due, func(a, b *Member) int { return cmp.Compare(a.dueAt, b.dueAt) })
-	var out []string
-	for _, m := range due[:min(len(due), FanOut)] {
-		m.calledAt = now
+	due = due[:min(len(due), FanOut)]
+	for _, m := range due {
 		m.dueAt = now + r.interval(m, now)
-		out = append(out, m.Address.Address)
 	}
-	return out
+	return due
 }
 
 func (r *Roster) interval(m *Member, now time.Duration) time.Duration {
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -106,7 +106,11 @@
 	n := news("a", "h2", time.Second)
 	n.Peers = []peering.Address{address("b", "h3"), r.Self}
 	r.Hear(n, time.Minute)
-	c.Assert(r.Due(time.Minute), qt.DeepEquals, []string{"h2:1", "h3:1"})
+	var due []string
+	for _, m := range r.Due(time.Minute) {
+		due = append(due, m.Address.Address)
+	}
+	c.Assert(due, qt.DeepEquals, []string{"h2:1", "h3:1"})
 	c.Assert(r.Due(time.Minute), qt.HasLen, 0)
 	c.Assert(r.Alive(time.Minute), qt.HasLen, 1, qt.Commentf("h3 was not heard itself"))
 }
@@ -124,15 +128,11 @@
 			calls := 0
 			const seconds = 20
 			for now := time.Minute; now < time.Minute+seconds*time.Second; now += 50 * time.Millisecond {
-				for _, a := range r.Due(now) {
-					called[a]++
+				for _, m := range r.Due(now) {
+					called[m.Address.Address]++
 					calls++
 					// Those that are called answer.
-					for _, m := range r.members {
-						if m.Address.Address == a {
-							m.HeardAt = now
-						}
-					}
+					m.HeardAt = now
 				}
 				c.Assert(len(r.Alive(now)), qt.Equals, n, qt.Commentf("at %v", now-time.Minute))
 			}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -24,10 +24,19 @@
 )
 
 // processes returns how many gateways there are.
-func (s *state) processes() int { return s.peers.Len() + 1 }
+func (s *state) processes() int { return s.peers + 1 }
 
 // peerCounts returns what the peers have counted for a service.
-func (s *state) peerCounts(service string) retry.Counts { return s.peers.Counts(service) }
+func (s *state) peerCounts(service string) retry.Counts {
+	near, far := s.near.Counts(service), s.far.Counts(service)
+	return retry.Counts{Requests: near.Requests + far.Requests, Repeats: near.Repeats + far.Repeats}
+}
+
+// others returns what the peers have under way at an upstream.
+func (s *state) others(instance string) path.Load {
+	near, far := s.near.Load(instance), s.far.Load(instance)
+	return path.Load{Requests: near.Requests + far.Requests, TokenLayers: near.TokenLayers + far.TokenLayers}
+}
 
 // findChain finds the chain of a generation. Upstreams that failed the request
 // are passed over if others cover the layers.
@@ -56,7 +65,7 @@
 		Noise:   func() float64 { return 1 + noise*(s.random()-0.5) },
 		Doubted: func(a, b string) bool { return s.links.Doubted(a, b, now) },
 		Load: func(u *fleet.Upstream) path.Load {
-			l, others := s.load(u.Instance), s.peers.Load(u.Instance)
+			l, others := s.load(u.Instance), s.others(u.Instance)
 			return path.Load{
 				Out:         shunned[u.Instance] || s.health.Out(u.Instance, now),
 				TokenLayers: l.tokenLayers + others.TokenLayers,
@@ -121,7 +130,7 @@
 }
 
 func (s *state) callCost(u *fleet.Upstream, now time.Duration) float64 {
-	cost := (float64(s.load(u.Instance).requests+1) + s.peers.Load(u.Instance).Requests) / float64(u.Slots)
+	cost := (float64(s.load(u.Instance).requests+1) + s.others(u.Instance).Requests) / float64(u.Slots)
 	if u.Zone != s.zone {
 		cost += otherZoneCost
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
@@ -82,17 +83,16 @@
 func (g *Gateway) tellNews(ctx context.Context) error {
 	g.learnSeeds(g.Settings.Peers.Seeds)
 	for loop.Wait(ctx, newsTick) {
-		var due []string
-		var said *peering.News
+		due := make(map[string]*peering.News)
 		g.control.Do(func(s *state) {
 			now := g.Now()
 			s.roster.Prune(now)
 			s.dropSilent(now)
-			if due = s.roster.Due(now); len(due) > 0 {
-				said = s.news(g, now)
+			for _, m := range s.roster.Due(now) {
+				due[m.Address.Address] = s.news(g, m.Zone, now)
 			}
 		})
-		for _, address := range due {
+		for address, said := range due {
 			go g.tellOne(ctx, address, said)
 		}
 	}
@@ -172,28 +172,51 @@
 		}
 	}
 	s.hearSuspicions(n.Suspicions, now)
-	before := s.peers.Len()
-	if n.Address.Address != s.roster.Self.Address {
-		s.peers.Put(n.Address.Address, n)
+	switch {
+	case n.Address.Address == s.roster.Self.Address:
+	case n.Zone == s.zone && !n.OfZone:
+		s.near.Put(n.Address.Address, n)
+	case n.Zone != s.zone && n.OfZone:
+		s.far.Put(n.Zone, n)
 	}
-	s.peersChanged(before, n.Gateway)
 }
 
-// dropSilent forgets what peers carry that have not been heard lately.
+// dropSilent forgets what peers carry that have not been heard lately, and
+// zones of which none has.
 func (s *state) dropSilent(now time.Duration) {
-	before := s.peers.Len()
-	s.peers.Keep(func(address string) bool { return s.roster.AliveAt(address, now) })
-	s.peersChanged(before, "")
+	alive := s.roster.Alive(now)
+	heard := make(map[string]bool)
+	for _, m := range alive {
+		heard[m.Address.Address] = true
+		heard[m.Zone] = true
+	}
+	present := func(source string) bool { return heard[source] }
+	s.near.Keep(present)
+	s.far.Keep(present)
+	if s.peers != len(alive) {
+		s.peers = len(alive)
+		s.log.Info("peers changed", zap.Int("alive", s.peers), zap.Int("near", s.near.Len()))
+	}
 }
 
-func (s *state) peersChanged(before int, heard string) {
-	if after := s.peers.Len(); after != before {
-		s.log.Info("peers changed", zap.Int("alive", after), zap.String("heard", heard))
+// news returns what this gateway says to a peer of a zone. Peers of other zones
+// get the sums of the own one: they call each of its gateways seldom, but one
+// of them often.
+func (s *state) news(g *Gateway, zone string, now time.Duration) *peering.News {
+	n := s.belief(g, now)
+	for _, o := range s.health.Outs(now) {
+		n.Faults = append(n.Faults, peering.UpstreamFault{Upstream: o.Instance, Left: o.Left})
 	}
+	n.Suspicions = s.wireSuspicions(now)
+	n.Peers = s.somePeers(now)
+	n.OfZone = zone != s.zone
+	s.addLoads(n)
+	s.addCounts(n, now)
+	return n
 }
 
-// news returns what this gateway says of itself.
-func (s *state) news(g *Gateway, now time.Duration) *peering.News {
+// belief returns what this gateway says of itself but for what it carries.
+func (s *state) belief(g *Gateway, now time.Duration) *peering.News {
 	n := &peering.News{Version: peering.Version, Address: s.roster.Self, Draining: g.draining.Load(), ListAge: -1}
 	if t := g.routing.Table(); t != nil {
 		n.Table = t.Version
@@ -204,21 +227,38 @@
 		n.ListDigest = s.listDigest
 		n.Follows = !s.storeLost[listName]
 	}
-	for instance, l := range s.loads {
-		if l.requests > 0 {
-			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: instance, Requests: l.requests, TokenLayers: float32(l.tokenLayers)})
+	return n
+}
+
+// addLoads adds what is under way at the upstreams.
+func (s *state) addLoads(n *peering.News) {
+	for instance := range s.upstreams {
+		var sum path.Load
+		if l := s.loads[instance]; l != nil {
+			sum = path.Load{Requests: float64(l.requests), TokenLayers: l.tokenLayers}
+		}
+		if n.OfZone {
+			near := s.near.Load(instance)
+			sum.Requests += near.Requests
+			sum.TokenLayers += near.TokenLayers
+		}
+		if sum.Requests > 0 {
+			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: instance, Requests: int(sum.Requests), TokenLayers: float32(sum.TokenLayers)})
 		}
 	}
-	for _, o := range s.health.Outs(now) {
-		n.Faults = append(n.Faults, peering.UpstreamFault{Upstream: o.Instance, Left: o.Left})
-	}
-	for service, w := range s.windows {
-		c := w.Counts(s.allowance, now)
-		n.Services = append(n.Services, peering.ServiceCounts{Service: service, Requests: float32(c.Requests), Repeats: float32(c.Repeats)})
+}
+
+// addCounts adds the requests and repeats within the retry window.
+func (s *state) addCounts(n *peering.News, now time.Duration) {
+	for service := range s.pools {
+		sum := s.window(service).Counts(s.allowance, now)
+		if n.OfZone {
+			near := s.near.Counts(service)
+			sum.Requests += near.Requests
+			sum.Repeats += near.Repeats
+		}
+		n.Services = append(n.Services, peering.ServiceCounts{Service: service, Requests: float32(sum.Requests), Repeats: float32(sum.Repeats)})
 	}
-	n.Suspicions = s.wireSuspicions(now)
-	n.Peers = s.somePeers(now)
-	return n
 }
 
 // toldPeers is how many peers are named to another at a time; over several
@@ -242,7 +282,7 @@
 		News: func(_ context.Context, said *peering.News) (*peering.News, error) {
 			g.hear(said)
 			var answer *peering.News
-			g.control.Do(func(s *state) { answer = s.news(g, g.Now()) })
+			g.control.Do(func(s *state) { answer = s.news(g, said.Zone, g.Now()) })
 			return answer, nil
 		},
 		Lists: func(_ context.Context, asked *peering.ListsRequest) (*peering.Lists, error) {
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"lovageport.example/internal/coordination/path"
+	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
 )
@@ -27,6 +29,7 @@
 		i := next % peers
 		n := &peering.News{Version: peering.Version, Table: 1, ListDigest: s.listDigest, Follows: true}
 		n.Address = peering.Address{Gateway: fmt.Sprint("g", i), Zone: fmt.Sprint(i % 3), Address: fmt.Sprintf("10.0.%d.1:1", i)}
+		n.OfZone = n.Zone != s.zone
 		for k := range engines / 2 {
 			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: fmt.Sprintf("e%d", (i+k)%engines), Requests: 1, TokenLayers: 1000})
 		}
@@ -34,6 +37,50 @@
 	}
 }
 
+// TestZonesSpeakForTheirGateways: a peer of another zone tells what its whole
+// zone carries, so that one word from a zone is enough to know of all.
+func TestZonesSpeakForTheirGateways(t *testing.T) {
+	const now = time.Minute
+	at := func(zone, host string) *state {
+		s := newState(t)
+		s.zone = zone
+		s.roster.Self = peering.Address{Gateway: host, Zone: zone, Address: host + ":1"}
+		return s
+	}
+	carry := func(s *state, requests int, repeats int) {
+		s.load("e").requests = requests
+		s.load("e").tokenLayers = 10 * float64(requests)
+		for range repeats {
+			s.window("llm").Take(s.allowance, retry.Counts{}, 1, now)
+		}
+	}
+	g := &Gateway{}
+	b1, b2, b3, a := at("b", "b1"), at("b", "b2"), at("b", "b3"), at("a", "a1")
+	carry(b1, 3, 1)
+	carry(b2, 4, 2)
+	carry(b3, 5, 0)
+	for _, s := range []*state{b1, b2} {
+		s.hear(b3.news(g, "b", now), now)
+	}
+	b1.hear(b2.news(g, "b", now), now)
+	b2.hear(b1.news(g, "b", now), now)
+	qt.Check(t, b1.others("e").Requests, qt.Equals, 9.0)
+
+	a.hear(b1.news(g, "a", now), now)
+	qt.Check(t, a.others("e"), qt.Equals, path.Load{Requests: 12, TokenLayers: 120})
+	qt.Check(t, a.peerCounts("llm").Repeats, qt.Equals, 3.0)
+
+	carry(b2, 7, 0)
+	a.hear(b2.news(g, "a", now), now)
+	qt.Check(t, a.others("e").Requests, qt.Equals, 15.0, qt.Commentf("the newest word of the zone replaces the last"))
+
+	a.dropSilent(now)
+	qt.Check(t, a.peers, qt.Equals, 2)
+	a.dropSilent(now + time.Minute)
+	qt.Check(t, a.peers, qt.Equals, 0)
+	qt.Check(t, a.others("e"), qt.Equals, path.Load{})
+}
+
 // TestWorkForAWordDoesNotGrowWithThePeers compares the time to take in the
 // words of few peers and of many.
 func TestWorkForAWordDoesNotGrowWithThePeers(t *testing.T) {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -97,7 +97,7 @@
 			if p.layers == nil || s.filling(p, now) {
 				continue
 			}
-			mine := s.mine(p.members, s.news(g, now), now)
+			mine := s.mine(p.members, s.belief(g, now), now)
 			if len(mine) == 0 {
 				continue
 			}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -51,8 +51,10 @@
 	windows map[string]*retry.Window
 	ledger  placement.Ledger
 	roster  roster.Roster
-	// peers sums what the peers that are alive carry.
-	peers tally.Tally
+	// near sums what the peers of the own zone carry, by address, and far what
+	// other zones do, by zone. peers is how many peers are alive.
+	near, far tally.Tally
+	peers     int
 	// listBackAt is when the list was last read after it could not be, and
 	// lapsed are the upstreams, by instance, that are kept until a time though
 	// it does not name them.
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -57,9 +57,12 @@
 	Follows bool
 	// ListDigest is equal for equal lists.
 	ListDigest uint64
-	Loads      []UpstreamLoad
-	Faults     []UpstreamFault
-	Services   []ServiceCounts
+	// OfZone says that Loads and Services are the sums of the sender's zone,
+	// as far as it knows; otherwise they are its own.
+	OfZone   bool
+	Loads    []UpstreamLoad
+	Faults   []UpstreamFault
+	Services []ServiceCounts
 	// Suspicions are requests that crashed upstreams.
 	Suspicions []Suspicion
 	// Peers are gateways that the sender has heard lately.
--- a/internal/protocol/peering/peering.go
+++ b/internal/protocol/peering/peering.go
@@ -12,7 +12,7 @@
 )
 
 // Version is that of these messages; entries of other versions are refused.
-const Version = 1
+const Version = 2
 
 // Bounds of the messages.
 const (
