Learn how long connections to an upstream may rest

Cause: upstreams may drop idle connections without notice, sooner than they say (grown sites); what is sent next is reset and, if it must not be sent twice, lost. Peeking at the connection doesn't show it.

Change: a request lost on a connection that had rested limits the rest of connections to that upstream to half as long, for 10 s.

TestForgottenConnections failed first.

--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -62,7 +62,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(aLongTimeAgo) })
 	fail := func(err error) error {
-		stop()
+		if stop() {
+			p.noteForgotten(r.Address, conn, time.Now())
+		}
 		conn.abort()
 		return lost(ctx, err)
 	}
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -278,3 +278,49 @@
 	c.Assert(verdict.Of(err).Reason, qt.Equals, verdict.UpstreamSilent)
 	c.Assert(errors.Is(<-ended, syscall.ECONNRESET), qt.IsTrue)
 }
+
+// TestForgottenConnections: an upstream that forgets connections that rest,
+// without notice, costs one request; later ones use connections that rested
+// for less, or new ones.
+func TestForgottenConnections(t *testing.T) {
+	const forgets = 200 * time.Millisecond
+	p := newPeer(t, func(p *peer, conn net.Conn, reader *bufio.Reader) {
+		for {
+			conn.SetReadDeadline(time.Now().Add(forgets))
+			if _, err := reader.Peek(1); err != nil {
+				// Whatever comes now is reset.
+				conn.SetReadDeadline(time.Time{})
+				reader.Peek(1)
+				conn.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			conn.SetReadDeadline(time.Time{})
+			if _, err := p.read(reader); err != nil {
+				return
+			}
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	pool := &Pool{Dial: dial.New(time.Second, time.Second)}
+	defer pool.Close()
+	ask := func() error {
+		a, err := pool.Do(t.Context(), &Request{Address: p.address, Method: http.MethodPost, URI: "/", Host: "h", Body: []byte("x")})
+		if err != nil {
+			return err
+		}
+		defer a.Close()
+		_, err = a.ReadAll(t.Context(), 10)
+		return err
+	}
+	qt.Assert(t, ask(), qt.IsNil)
+	time.Sleep(2 * forgets)
+	qt.Check(t, verdict.Of(ask()).Reason, qt.Equals, verdict.UpstreamLost)
+	for range 2 {
+		qt.Assert(t, ask(), qt.IsNil)
+		time.Sleep(2 * forgets)
+	}
+	qt.Check(t, p.accepted.Load(), qt.Equals, int32(3))
+	qt.Assert(t, ask(), qt.IsNil)
+	qt.Assert(t, ask(), qt.IsNil, qt.Commentf("right after the last"))
+	qt.Check(t, p.accepted.Load(), qt.Equals, int32(4))
+}
--- a/internal/transport/exchange/pool.go
+++ b/internal/transport/exchange/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"maps"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -22,6 +24,12 @@
 	// up, so that no request crosses its close.
 	idleMargin = 500 * time.Millisecond
 	bufferSize = 4 << 10
+	// forgottenTime is how long an upstream that has forgotten a connection
+	// which rested is not sent requests on others that rested about as long.
+	forgottenTime = 10 * time.Second
+	// leastForgotten is the shortest rest after which a connection may have
+	// been forgotten; what is lost sooner is lost for other reasons.
+	leastForgotten = 50 * time.Millisecond
 )
 
 // Pool keeps connections to upstreams. Set Dial before use.
@@ -34,12 +42,25 @@
 	mu sync.Mutex
 	// idle are the kept connections by address, the newest last. Guarded by mu.
 	idle map[string][]*connection
+	// restLimits are those of upstreams that forgot connections, by address.
+	// Guarded by mu.
+	restLimits map[string]restLimit
+}
+
+// restLimit bounds how long a connection may have rested.
+type restLimit struct {
+	most  time.Duration
+	until time.Time
 }
 
 // connection carries one exchange at a time.
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// putAt is when it was put by, and rested for how long it had been when it
+	// was taken again; 0 for a new connection.
+	putAt  time.Time
+	rested time.Duration
 	// idleUntil is when the connection must not be used any more.
 	idleUntil time.Time
 }
@@ -47,11 +68,12 @@
 // take returns a kept connection, or a new one.
 func (p *Pool) take(ctx context.Context, address string, now time.Time) (*connection, error) {
 	for {
-		c := p.pop(address)
+		c, most := p.pop(address, now)
 		if c == nil {
 			break
 		}
-		if now.Before(c.idleUntil) && c.quiet() {
+		c.rested = now.Sub(c.putAt)
+		if now.Before(c.idleUntil) && c.rested <= most && c.quiet() {
 			return c, nil
 		}
 		c.Close()
@@ -66,16 +88,36 @@
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
 }
 
-func (p *Pool) pop(address string) *connection {
+// pop returns the newest kept connection, or nil, and how long it may have
+// rested.
+func (p *Pool) pop(address string, now time.Time) (*connection, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[address]
 	if len(kept) == 0 {
-		return nil
+		return nil, 0
 	}
 	c := kept[len(kept)-1]
 	p.idle[address] = kept[:len(kept)-1]
-	return c
+	if limit, known := p.restLimits[address]; known && now.Before(limit.until) {
+		return c, limit.most
+	}
+	return c, time.Duration(math.MaxInt64)
+}
+
+// noteForgotten notes that a request on a kept connection was lost before any
+// answer. The upstream may have forgotten the connection without notice, as
+// some do under pressure; a request that must not be sent twice is then lost.
+func (p *Pool) noteForgotten(address string, c *connection, now time.Time) {
+	if c.rested < leastForgotten {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.restLimits == nil {
+		p.restLimits = make(map[string]restLimit)
+	}
+	p.restLimits[address] = restLimit{most: c.rested / 2, until: now.Add(forgottenTime)}
 }
 
 // put keeps a connection whose exchange has ended.
@@ -83,6 +125,7 @@
 	if keep <= 0 {
 		keep = defaultIdle
 	}
+	c.putAt = now
 	c.idleUntil = now.Add(keep - idleMargin)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -100,6 +143,7 @@
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maps.DeleteFunc(p.restLimits, func(_ string, l restLimit) bool { return now.After(l.until) })
 	for address, kept := range p.idle {
 		live := kept[:0]
 		for _, c := range kept {
