--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -205,7 +205,12 @@
 			return
 		}
 		s.storeLost[what] = lost
-		if lost {
+		switch {
+		case errors.Is(err, platform.ErrNotFound):
+			// The store answers; the operators have not written it yet.
+			g.Log.Warn("nothing in store", zap.String("following", what))
+			return
+		case lost:
 			g.Log.Warn("store lost", zap.String("following", what), zap.Error(err))
 			return
 		}
