Share the slack for retries between gateways that a cut keeps apart

Cause, found by reading: each side of a cut knew only its own repeats and used the whole slack, three zones up to three times as much.

Change: the slack goes by the number of gateways that are alive among those heard within a minute. TestZonesCutOffShareTheAllowance failed to compile before; without the factor it gives 200 of 100.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -161,6 +161,18 @@
 	return out
 }
 
+// Heard returns how many gateways have been heard and are not forgotten yet,
+// whether they are alive or not.
+func (r *Roster) Heard() int {
+	heard := 0
+	for _, m := range r.ordered {
+		if m.HeardAt > 0 {
+			heard++
+		}
+	}
+	return heard
+}
+
 // Due returns the members to call now, those due for longest first, and notes
 // them as called.
 func (r *Roster) Due(now time.Duration) []*Member {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -26,6 +26,14 @@
 // processes returns how many gateways there are.
 func (s *state) processes() int { return s.peers + 1 }
 
+// presentAllowance is what the gateways that hear each other may use of the
+// allowance for retries. Those that are cut off go on with their part of it.
+func (s *state) presentAllowance() retry.Allowance {
+	a := s.allowance
+	a.Slack *= float64(s.processes()) / float64(max(s.heard, s.peers)+1)
+	return a
+}
+
 // peerCounts returns what the peers have counted for a service.
 func (s *state) peerCounts(service string) retry.Counts {
 	near, far := s.near.Counts(service), s.far.Counts(service)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -193,6 +193,7 @@
 	present := func(source string) bool { return heard[source] }
 	s.near.Keep(present)
 	s.far.Keep(present)
+	s.heard = s.roster.Heard()
 	if s.peers != len(alive) {
 		s.peers = len(alive)
 		s.log.Info("peers changed", zap.Int("alive", s.peers), zap.Int("near", s.near.Len()))
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -81,6 +81,40 @@
 	qt.Check(t, a.others("e"), qt.Equals, path.Load{})
 }
 
+// TestZonesCutOffShareTheAllowance: gateways that no longer hear each other use
+// together no more than the allowance.
+func TestZonesCutOffShareTheAllowance(t *testing.T) {
+	const now = time.Minute
+	slack := 0.0
+	for _, side := range []struct {
+		self peering.Address
+		// near are the gateways on the same side of the cut, far the others.
+		near, far []string
+	}{
+		{peering.Address{Gateway: "a1", Zone: "a", Address: "a1:1"}, []string{"a2"}, []string{"b1", "b2", "b3", "c1"}},
+		{peering.Address{Gateway: "b1", Zone: "b", Address: "b1:1"}, []string{"b2", "b3", "c1"}, []string{"a1", "a2"}},
+	} {
+		s := newState(t)
+		s.zone, s.roster.Self = side.self.Zone, side.self
+		hear := func(host string, at time.Duration) {
+			s.hear(&peering.News{Version: peering.Version, Address: peering.Address{Gateway: host, Zone: host[:1], Address: host + ":1"}}, at)
+		}
+		for _, host := range append(side.near, side.far...) {
+			hear(host, now)
+		}
+		s.dropSilent(now)
+		qt.Check(t, s.presentAllowance(), qt.Equals, s.allowance, qt.Commentf("all hear each other"))
+		const cut = now + 10*time.Second
+		for _, host := range side.near {
+			hear(host, cut)
+		}
+		s.dropSilent(cut)
+		slack += s.presentAllowance().Slack
+		qt.Check(t, s.processes(), qt.Equals, len(side.near)+1)
+	}
+	qt.Check(t, slack <= 100.0001, qt.IsTrue, qt.Commentf("slack of both sides %v, of 100", slack))
+}
+
 // TestWorkForAWordDoesNotGrowWithThePeers compares the time to take in the
 // words of few peers and of many.
 func TestWorkForAWordDoesNotGrowWithThePeers(t *testing.T) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -52,9 +52,10 @@
 	ledger  placement.Ledger
 	roster  roster.Roster
 	// near sums what the peers of the own zone carry, by address, and far what
-	// other zones do, by zone. peers is how many peers are alive.
-	near, far tally.Tally
-	peers     int
+	// other zones do, by zone. peers is how many peers are alive, and heard how
+	// many have been heard in the last minute.
+	near, far    tally.Tally
+	peers, heard int
 	// listBackAt is when the list was last read after it could not be, and
 	// lapsed are the upstreams, by instance, that are kept until a time though
 	// it does not name them.
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -243,7 +243,7 @@
 		}
 		return nil
 	}
-	if !w.Take(s.allowance, s.peerCounts(q.service), s.processes(), now) {
+	if !w.Take(s.presentAllowance(), s.peerCounts(q.service), s.processes(), now) {
 		return verdict.RefuseUntil(repairTime, verdict.RetryBudget, "too many retries are under way")
 	}
 	return nil
