Let gateways pause longer between watches of the configuration, too

Change: the pause of the list holds for the configuration. Word from a peer of something new waits for the end of a pause; a request that needs a fresh answer still ends it (TestWakes).

Ruled out: no watch at all in the others: a gateway that hears no peer would know of a revoked key only when it asks by itself.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -223,12 +223,13 @@
 	return true
 }
 
-// Pauses between two watches of a list, so that changes that come together
+// Pauses between two watches, so that changes that come together
 // arrive in one answer.
 const (
-	// ReaderPause is that of a gateway that reads for its zone.
-	ReaderPause = 150 * time.Millisecond
-	// maxWatchPause keeps what the others know younger than MaxListAge.
+	// readerPause is that of a gateway that reads for its zone.
+	readerPause = 150 * time.Millisecond
+	// maxWatchPause keeps what the others know younger than MaxListAge, and has
+	// a configuration in force well within the users' bound of 2 to 3 s.
 	maxWatchPause = 1500 * time.Millisecond
 )
 
@@ -259,14 +260,14 @@
 	return readerWait
 }
 
-// WatchPause returns the pause between two watches of the list of upstreams.
-// Those who don't read for their zone pause for longer the more they are, so
-// that the calls of all for a change do not grow with their number.
+// WatchPause returns the pause between two watches of the same thing. Those who
+// don't read for their zone pause for longer the more they are, so that the
+// calls of all for a change do not grow with their number.
 func (r *Roster) WatchPause(now time.Duration) time.Duration {
 	if r.Reads(now) {
-		return ReaderPause
+		return readerPause
 	}
-	pause := ReaderPause * time.Duration(max(1, len(r.ordered)/fewPeers))
+	pause := readerPause * time.Duration(max(1, len(r.ordered)/fewPeers))
 	return min(pause, maxWatchPause)
 }
 
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -81,11 +81,11 @@
 		self        string
 		pause, wait time.Duration
 	}{
-		{peers: 0, self: "h0", pause: ReaderPause, wait: readerWait},
-		{peers: 5, self: "h0", pause: ReaderPause, wait: readerWait},
-		{peers: 5, self: "h9", pause: ReaderPause, wait: otherWait},
-		{peers: 12, self: "h99", pause: 2 * ReaderPause, wait: otherWait},
-		{peers: 90, self: "h0", pause: ReaderPause, wait: manyReaderWait},
+		{peers: 0, self: "h0", pause: readerPause, wait: readerWait},
+		{peers: 5, self: "h0", pause: readerPause, wait: readerWait},
+		{peers: 5, self: "h9", pause: readerPause, wait: otherWait},
+		{peers: 12, self: "h99", pause: 2 * readerPause, wait: otherWait},
+		{peers: 90, self: "h0", pause: readerPause, wait: manyReaderWait},
 		{peers: 90, self: "h99", pause: maxWatchPause, wait: otherWait},
 		{peers: 330, self: "h99", pause: maxWatchPause, wait: otherWait},
 	} {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
-	"lovageport.example/internal/coordination/roster"
-	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/platform"
 )
@@ -33,6 +32,8 @@
 	what string
 	// wake ends a watch that may have gone silent, and a pause.
 	wake chan struct{}
+	// pausing says that the pause between two watches is under way.
+	pausing atomic.Bool
 	// read takes in the whole thing and returns the revision to watch from.
 	read func(ctx context.Context) (int64, error)
 	// rest returns the pause between two watches: changes that come together
@@ -59,9 +60,11 @@
 		}
 		revision = next
 		pause = minRetryPause
-		if f.pauseBetween(ctx) {
+		f.pausing.Store(true)
+		if f.pause(ctx, f.rest()) {
 			revision = 0
 		}
+		f.pausing.Store(false)
 	}
 	return nil
 }
@@ -96,23 +99,6 @@
 	return next, err
 }
 
-// pauseBetween pauses between two watches. It says whether the whole thing is
-// to be read instead of the next one. A wake during a longer pause is dropped:
-// the next watch brings at once what was missed, and whoever finds that it has
-// gone silent wakes again.
-func (f *follower) pauseBetween(ctx context.Context) bool {
-	d := f.rest()
-	if d <= roster.ReaderPause {
-		return f.pause(ctx, d)
-	}
-	loop.Wait(ctx, d)
-	select {
-	case <-f.wake:
-	default:
-	}
-	return false
-}
-
 // pause waits, but no longer than until the follower is woken. It says whether
 // that was so.
 func (f *follower) pause(ctx context.Context, d time.Duration) bool {
@@ -126,7 +112,7 @@
 	}
 }
 
-// awake has the thing read soon, without waiting for the watch.
+// awake has the thing read at once.
 func (f *follower) awake() {
 	select {
 	case f.wake <- struct{}{}:
@@ -134,6 +120,15 @@
 	}
 }
 
+// missed has the thing read, since a peer knows of a change that the watch
+// should have brought. Between two watches it does nothing: the next one brings
+// what was missed.
+func (f *follower) missed() {
+	if !f.pausing.Load() {
+		f.awake()
+	}
+}
+
 // watchWait returns how long a watch may wait.
 func (g *Gateway) watchWait() time.Duration {
 	var d time.Duration
@@ -143,17 +138,16 @@
 
 // tableFollower follows the configuration.
 func (g *Gateway) tableFollower() *follower {
-	return &follower{g: g, what: tableName, wake: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable,
-		rest: func() time.Duration { return roster.ReaderPause }}
+	return &follower{g: g, what: tableName, wake: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable, rest: g.watchPause}
 }
 
 // listFollower follows the list of upstreams.
 func (g *Gateway) listFollower() *follower {
-	return &follower{g: g, what: listName, wake: make(chan struct{}, 1), read: g.listUpstreams, watch: g.watchUpstreams, rest: g.listPause}
+	return &follower{g: g, what: listName, wake: make(chan struct{}, 1), read: g.listUpstreams, watch: g.watchUpstreams, rest: g.watchPause}
 }
 
-// listPause is the pause between two watches of the list.
-func (g *Gateway) listPause() time.Duration {
+// watchPause is the pause between two watches.
+func (g *Gateway) watchPause() time.Duration {
 	var d time.Duration
 	g.control.Do(func(s *state) { d = s.roster.WatchPause(g.Now()) })
 	return d
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -127,14 +127,14 @@
 	if g.behind(n.Table) {
 		time.AfterFunc(behindTime, func() {
 			if g.behind(n.Table) {
-				g.table.awake()
+				g.table.missed()
 			}
 		})
 	}
 	if digest := g.listDiffers(n); digest != 0 {
 		time.AfterFunc(behindTime, func() {
 			if g.listDiffers(n) == digest {
-				g.list.awake()
+				g.list.missed()
 			}
 		})
 	}
