Give each program under test a port that nobody else takes

Change: ports are counted up below the kernel's range. Comments of tally speak of sources, which are peers or zones.

--- a/internal/coordination/tally/tally.go
+++ b/internal/coordination/tally/tally.go
@@ -1,8 +1,8 @@
-// Package tally adds up what the peers say that they carry.
+// Package tally adds up what peers, or whole zones, say that they carry.
 //
-// Each word of a peer replaces its last one. Sums are kept up to date by the
-// difference, so that the work for a word grows with what the peer says and
-// not with the number of peers.
+// Each word of a source replaces its last one. Sums are kept up to date by the
+// difference, so that the work for a word grows with what is said and not
+// with the number of sources.
 package tally
 
 import (
@@ -11,50 +11,51 @@
 	"lovageport.example/internal/protocol/peering"
 )
 
-// Tally is the sum of what some peers said last. Its zero value is empty.
+// Tally is the sum of what some sources said last: peers by address, or zones
+// by name. Its zero value is empty.
 type Tally struct {
-	// said is the last word of each peer, by address.
+	// said is the last word of each source.
 	said   map[string]word
 	loads  map[string]path.Load
 	counts map[string]retry.Counts
 }
 
-// word is what one peer said.
+// word is what one source said.
 type word struct {
 	loads  []peering.UpstreamLoad
 	counts []peering.ServiceCounts
 }
 
-// Put replaces what the peer at an address said.
-func (t *Tally) Put(address string, n *peering.News) {
+// Put replaces what a source said.
+func (t *Tally) Put(source string, n *peering.News) {
 	if t.said == nil {
 		t.said = make(map[string]word)
 		t.loads = make(map[string]path.Load)
 		t.counts = make(map[string]retry.Counts)
 	}
-	t.add(t.said[address], -1)
+	t.add(t.said[source], -1)
 	now := word{n.Loads, n.Services}
-	t.said[address] = now
+	t.said[source] = now
 	t.add(now, 1)
 }
 
-// Keep drops what was said by peers for which alive says false.
-func (t *Tally) Keep(alive func(address string) bool) {
-	for address, w := range t.said {
-		if !alive(address) {
+// Keep drops what was said by sources for which present says false.
+func (t *Tally) Keep(present func(source string) bool) {
+	for source, w := range t.said {
+		if !present(source) {
 			t.add(w, -1)
-			delete(t.said, address)
+			delete(t.said, source)
 		}
 	}
 }
 
-// Len returns how many peers are counted.
+// Len returns how many sources are counted.
 func (t *Tally) Len() int { return len(t.said) }
 
-// Load returns what the peers have under way at an upstream.
+// Load returns what is under way at an upstream.
 func (t *Tally) Load(instance string) path.Load { return t.loads[instance] }
 
-// Counts returns what the peers have counted for a service.
+// Counts returns what was counted for a service.
 func (t *Tally) Counts(service string) retry.Counts { return t.counts[service] }
 
 // add adds a word to the sums, or takes it away if sign is negative.
--- a/internal/endtoend/process_test.go
+++ b/internal/endtoend/process_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -69,12 +70,44 @@
 	peers     string
 }
 
-// freeAddress returns an address on loopback that is free just now.
+// Ports of the programs under test. They lie below those that the kernel gives
+// to outgoing connections, which would take a port between the moment that it
+// is found free and the moment that its program listens.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
+// nextPort is the number of the next port to try; each process begins
+// elsewhere.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 97) }
+
+// freeAddress returns an address on loopback that is free just now and was not
+// returned before.
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		return address
+	}
+	t.Fatal("no port is free")
+	return ""
+}
+
+// TestFreeAddressesDiffer: no two programs get the same address.
+func TestFreeAddressesDiffer(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 2000 {
+		address := freeAddress(t)
+		qt.Assert(t, seen[address], qt.IsFalse, qt.Commentf("%s twice", address))
+		seen[address] = true
+	}
 }
 
 // start runs a program until the test ends.
