--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -39,6 +39,13 @@
 	Slowdown float64
 }
 
+// Plus returns what both carry together.
+func (l Load) Plus(other Load) Load {
+	l.TokenLayers += other.TokenLayers
+	l.Requests += other.Requests
+	return l
+}
+
 // Holder is an upstream that holds layers.
 type Holder struct {
 	Upstream *fleet.Upstream
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -17,6 +17,11 @@
 	Repeats float64
 }
 
+// Plus returns the sum of both.
+func (c Counts) Plus(other Counts) Counts {
+	return Counts{Requests: c.Requests + other.Requests, Repeats: c.Repeats + other.Repeats}
+}
+
 // Allowance bounds the repeats that all processes together may send to a
 // service within a sliding window.
 type Allowance struct {
@@ -54,8 +59,7 @@
 	w.advance(a, now)
 	var total Counts
 	for _, p := range w.parts {
-		total.Requests += p.Requests
-		total.Repeats += p.Repeats
+		total = total.Plus(p)
 	}
 	return total
 }
--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -223,8 +223,8 @@
 	return true
 }
 
-// Pauses between two watches, so that changes that come together
-// arrive in one answer.
+// Pauses between two watches, so that changes that come together arrive in one
+// answer.
 const (
 	// readerPause is that of a gateway that reads for its zone.
 	readerPause = 150 * time.Millisecond
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -36,14 +36,12 @@
 
 // peerCounts returns what the peers have counted for a service.
 func (s *state) peerCounts(service string) retry.Counts {
-	near, far := s.near.Counts(service), s.far.Counts(service)
-	return retry.Counts{Requests: near.Requests + far.Requests, Repeats: near.Repeats + far.Repeats}
+	return s.near.Counts(service).Plus(s.far.Counts(service))
 }
 
 // others returns what the peers have under way at an upstream.
 func (s *state) others(instance string) path.Load {
-	near, far := s.near.Load(instance), s.far.Load(instance)
-	return path.Load{Requests: near.Requests + far.Requests, TokenLayers: near.TokenLayers + far.TokenLayers}
+	return s.near.Load(instance).Plus(s.far.Load(instance))
 }
 
 // findChain finds the chain of a generation. Upstreams that failed the request
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -239,9 +239,7 @@
 			sum = path.Load{Requests: float64(l.requests), TokenLayers: l.tokenLayers}
 		}
 		if n.OfZone {
-			near := s.near.Load(instance)
-			sum.Requests += near.Requests
-			sum.TokenLayers += near.TokenLayers
+			sum = sum.Plus(s.near.Load(instance))
 		}
 		if sum.Requests > 0 {
 			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: instance, Requests: int(sum.Requests), TokenLayers: float32(sum.TokenLayers)})
@@ -254,9 +252,7 @@
 	for service := range s.pools {
 		sum := s.window(service).Counts(s.allowance, now)
 		if n.OfZone {
-			near := s.near.Counts(service)
-			sum.Requests += near.Requests
-			sum.Repeats += near.Repeats
+			sum = sum.Plus(s.near.Counts(service))
 		}
 		n.Services = append(n.Services, peering.ServiceCounts{Service: service, Requests: float32(sum.Requests), Repeats: float32(sum.Repeats)})
 	}
