Tell peers the retries at a service also when its last upstream has gone

Cause, found by reading: since zones speak for their gateways, counts were told for services with an upstream in service only; while all were out, the retries sent before were not counted by the peers.

Change: counts of all services of the configuration.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -249,7 +249,10 @@
 
 // addCounts adds the requests and repeats within the retry window.
 func (s *state) addCounts(n *peering.News, now time.Duration) {
-	for service := range s.pools {
+	if s.table == nil {
+		return
+	}
+	for service := range s.table.Services {
 		sum := s.window(service).Counts(s.allowance, now)
 		if n.OfZone {
 			sum = sum.Plus(s.near.Counts(service))
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -81,6 +81,18 @@
 	qt.Check(t, a.others("e"), qt.Equals, path.Load{})
 }
 
+// TestRepeatsCountWithoutUpstreams: what was sent to a service counts for the
+// window also after its last upstream has gone.
+func TestRepeatsCountWithoutUpstreams(t *testing.T) {
+	const now = time.Minute
+	s := newState(t)
+	s.window("llm").Take(s.allowance, retry.Counts{}, 1, now)
+	s.setUpstreams(nil, now, now)
+	n := s.news(&Gateway{}, s.zone, now)
+	qt.Assert(t, n.Services, qt.HasLen, 1)
+	qt.Check(t, n.Services[0].Repeats, qt.Equals, float32(1))
+}
+
 // TestZonesCutOffShareTheAllowance: gateways that no longer hear each other use
 // together no more than the allowance.
 func TestZonesCutOffShareTheAllowance(t *testing.T) {
