Do not make the list older than peers have confirmed it

A watch that had waited for long and then brought a change set the time as of which the list is known back to when the watch was sent, over what peers had confirmed since.

Ruled out: that peers confirm too seldom; each gateway of 91 exchanges about 60 words a second with its own zone.

The newer of both times holds now: a peer that confirms the same list later than the watch was sent shows that the change came after that.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -138,7 +138,7 @@
 
 // changeUpstreams takes in changes of the list.
 func (s *state) changeUpstreams(changes []platform.UpstreamChange, at, now time.Duration) {
-	s.listedAt = at
+	s.listedAt = max(s.listedAt, at)
 	if len(changes) == 0 {
 		return
 	}
