Let watches lag where peers confirm, and take lists from peers

What a peer knows beyond the own list or configuration is taken from the peer, of the own zone if there is one, within 150 ms. Lists carry the store's revision, so that what arrives late never takes a list back. A reader that has lost the store hands its part to the next that has not. A store that is lost is tried again at the pace of failed calls only.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -212,11 +212,16 @@
 	})
 }
 
-// Reads says whether this gateway is the one that asks the store for its zone
-// how things are: the first by address.
-func (r *Roster) Reads(now time.Duration) bool {
+// Reads says whether this gateway, which can follow the store or not, is the
+// one that asks the store for its zone how things are: the first by address of
+// those that can follow it, or else of all.
+func (r *Roster) Reads(now time.Duration, follows bool) bool {
 	for _, m := range r.Alive(now) {
-		if m.Zone == r.Self.Zone && m.Address.Address < r.Self.Address {
+		if m.Zone != r.Self.Zone {
+			continue
+		}
+		before := m.Address.Address < r.Self.Address
+		if m.News.Follows && !follows || m.News.Follows == follows && before {
 			return false
 		}
 	}
@@ -250,9 +255,9 @@
 )
 
 // WatchWait returns how long a watch of the store may wait.
-func (r *Roster) WatchWait(now time.Duration) time.Duration {
+func (r *Roster) WatchWait(now time.Duration, follows bool) time.Duration {
 	switch {
-	case !r.Reads(now):
+	case !r.Reads(now, follows):
 		return otherWait
 	case len(r.ordered) >= manyGateways:
 		return manyReaderWait
@@ -263,8 +268,8 @@
 // WatchPause returns the pause between two watches of the same thing. Those who
 // don't read for their zone pause for longer the more they are, so that the
 // calls of all for a change do not grow with their number.
-func (r *Roster) WatchPause(now time.Duration) time.Duration {
-	if r.Reads(now) {
+func (r *Roster) WatchPause(now time.Duration, follows bool) time.Duration {
+	if r.Reads(now, follows) {
 		return readerPause
 	}
 	pause := readerPause * time.Duration(max(1, len(r.ordered)/fewPeers))
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,16 +31,14 @@
 	what string
 	// wake ends a watch that may have gone silent, and a pause.
 	wake chan struct{}
-	// pausing says that the pause between two watches is under way.
-	pausing atomic.Bool
 	// read takes in the whole thing and returns the revision to watch from.
 	read func(ctx context.Context) (int64, error)
 	// rest returns the pause between two watches: changes that come together
 	// then arrive in one answer.
 	rest func() time.Duration
-	// watch waits for changes after a revision, takes them in, and returns the
-	// revision to go on from.
-	watch func(ctx context.Context, after int64, wait time.Duration) (int64, error)
+	// watch waits for changes, takes them in, and returns the revision to go on
+	// from.
+	watch func(ctx context.Context, w platform.Watching) (int64, error)
 }
 
 // run follows until ctx ends.
@@ -52,19 +49,19 @@
 		next, err := f.step(ctx, revision)
 		f.g.noteStore(f.what, err)
 		if err != nil {
-			// What was missed meanwhile is read at once when the store is back.
-			revision = 0
+			if !f.g.watching(revision).MayLag {
+				// What was missed meanwhile is read at once when the store is back.
+				revision = 0
+			}
 			f.pause(ctx, pause)
 			pause = min(2*pause, maxRetryPause)
 			continue
 		}
 		revision = next
 		pause = minRetryPause
-		f.pausing.Store(true)
 		if f.pause(ctx, f.rest()) {
 			revision = 0
 		}
-		f.pausing.Store(false)
 	}
 	return nil
 }
@@ -87,7 +84,7 @@
 			cancel()
 		}
 	}()
-	next, err := f.watch(watching, revision, f.g.watchWait())
+	next, err := f.watch(watching, f.g.watching(revision))
 	cancel()
 	<-ended
 	switch {
@@ -120,20 +117,17 @@
 	}
 }
 
-// missed has the thing read, since a peer knows of a change that the watch
-// should have brought. Between two watches it does nothing: the next one brings
-// what was missed.
-func (f *follower) missed() {
-	if !f.pausing.Load() {
-		f.awake()
-	}
-}
-
-// watchWait returns how long a watch may wait.
-func (g *Gateway) watchWait() time.Duration {
-	var d time.Duration
-	g.control.Do(func(s *state) { d = s.roster.WatchWait(g.Now()) })
-	return d
+// watching returns how to watch after a revision. What a gateway that does not
+// read for its zone knows is confirmed by peers, so that the store need not
+// answer it as of now.
+func (g *Gateway) watching(after int64) platform.Watching {
+	w := platform.Watching{After: after}
+	g.control.Do(func(s *state) {
+		now := g.Now()
+		w.Wait = s.roster.WatchWait(now, s.follows())
+		w.MayLag = !s.roster.Reads(now, s.follows())
+	})
+	return w
 }
 
 // tableFollower follows the configuration.
@@ -149,7 +143,7 @@
 // watchPause is the pause between two watches.
 func (g *Gateway) watchPause() time.Duration {
 	var d time.Duration
-	g.control.Do(func(s *state) { d = s.roster.WatchPause(g.Now()) })
+	g.control.Do(func(s *state) { d = s.roster.WatchPause(g.Now(), s.follows()) })
 	return d
 }
 
@@ -166,16 +160,18 @@
 	return revision, nil
 }
 
-func (g *Gateway) watchTable(ctx context.Context, after int64, wait time.Duration) (int64, error) {
+func (g *Gateway) watchTable(ctx context.Context, w platform.Watching) (int64, error) {
 	sent := g.Now()
-	changes, err := g.store.WatchTable(ctx, after, wait)
+	changes, err := g.store.WatchTable(ctx, w)
 	if err != nil {
 		return 0, err
 	}
 	if changes.Table != nil && g.routing.Adopt(changes.Table) {
 		g.tableAdopted("watch")
 	}
-	g.routing.Confirm(g.routing.Table().Version, sent)
+	if !w.MayLag {
+		g.routing.Confirm(g.routing.Table().Version, sent)
+	}
 	return changes.Revision, nil
 }
 
@@ -218,27 +214,30 @@
 	if err != nil {
 		return 0, err
 	}
-	all := make(map[string]*fleet.Upstream, len(listed.Changes))
+	l := wholeList{upstreams: make(map[string]*fleet.Upstream, len(listed.Changes)), revision: listed.Revision, at: sent}
 	for _, c := range listed.Changes {
 		g.logMalformed(c)
 		if c.Upstream != nil {
-			all[c.Instance] = c.Upstream
+			l.upstreams[c.Instance] = c.Upstream
 		}
 	}
-	g.control.Do(func(s *state) { s.setUpstreams(all, sent, g.Now()) })
+	g.control.Do(func(s *state) { s.setUpstreams(l, g.Now()) })
 	return listed.Revision, nil
 }
 
-func (g *Gateway) watchUpstreams(ctx context.Context, after int64, wait time.Duration) (int64, error) {
-	sent := g.Now()
-	changes, err := g.store.WatchUpstreams(ctx, after, wait)
+func (g *Gateway) watchUpstreams(ctx context.Context, w platform.Watching) (int64, error) {
+	confirmed := g.Now()
+	if w.MayLag {
+		confirmed = 0
+	}
+	changes, err := g.store.WatchUpstreams(ctx, w)
 	if err != nil {
 		return 0, err
 	}
 	for _, c := range changes.Changes {
 		g.logMalformed(c)
 	}
-	g.control.Do(func(s *state) { s.changeUpstreams(changes.Changes, sent, g.Now()) })
+	g.control.Do(func(s *state) { s.changeUpstreams(changes, confirmed, g.Now()) })
 	return changes.Revision, nil
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/path"
+	"lovageport.example/internal/coordination/roster"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
@@ -27,14 +28,10 @@
 	// borrowAge is the age of the own knowledge from which a peer's is asked
 	// for.
 	borrowAge = 2200 * time.Millisecond
-	// behindTime is how long a peer may have a newer configuration before the
-	// own watch is taken to have gone silent.
-	behindTime = 300 * time.Millisecond
-	// freshListAge is the age up to which a peer's list of upstreams can show
-	// that the own one has missed a change.
-	freshListAge = 1500 * time.Millisecond
+	// borrowGain is by how much fresher it must be.
+	borrowGain = 300 * time.Millisecond
 	// borrowPause is the least time between two such calls.
-	borrowPause = 300 * time.Millisecond
+	borrowPause = 150 * time.Millisecond
 )
 
 // self is what this gateway is called by.
@@ -112,47 +109,9 @@
 	g.control.Send(func(s *state) { s.confirmList(answer, sent) })
 }
 
-// confirmList takes a peer's word on how fresh the list of upstreams is, if it
-// has the same. It runs in the control loop.
-func (s *state) confirmList(n *peering.News, sent time.Duration) {
-	if n.ListAge >= 0 && n.ListDigest == s.listDigest && s.listedAt > 0 {
-		s.listedAt = max(s.listedAt, sent-n.ListAge)
-	}
-}
-
 // hear takes in news of a peer.
 func (g *Gateway) hear(n *peering.News) {
 	g.control.Do(func(s *state) { s.hear(n, g.Now()) })
-	// The watch usually brings news within milliseconds.
-	if g.behind(n.Table) {
-		time.AfterFunc(behindTime, func() {
-			if g.behind(n.Table) {
-				g.table.missed()
-			}
-		})
-	}
-	if digest := g.listDiffers(n); digest != 0 {
-		time.AfterFunc(behindTime, func() {
-			if g.listDiffers(n) == digest {
-				g.list.missed()
-			}
-		})
-	}
-}
-
-// listDiffers returns the digest of the own list of upstreams if it differs
-// from that of a peer whose list is fresh; 0 if not.
-func (g *Gateway) listDiffers(n *peering.News) uint64 {
-	if n.ListAge < 0 || n.ListAge > freshListAge {
-		return 0
-	}
-	digest := uint64(0)
-	g.control.Do(func(s *state) {
-		if s.listDigest != n.ListDigest {
-			digest = s.listDigest
-		}
-	})
-	return digest
 }
 
 // behind says whether a version is newer than the one in force.
@@ -225,8 +184,8 @@
 	}
 	if s.listedAt > 0 {
 		n.ListAge = now - s.listedAt
-		n.ListDigest = s.listDigest
-		n.Follows = !s.storeLost[listName]
+		n.ListDigest, n.ListRevision = s.listDigest, s.listRevision
+		n.Follows = s.follows()
 	}
 	return n
 }
@@ -305,77 +264,87 @@
 		if s.listedAt == 0 {
 			return
 		}
-		out.ListAge = g.Now() - s.listedAt
+		out.ListAge, out.ListRevision = g.Now()-s.listedAt, s.listRevision
 		for _, instance := range slices.Sorted(maps.Keys(s.upstreams)) {
-			out.Upstreams = append(out.Upstreams, s.upstreams[instance])
+			if _, lapsed := s.lapsed[instance]; !lapsed {
+				out.Upstreams = append(out.Upstreams, s.upstreams[instance])
+			}
 		}
 	})
 	return out
 }
 
-// borrowLists keeps the configuration and the list of upstreams fresh through
-// the peers while the store can't be followed, until ctx ends.
+// borrowLists keeps the configuration and the list of upstreams as new and as
+// fresh as those of the peers, until ctx ends.
 func (g *Gateway) borrowLists(ctx context.Context) error {
 	for loop.Wait(ctx, borrowPause) {
-		g.wakeFollowers()
 		var from string
 		g.control.Do(func(s *state) { from = s.lender(g, g.Now()) })
 		if from != "" {
 			g.borrow(ctx, from)
 		}
+		g.wakeFollowers()
 	}
 	return nil
 }
 
-// wakeFollowers ends watches that have waited for too long: nobody has
-// confirmed meanwhile what is known here.
+// wakeFollowers ends watches that have waited for too long: neither they nor
+// the peers have confirmed what is known here. A store that is lost is tried
+// again without that.
 func (g *Gateway) wakeFollowers() {
 	now := g.Now()
-	if age, known := g.routing.Age(now); known && age > borrowAge {
+	tableAge, known := g.routing.Age(now)
+	var wakeTable, wakeList bool
+	g.control.Do(func(s *state) {
+		wakeTable = known && tableAge > borrowAge && !s.storeLost[tableName]
+		wakeList = now-s.listedAt > borrowAge && !s.storeLost[listName]
+	})
+	if wakeTable {
 		g.table.awake()
 	}
-	var listAge time.Duration
-	g.control.Do(func(s *state) { listAge = now - s.listedAt })
-	if listAge > borrowAge {
+	if wakeList {
 		g.list.awake()
 	}
 }
 
-// lender returns the address of the peer that knows more of the store than
-// this gateway does; empty if what is known here is fresh enough.
+// lender returns the address of a peer that knows more of the store than this
+// gateway does, as near as there is one; empty if there is none.
 func (s *state) lender(g *Gateway, now time.Duration) string {
 	tableAge, known := g.routing.Age(now)
-	listAge := now - s.listedAt
-	if known && tableAge < borrowAge && listAge < borrowAge && !s.outdated(g, now) {
-		return ""
-	}
-	best, bestAge := "", max(tableAge, listAge)
+	age := max(tableAge, now-s.listedAt)
 	if !known {
-		bestAge = now
+		age = now
 	}
-	for _, m := range s.roster.Alive(now) {
-		if m.News.ListAge < 0 || m.News.Table == 0 {
-			continue
-		}
-		if age := max(m.News.TableAge, m.News.ListAge) + now - m.HeardAt; age < bestAge {
-			best, bestAge = m.Address.Address, age
+	best, bestRank := "", 0
+	alive := s.roster.Alive(now)
+	first := int(s.random() * float64(len(alive)))
+	for i := range alive {
+		// From a random one on, so that the calls are spread.
+		m := alive[(first+i)%len(alive)]
+		rank := s.lenderRank(g, m, age, now)
+		if rank > bestRank {
+			best, bestRank = m.Address.Address, rank
 		}
 	}
 	return best
 }
 
-// outdated says whether a peer is known to know more while the store can't be
-// followed.
-func (s *state) outdated(g *Gateway, now time.Duration) bool {
-	for _, m := range s.roster.Alive(now) {
-		if !m.News.Follows || m.News.ListAge > freshListAge {
-			continue
-		}
-		if s.storeLost[listName] && m.News.ListDigest != s.listDigest || s.storeLost[tableName] && g.behind(m.News.Table) {
-			return true
-		}
+// lenderRank ranks a peer by what it can bring; 0 is for nothing. What is known
+// here is of an age.
+func (s *state) lenderRank(g *Gateway, m *roster.Member, age, now time.Duration) int {
+	n := &m.News
+	if n.ListAge < 0 || n.Table == 0 {
+		return 0
+	}
+	newer := n.ListRevision > s.listRevision && n.ListDigest != s.listDigest || g.behind(n.Table)
+	fresher := age > borrowAge && max(n.TableAge, n.ListAge)+now-m.HeardAt < age-borrowGain
+	switch {
+	case !newer && !fresher:
+		return 0
+	case m.Zone == s.zone:
+		return 2
 	}
-	return false
+	return 1
 }
 
 func (g *Gateway) borrow(ctx context.Context, address string) {
@@ -396,13 +365,9 @@
 	if lent.ListAge < 0 {
 		return
 	}
-	all := make(map[string]*fleet.Upstream, len(lent.Upstreams))
+	l := wholeList{upstreams: make(map[string]*fleet.Upstream, len(lent.Upstreams)), revision: lent.ListRevision, at: sent - lent.ListAge}
 	for _, u := range lent.Upstreams {
-		all[u.Instance] = u
+		l.upstreams[u.Instance] = u
 	}
-	g.control.Do(func(s *state) {
-		if at := sent - lent.ListAge; at > s.listedAt {
-			s.setUpstreams(all, at, g.Now())
-		}
-	})
+	g.control.Do(func(s *state) { s.setUpstreams(l, g.Now()) })
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/admission"
@@ -19,7 +17,6 @@
 	"lovageport.example/internal/coordination/tally"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
-	"lovageport.example/platform"
 )
 
 // state is the control state. Only the control loop touches it.
@@ -34,6 +31,8 @@
 	upstreams map[string]*fleet.Upstream
 	// listedAt is the boot time as of which the list of upstreams is known.
 	listedAt time.Duration
+	// listRevision is the store's as of which it is known.
+	listRevision int64
 	// listDigest is the sum of the hashes of the listed upstreams, entryHashes.
 	listDigest  uint64
 	entryHashes map[string]uint64
@@ -107,113 +106,6 @@
 	s.rebuild()
 }
 
-// lapseTime is how long after the store is back an upstream that it no longer
-// lists is kept: entries that lapsed while the store was away come back within
-// two seconds if the upstream lives.
-const lapseTime = 2200 * time.Millisecond
-
-// setUpstreams puts a whole list in place of what was known as of at.
-func (s *state) setUpstreams(all map[string]*fleet.Upstream, at, now time.Duration) {
-	if s.storeLost[listName] {
-		s.listBackAt = now
-	}
-	if len(all) > len(s.upstreams) {
-		s.grownAt = now
-	}
-	s.listDigest = 0
-	s.entryHashes = make(map[string]uint64, len(all))
-	for instance, u := range all {
-		s.noteEntry(instance, u)
-	}
-	old := s.upstreams
-	s.upstreams = all
-	s.listedAt = at
-	for instance, u := range old {
-		if all[instance] == nil {
-			s.lose(u, now)
-		}
-	}
-	s.rebuild()
-}
-
-// changeUpstreams takes in changes of the list.
-func (s *state) changeUpstreams(changes []platform.UpstreamChange, at, now time.Duration) {
-	s.listedAt = max(s.listedAt, at)
-	if len(changes) == 0 {
-		return
-	}
-	for _, c := range changes {
-		s.changeUpstream(c, now)
-	}
-	s.rebuild()
-}
-
-func (s *state) changeUpstream(c platform.UpstreamChange, now time.Duration) {
-	s.noteEntry(c.Instance, c.Upstream)
-	old := s.upstreams[c.Instance]
-	if c.Upstream == nil {
-		if old != nil {
-			s.lose(old, now)
-		}
-		return
-	}
-	delete(s.lapsed, c.Instance)
-	s.upstreams[c.Instance] = c.Upstream
-	if old == nil {
-		s.grownAt = now
-	}
-	if old == nil || old.State != c.Upstream.State || old.Held != c.Upstream.Held || old.Started != c.Upstream.Started {
-		s.log.Info("upstream changed", zap.String("upstream", c.Instance), zap.String("service", c.Upstream.Service), zap.String("zone", c.Upstream.Zone), zap.String("accelerator", c.Upstream.Accelerator),
-			zap.Bool("draining", c.Upstream.State == fleet.Draining), zap.Int("from", c.Upstream.Held.From), zap.Int("to", c.Upstream.Held.To),
-			zap.Int64("started", c.Upstream.Started), zap.Duration("list_age", now-s.listedAt))
-	}
-}
-
-// lose takes out an upstream that the list does not name any more, or keeps it
-// for a while if its entry may just have lapsed.
-func (s *state) lose(u *fleet.Upstream, now time.Duration) {
-	until := s.listBackAt + lapseTime
-	if s.listBackAt > 0 && now < until && u.State == fleet.Serving {
-		s.lapsed[u.Instance] = until
-		s.upstreams[u.Instance] = u
-		return
-	}
-	delete(s.upstreams, u.Instance)
-	delete(s.lapsed, u.Instance)
-	s.log.Info("upstream gone", zap.String("upstream", u.Instance), zap.String("service", u.Service), zap.Duration("list_age", now-s.listedAt))
-}
-
-// loseLapsed takes out upstreams whose entries have not come back in time.
-func (s *state) loseLapsed(now time.Duration) {
-	lost := false
-	for instance, until := range s.lapsed {
-		if now < until {
-			continue
-		}
-		lost = true
-		if u := s.upstreams[instance]; u != nil {
-			s.lose(u, now)
-		}
-		delete(s.lapsed, instance)
-	}
-	if lost {
-		s.rebuild()
-	}
-}
-
-// noteEntry keeps the digest of the list; u is nil for an upstream that is
-// gone.
-func (s *state) noteEntry(instance string, u *fleet.Upstream) {
-	s.listDigest -= s.entryHashes[instance]
-	if u == nil {
-		delete(s.entryHashes, instance)
-		return
-	}
-	hash := xxhash.Sum64String(fmt.Sprint(u.Instance, u.Address, u.State, u.Held, u.Started))
-	s.entryHashes[instance] = hash
-	s.listDigest += hash
-}
-
 // rebuild makes the pools anew.
 func (s *state) rebuild() {
 	s.pools = make(map[string]*pool)
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -55,8 +55,10 @@
 	ListAge time.Duration
 	// Follows says that the sender follows the list itself, not through peers.
 	Follows bool
-	// ListDigest is equal for equal lists.
-	ListDigest uint64
+	// ListDigest is equal for equal lists, and ListRevision the store's as of
+	// which the sender knows its own.
+	ListDigest   uint64
+	ListRevision int64
 	// OfZone says that Loads and Services are the sums of the sender's zone,
 	// as far as it knows; otherwise they are its own.
 	OfZone   bool
@@ -108,8 +110,9 @@
 	InForce  int64
 	TableAge time.Duration
 	// Upstreams are valid as of ListAge ago; negative if there is no list.
-	Upstreams []*fleet.Upstream
-	ListAge   time.Duration
+	Upstreams    []*fleet.Upstream
+	ListAge      time.Duration
+	ListRevision int64
 }
 
 // Check says whether l makes sense.
