Let a gateway that is told to stop twice end what is in flight

Whoever runs the processes may repeat SIGTERM while one drains; the second one cut all requests in flight.

Only an interrupt after the first signal ends the process at once now, for operators at a terminal. Signals are caught before the settings are read. TestGracefulStop has the cases; "told again" failed first: the process had ended.

--- a/cmd/lovageport/gateway.go
+++ b/cmd/lovageport/gateway.go
@@ -26,10 +26,9 @@
 const settingsInterval = 5 * time.Second
 
 // reloads returns a channel that brings the settings whenever they have
-// changed. A file that can't be used leaves those in force.
-func (c *gatewayCommand) reloads(log *zap.Logger, old *setting.Gateway) <-chan *setting.Gateway {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+// changed, of which hangups may tell. A file that can't be used leaves those in
+// force.
+func (c *gatewayCommand) reloads(hangups <-chan os.Signal, log *zap.Logger, old *setting.Gateway) <-chan *setting.Gateway {
 	reloads := make(chan *setting.Gateway)
 	go func() {
 		for {
@@ -53,6 +52,10 @@
 
 // Run serves until it is told to stop.
 func (c *gatewayCommand) Run() error {
+	// Signals are caught before anything else: until then they end the process.
+	ctx, drain := stopSignals()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := setting.LoadGateway(c.Config)
 	if err != nil {
 		return &badInputError{err}
@@ -62,7 +65,6 @@
 	if err != nil {
 		return &badInputError{err}
 	}
-	ctx, drain := stopSignals()
 	written := make(chan struct{})
 	logging, stopLogging := context.WithCancel(context.Background())
 	go func() {
@@ -76,7 +78,7 @@
 		Dropped:  lines.Dropped,
 		Random:   rand.Float64,
 		Drain:    drain,
-		Reload:   c.reloads(log, settings),
+		Reload:   c.reloads(hangups, log, settings),
 	}
 	err = g.Run(ctx)
 	stopLogging()
--- a/cmd/lovageport/serve.go
+++ b/cmd/lovageport/serve.go
@@ -41,7 +41,8 @@
 }
 
 // stopSignals returns a channel that the first signal to stop closes, and a
-// context that the second one ends.
+// context that an interrupt after it ends. Being told to stop again changes
+// nothing: whoever runs the process may repeat that while it drains.
 func stopSignals() (context.Context, <-chan struct{}) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -50,8 +51,11 @@
 	go func() {
 		<-signals
 		close(drain)
-		<-signals
-		cancel()
+		for again := range signals {
+			if again == syscall.SIGINT {
+				cancel()
+			}
+		}
 	}()
 	return ctx, drain
 }
--- a/internal/endtoend/process_test.go
+++ b/internal/endtoend/process_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovageport.example/internal/standin/engine"
+	"lovageport.example/internal/standin/program"
 	"lovageport.example/internal/standin/service"
 	"lovageport.example/internal/state/catalog"
 	"lovageport.example/pkg/declaration"
@@ -28,13 +28,8 @@
 var programs string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "lovageport")
-	if err == nil {
-		programs = dir
-		var out []byte
-		out, err = exec.Command("go", "build", "-o", dir, "lovageport.example/cmd/...").CombinedOutput()
-		os.Stderr.Write(out)
-	}
+	dir, err := program.Build()
+	programs = dir
 	code := 1
 	if err == nil {
 		code = m.Run()
@@ -70,59 +65,19 @@
 	peers     string
 }
 
-// Ports of the programs under test. They lie below those that the kernel gives
-// to outgoing connections, which would take a port between the moment that it
-// is found free and the moment that its program listens.
-const (
-	firstPort = 20000
-	portCount = 10000
-)
-
-// nextPort is the number of the next port to try; each process begins
-// elsewhere.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * 97) }
-
-// freeAddress returns an address on loopback that is free just now and was not
-// returned before.
+// freeAddress returns an address on loopback for a program.
 func freeAddress(t testing.TB) string {
-	for range portCount {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		listener.Close()
-		return address
-	}
-	t.Fatal("no port is free")
-	return ""
-}
-
-// TestFreeAddressesDiffer: no two programs get the same address.
-func TestFreeAddressesDiffer(t *testing.T) {
-	seen := make(map[string]bool)
-	for range 2000 {
-		address := freeAddress(t)
-		qt.Assert(t, seen[address], qt.IsFalse, qt.Commentf("%s twice", address))
-		seen[address] = true
-	}
+	address, err := program.FreeAddress()
+	qt.Assert(t, err, qt.IsNil)
+	return address
 }
 
 // start runs a program until the test ends.
 func start(t testing.TB, name string, args ...string) *process {
-	p := &process{
-		command: exec.Command(filepath.Join(programs, name), args...),
-		output:  &bytes.Buffer{},
-		done:    make(chan struct{}),
-	}
-	p.command.Stderr = p.output
-	qt.Assert(t, p.command.Start(), qt.IsNil)
-	go func() {
-		_ = p.command.Wait()
-		close(p.done)
-	}()
+	output := &bytes.Buffer{}
+	started, err := program.Start(programs, name, output, args...)
+	qt.Assert(t, err, qt.IsNil)
+	p := &process{command: started.Command, output: output, done: started.Done}
 	t.Cleanup(func() {
 		_ = p.command.Process.Kill()
 		<-p.done
@@ -350,9 +305,27 @@
 	qt.Check(t, effects, qt.HasLen, 1)
 }
 
-// TestGracefulStop: the first signal lets the request in flight end and the
-// process exits with 0.
+// TestGracefulStop: a signal lets the request in flight end, however often it
+// comes, and the process exits with 0. Only an operator who interrupts it twice
+// ends it at once.
 func TestGracefulStop(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		signals []syscall.Signal
+		whole   bool
+	}{
+		{"told once", []syscall.Signal{syscall.SIGTERM}, true},
+		{"told again", []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM}, true},
+		{"interrupted and told", []syscall.Signal{syscall.SIGINT, syscall.SIGTERM}, true},
+		{"interrupted twice", []syscall.Signal{syscall.SIGINT, syscall.SIGINT}, false},
+	} {
+		t.Run(x.name, func(t *testing.T) { stopWhileStreaming(t, x.signals, x.whole) })
+	}
+}
+
+// stopWhileStreaming sends signals to an entry that passes a stream on, which
+// must end whole or not.
+func stopWhileStreaming(t *testing.T, signals []syscall.Signal, whole bool) {
 	s := startSystem(t, 1, "--layers-per-second", "600")
 	type result struct {
 		text string
@@ -366,10 +339,13 @@
 	}()
 	time.Sleep(300 * time.Millisecond)
 	e := s.entries[0]
-	qt.Assert(t, e.command.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	for _, signal := range signals {
+		qt.Assert(t, e.command.Process.Signal(signal), qt.IsNil)
+		// Two that are pending together count as one.
+		time.Sleep(50 * time.Millisecond)
+	}
 	got := <-answered
-	qt.Check(t, got.err, qt.IsNil)
-	qt.Check(t, strings.HasSuffix(got.text, "data: [DONE]\n\n"), qt.IsTrue)
+	qt.Check(t, got.err == nil && strings.HasSuffix(got.text, "data: [DONE]\n\n"), qt.Equals, whole)
 	<-e.done
 	qt.Check(t, e.command.ProcessState.ExitCode(), qt.Equals, 0)
 }
