Tell suspicions for a while, and a part at a time

When an upstream crashes, each request in flight there is suspected for two minutes, and every word to every peer carried all suspicions, up to 1,024 of 60 bytes.

A suspicion by one crash is told for 5 s after it became known, by all who hear of it, 32 at a time with the newest first; one by more crashes as long as it lasts, before the others. What to tell is found anew each 100 ms, not for each word.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -6,9 +6,11 @@
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -20,6 +22,10 @@
 	SuspectTime = 2 * time.Minute
 	// DefaultLimit is the count of crashes that makes a suspect a culprit.
 	DefaultLimit = 2
+	// TellTime is how long a suspicion by one crash is told to peers, who tell
+	// it on. All requests in flight at an upstream are suspects: told for as
+	// long as they last, they would be most of what is told.
+	TellTime = 5 * time.Second
 	// SameCrash is the time within which two reports of an upstream's crash
 	// mean the same one.
 	SameCrash = 5 * time.Second
@@ -44,6 +50,9 @@
 type Suspicion struct {
 	Fingerprint string
 	Crashes     []Crash
+
+	// newsAt is when the last crash became known.
+	newsAt time.Time
 }
 
 // until returns when the suspicion ends.
@@ -108,6 +117,7 @@
 	if r.suspicions == nil {
 		r.suspicions = make(map[string]Suspicion)
 	}
+	s.newsAt = now
 	r.suspicions[fingerprint] = s
 	return true
 }
@@ -135,6 +145,18 @@
 	return s.until(r.limit()).Sub(now)
 }
 
+// Told returns the suspicions to tell peers, at most so many: those by most
+// crashes first, then the newest.
+func (r *Register) Told(now time.Time, most int) []Suspicion {
+	told := slices.DeleteFunc(r.All(now), func(s Suspicion) bool {
+		return len(s.Crashes) < 2 && now.Sub(s.newsAt) >= TellTime
+	})
+	slices.SortFunc(told, func(a, b Suspicion) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), b.newsAt.Compare(a.newsAt), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return told[:min(len(told), most)]
+}
+
 // All returns the suspicions that last.
 func (r *Register) All(now time.Time) []Suspicion {
 	var all []Suspicion
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -35,6 +36,28 @@
 	qt.Check(t, b.Quarantined("f", noon.Add(time.Second)) > 0, qt.IsTrue)
 }
 
+// TestTold: what many upstreams lost at once leave behind is told for a while
+// and a part at a time, what more than one crash points at as long as it lasts.
+func TestTold(t *testing.T) {
+	var r Register
+	r.Limit = 3
+	r.Add("twice", []Crash{{"u1", noon}, {"u2", noon}}, noon)
+	const requests, most = 500, 32
+	for i := range requests {
+		r.Add(fmt.Sprint("f", i), []Crash{{"u3", noon}}, noon.Add(time.Duration(i)*time.Millisecond))
+	}
+	now := noon.Add(requests * time.Millisecond)
+	told := r.Told(now, most)
+	qt.Assert(t, told, qt.HasLen, most)
+	qt.Check(t, told[0].Fingerprint, qt.Equals, "twice")
+	qt.Check(t, told[1].Fingerprint, qt.Equals, "f499", qt.Commentf("the newest goes first"))
+	told = r.Told(now.Add(TellTime), most)
+	qt.Assert(t, told, qt.HasLen, 1)
+	qt.Check(t, told[0].Fingerprint, qt.Equals, "twice")
+	qt.Check(t, r.Suspect("f0", now.Add(TellTime)), qt.IsTrue, qt.Commentf("not told, but known"))
+	qt.Check(t, r.Told(noon.Add(SuspectTime+time.Second), most), qt.HasLen, 0)
+}
+
 func TestOldCrashIsNoNews(t *testing.T) {
 	var r Register
 	qt.Check(t, r.Add("f", []Crash{{"u1", noon.Add(-SuspectTime - time.Second)}}, noon), qt.IsFalse)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -15,6 +15,7 @@
 	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/coordination/roster"
 	"lovageport.example/internal/coordination/tally"
+	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
 )
@@ -42,6 +43,9 @@
 	links       health.Links
 	// suspicions are the requests that were in flight where upstreams crashed.
 	suspicions quarantine.Register
+	// told are those told to peers at toldAt.
+	told   []peering.Suspicion
+	toldAt time.Duration
 	// waiting are the requests that wait for a place.
 	waiting admission.Queue[*waiter]
 	// drained is the rate at which waiting requests get their places, by
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -61,17 +61,29 @@
 	return verdict.RefuseUntil(left, verdict.Quarantined, "this request has crashed %d upstreams", crashLimit)
 }
 
+// toldSuspicions bounds the suspicions in one word to a peer, 60 bytes each.
+const toldSuspicions = 32
+
+// toldTime is how long the suspicions to tell are kept before they are found
+// anew: many peers are told within it.
+const toldTime = 100 * time.Millisecond
+
 // wireSuspicions returns the suspicions to tell peers.
 func (s *state) wireSuspicions(now time.Duration) []peering.Suspicion {
+	if s.suspicions.Empty() || s.toldAt > 0 && now-s.toldAt < toldTime {
+		return s.told
+	}
+	s.toldAt = now
 	var out []peering.Suspicion
-	for _, known := range s.suspicions.All(asTime(now)) {
+	for _, known := range s.suspicions.Told(asTime(now), toldSuspicions) {
 		said := peering.Suspicion{Fingerprint: known.Fingerprint}
 		for _, c := range known.Crashes {
 			said.Crashes = append(said.Crashes, peering.Death{Upstream: c.Upstream, Age: asTime(now).Sub(c.At)})
 		}
 		out = append(out, said)
 	}
-	return out[:min(len(out), peering.MaxNews)]
+	s.told = out
+	return out
 }
 
 // hearSuspicions takes in a peer's suspicions.
