--- /dev/null
+++ b/internal/soak/link.go
@@ -0,0 +1,205 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Harm is what a link does to what passes.
+type Harm struct {
+	// Delay is added to each piece, in each direction.
+	Delay time.Duration
+	// SilentTo and SilentFrom keep back what goes to the target, and what comes
+	// from it, until the harm ends, as a network does that loses packets.
+	SilentTo, SilentFrom bool
+	// Reset breaks connections, open and new ones.
+	Reset bool
+}
+
+// Link passes connections on to a target, over loopback.
+type Link struct {
+	// Address is where it listens.
+	Address string
+
+	target   string
+	listener net.Listener
+	running  sync.WaitGroup
+	mu       sync.Mutex
+	harms    map[*Harm]bool
+	conns    map[net.Conn]bool
+	// changed is closed and replaced when the harms change.
+	changed chan struct{}
+	closed  bool
+}
+
+// NewLink starts a link to a target.
+func NewLink(target string) (*Link, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{
+		Address:  listener.Addr().String(),
+		target:   target,
+		listener: listener,
+		harms:    make(map[*Harm]bool),
+		conns:    make(map[net.Conn]bool),
+		changed:  make(chan struct{}),
+	}
+	l.running.Go(l.accept)
+	return l, nil
+}
+
+// Close breaks all connections and waits until nothing of the link runs.
+func (l *Link) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.listener.Close()
+	l.change(func() {})
+	l.breakAll()
+	l.running.Wait()
+}
+
+// Harm adds a harm until the function that it returns is called.
+func (l *Link) Harm(h Harm) (end func()) {
+	l.change(func() { l.harms[&h] = true })
+	if h.Reset {
+		l.breakAll()
+	}
+	return func() { l.change(func() { delete(l.harms, &h) }) }
+}
+
+func (l *Link) change(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// harm returns the sum of the harms, and a channel that is closed when it
+// changes.
+func (l *Link) harm() (Harm, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var sum Harm
+	for h := range l.harms {
+		sum.Delay += h.Delay
+		sum.SilentTo = sum.SilentTo || h.SilentTo
+		sum.SilentFrom = sum.SilentFrom || h.SilentFrom
+		sum.Reset = sum.Reset || h.Reset
+	}
+	return sum, l.changed
+}
+
+// breakAll resets all connections.
+func (l *Link) breakAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		reset(c)
+	}
+}
+
+// reset closes a connection so that the other end sees a reset.
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+func (l *Link) accept() {
+	for {
+		from, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		l.running.Go(func() { l.serve(from) })
+	}
+}
+
+// serve passes one connection on.
+func (l *Link) serve(from net.Conn) {
+	if h, _ := l.harm(); h.Reset || !l.add(from) {
+		reset(from)
+		return
+	}
+	defer l.remove(from)
+	to, err := net.Dial("tcp", l.target)
+	if err != nil {
+		reset(from)
+		return
+	}
+	if !l.add(to) {
+		reset(from)
+		reset(to)
+		return
+	}
+	defer l.remove(to)
+	var pumps sync.WaitGroup
+	pumps.Go(func() { l.pump(to, from, func(h Harm) bool { return h.SilentTo }) })
+	pumps.Go(func() { l.pump(from, to, func(h Harm) bool { return h.SilentFrom }) })
+	pumps.Wait()
+}
+
+// add notes an open connection, unless the link is closed.
+func (l *Link) add(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = !l.closed
+	return !l.closed
+}
+
+func (l *Link) remove(c net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	c.Close()
+}
+
+// pieceBytes is how much is passed on at a time.
+const pieceBytes = 16 << 10
+
+// pump passes on what comes from one end until it ends, and the end with it.
+func (l *Link) pump(to, from net.Conn, silent func(Harm) bool) {
+	piece := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(piece)
+		l.hold(silent)
+		if n > 0 {
+			if _, err := to.Write(piece[:n]); err != nil {
+				reset(from)
+				return
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			_ = to.(*net.TCPConn).CloseWrite()
+			return
+		case err != nil:
+			reset(to)
+			return
+		}
+	}
+}
+
+// hold waits as long as the harms say.
+func (l *Link) hold(silent func(Harm) bool) {
+	h, changed := l.harm()
+	if h.Delay > 0 {
+		time.Sleep(h.Delay)
+	}
+	for silent(h) && !l.isClosed() {
+		<-changed
+		h, changed = l.harm()
+	}
+}
+
+func (l *Link) isClosed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closed
+}
