Log what a list of a peer changes

An upstream whose layers or state changed by a list that was read whole, or taken from a peer, had no line in the log; only changes brought by a watch had. Now that most gateways hear of changes from peers, each change has its line, with the store's revision, and each list taken its own.

--- a/internal/gateway/list.go
+++ b/internal/gateway/list.go
@@ -45,6 +45,9 @@
 	s.upstreams = all
 	s.listedAt = max(s.listedAt, l.at)
 	s.listRevision = l.revision
+	for instance, u := range all {
+		s.logChange(old[instance], u, now)
+	}
 	for instance, u := range old {
 		if all[instance] == nil {
 			s.lose(u, now)
@@ -92,11 +95,18 @@
 	if old == nil {
 		s.grownAt = now
 	}
-	if old == nil || old.State != c.Upstream.State || old.Held != c.Upstream.Held || old.Started != c.Upstream.Started {
-		s.log.Info("upstream changed", zap.String("upstream", c.Instance), zap.String("service", c.Upstream.Service), zap.String("zone", c.Upstream.Zone), zap.String("accelerator", c.Upstream.Accelerator),
-			zap.Bool("draining", c.Upstream.State == fleet.Draining), zap.Int("from", c.Upstream.Held.From), zap.Int("to", c.Upstream.Held.To),
-			zap.Int64("started", c.Upstream.Started), zap.Duration("list_age", now-s.listedAt))
+	s.logChange(old, c.Upstream, now)
+}
+
+// logChange logs what the list says now of an upstream, if it said something
+// else before; old is nil if it did not name it.
+func (s *state) logChange(old, u *fleet.Upstream, now time.Duration) {
+	if old != nil && old.State == u.State && old.Held == u.Held && old.Started == u.Started {
+		return
 	}
+	s.log.Info("upstream changed", zap.String("upstream", u.Instance), zap.String("service", u.Service), zap.String("zone", u.Zone), zap.String("accelerator", u.Accelerator),
+		zap.Bool("draining", u.State == fleet.Draining), zap.Int("from", u.Held.From), zap.Int("to", u.Held.To),
+		zap.Int64("started", u.Started), zap.Int64("revision", s.listRevision), zap.Duration("list_age", now-s.listedAt))
 }
 
 // lose takes out an upstream that the list does not name any more, or keeps it
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -362,6 +362,8 @@
 		g.tableAdopted("peer")
 	}
 	g.routing.Confirm(lent.InForce, sent-lent.TableAge)
+	g.Log.Info("lists borrowed", zap.String("peer", address), zap.Int64("configuration", lent.InForce), zap.Duration("configuration_age", lent.TableAge),
+		zap.Int64("revision", lent.ListRevision), zap.Duration("list_age", lent.ListAge))
 	if lent.ListAge < 0 {
 		return
 	}
