--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -12,7 +12,11 @@
 	// HopCost is that of passing an activation on within a zone.
 	HopCost = 0.2
 	// ZoneCost is that of passing it on to another zone.
-	ZoneCost = 8.0
+	ZoneCost = 12.0
+	// EntryCost is that of a first stage in another zone than the caller's.
+	// Only events come back over that link, but the load there is known later
+	// than at home: the gateways of other zones would crowd the fastest chain.
+	EntryCost = 16.0
 	// doubtedCost is that of a link between zones that may be cut.
 	doubtedCost = 300.0
 	// fullCost is added to a stage that has no room, so that it is used only
@@ -232,27 +236,24 @@
 	if f.m.zones[zone] == f.q.Zone {
 		return 0
 	}
-	// Only the events come back over the link, no activations.
-	return f.linkCost(f.q.Zone, f.m.zones[zone]) / 2
-}
-
-func (f *finder) zoneCost(from, to int) float64 {
-	if from == to {
-		return 0
+	if f.doubted(f.q.Zone, f.m.zones[zone]) {
+		return doubtedCost
 	}
-	return f.linkCost(f.m.zones[from], f.m.zones[to])
+	return EntryCost
 }
 
-func (f *finder) linkCost(from, to string) float64 {
+func (f *finder) zoneCost(from, to int) float64 {
 	switch {
 	case from == to:
 		return 0
-	case f.q.Doubted != nil && f.q.Doubted(from, to):
+	case f.doubted(f.m.zones[from], f.m.zones[to]):
 		return doubtedCost
 	}
 	return ZoneCost
 }
 
+func (f *finder) doubted(from, to string) bool { return f.q.Doubted != nil && f.q.Doubted(from, to) }
+
 // relax tries all stages that can follow a node.
 func (f *finder) relax(nodes [][]node, i, zone int, n node, first bool) {
 	m := f.m
