--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -190,22 +190,25 @@
 	if what == tableName {
 		g.tableLost.Store(lost)
 	}
-	g.control.Send(func(s *state) {
-		if s.storeLost[what] == lost {
-			return
-		}
-		s.storeLost[what] = lost
-		switch {
-		case errors.Is(err, platform.ErrNotFound):
-			// The store answers; the operators have not written it yet.
-			g.Log.Warn("nothing in store", zap.String("following", what))
-			return
-		case lost:
-			g.Log.Warn("store lost", zap.String("following", what), zap.Error(err))
-			return
-		}
-		g.Log.Info("store regained", zap.String("following", what))
-	})
+	g.control.Send(func(s *state) { s.noteStore(what, err) })
+}
+
+// noteStore runs in the control loop.
+func (s *state) noteStore(what string, err error) {
+	lost, empty := err != nil, errors.Is(err, platform.ErrNotFound)
+	if s.storeLost[what] == lost && s.storeEmpty[what] == empty {
+		return
+	}
+	s.storeLost[what], s.storeEmpty[what] = lost, empty
+	switch {
+	case empty:
+		// The store answers; the operators have not written it yet.
+		s.log.Warn("nothing in store", zap.String("following", what))
+	case lost:
+		s.log.Warn("store lost", zap.String("following", what), zap.Error(err))
+	default:
+		s.log.Info("store regained", zap.String("following", what))
+	}
 }
 
 func (g *Gateway) listUpstreams(ctx context.Context) (int64, error) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -68,8 +68,9 @@
 	whole map[string]bool
 	// grownAt is when the list of upstreams last grew.
 	grownAt time.Duration
-	// storeLost says what could not be followed when last tried.
-	storeLost map[string]bool
+	// storeLost says what could not be followed when last tried, and storeEmpty
+	// what of that the store does not have.
+	storeLost, storeEmpty map[string]bool
 }
 
 // pool is the upstreams of one service.
@@ -103,6 +104,7 @@
 	s.windows = make(map[string]*retry.Window)
 	s.drained = make(map[string]*admission.Rate)
 	s.storeLost = make(map[string]bool)
+	s.storeEmpty = make(map[string]bool)
 }
 
 func (s *state) setTable(t *routing.Table) {
