--- a/internal/endtoend/process_test.go
+++ b/internal/endtoend/process_test.go
@@ -28,16 +28,10 @@
 var programs string
 
 func TestMain(m *testing.M) {
-	dir, err := program.Build()
-	programs = dir
-	code := 1
-	if err == nil {
-		code = m.Run()
-	} else {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(program.With(func(dir string) int {
+		programs = dir
+		return m.Run()
+	}))
 }
 
 // Times of the tests.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,27 +66,29 @@
 	cancel()
 	calling.Wait()
 	s.close()
+	return s.report(p, faults, callers), nil
+}
 
-	report := &Report{Logs: make(map[string]string)}
-	for _, f := range faults {
-		report.Faults = append(report.Faults, fmt.Sprintf("%v %s", f.at.Round(time.Millisecond), f.what))
-	}
+// report checks what happened, after all has ended.
+func (s *site) report(p Plan, faults []fault, callers []*caller) *Report {
 	calls := s.extra
 	for _, c := range callers {
 		calls = append(calls, c.calls...)
 	}
 	s.check(calls, p.Planned)
-	report.Calls = len(calls)
+	r := &Report{Calls: len(calls), Violations: s.violations, Logs: make(map[string]string)}
+	for _, f := range faults {
+		r.Faults = append(r.Faults, fmt.Sprintf("%v %s", f.at.Round(time.Millisecond), f.what))
+	}
 	for _, k := range calls {
 		if k.status/100 == 2 && k.err == nil {
-			report.Served++
+			r.Served++
 		}
 	}
 	for _, g := range s.gateways {
-		report.Logs[g.name] = s.readLog(g)
+		r.Logs[g.name] = s.readLog(g)
 	}
-	report.Violations = s.violations
-	return report, nil
+	return r
 }
 
 func (s *site) newCallers(p Plan) []*caller {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,16 +26,10 @@
 var programs string
 
 func TestMain(m *testing.M) {
-	dir, err := program.Build()
-	programs = dir
-	code := 1
-	if err == nil {
-		code = m.Run()
-	} else {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(program.With(func(dir string) int {
+		programs = dir
+		return m.Run()
+	}))
 }
 
 // TestSoak plays drawn runs.
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -13,17 +13,24 @@
 	"sync/atomic"
 )
 
-// Build builds all programs into a new directory, which the caller removes.
-func Build() (dir string, err error) {
-	dir, err = os.MkdirTemp("", "lovageport")
+// exitFailure is the exit code of tests whose programs can't be built.
+const exitFailure = 1
+
+// With builds all programs into a directory, removes it after run has had it,
+// and returns the exit code of run.
+func With(run func(dir string) int) int {
+	dir, err := os.MkdirTemp("", "lovageport")
 	if err != nil {
-		return "", err
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
 	}
+	defer os.RemoveAll(dir)
 	text, err := exec.Command("go", "build", "-o", dir, "lovageport.example/cmd/...").CombinedOutput()
 	if err != nil {
-		return dir, fmt.Errorf("program: %w\n%s", err, text)
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, text)
+		return exitFailure
 	}
-	return dir, nil
+	return run(dir)
 }
 
 // Process is one running program.
