--- a/internal/coordination/path/herd_test.go
+++ b/internal/coordination/path/load_test.go
@@ -35,27 +35,28 @@
 		end   time.Duration
 	}
 	random := rand.New(rand.NewPCG(1, 2))
-	now, old := make(map[string]Load), make(map[string]Load)
+	// carried is what is under way, told what of it the gateways know.
+	carried, told := make(map[string]Load), make(map[string]Load)
 	var open []running
 	away, total := 0, 0
 	for at := time.Duration(0); total < requests; at += step {
 		for len(open) > 0 && open[0].end <= at {
 			for _, s := range open[0].chain.Stages {
-				l := now[s.Upstream.Instance]
+				l := carried[s.Upstream.Instance]
 				l.Requests--
 				l.TokenLayers -= tokens * float64(s.Layers.Len())
-				now[s.Upstream.Instance] = l
+				carried[s.Upstream.Instance] = l
 			}
 			open = open[1:]
 		}
 		if at%known == 0 {
-			for instance, l := range now {
-				old[instance] = l
+			for instance, l := range carried {
+				told[instance] = l
 			}
 		}
 		for _, zone := range []string{"a", "b", "c"} {
 			total++
-			q := &Query{Zone: zone, Tokens: tokens, Load: func(u *fleet.Upstream) Load { return old[u.Instance] },
+			q := &Query{Zone: zone, Tokens: tokens, Load: func(u *fleet.Upstream) Load { return told[u.Instance] },
 				Noise: func() float64 { return 1 + 0.15*(random.Float64()-0.5) }}
 			chain, ok := m.Find(q)
 			qt.Assert(t, ok, qt.IsTrue)
@@ -63,10 +64,10 @@
 				away++
 			}
 			for _, s := range chain.Stages {
-				l := now[s.Upstream.Instance]
+				l := carried[s.Upstream.Instance]
 				l.Requests++
 				l.TokenLayers += tokens * float64(s.Layers.Len())
-				now[s.Upstream.Instance] = l
+				carried[s.Upstream.Instance] = l
 			}
 			open = append(open, running{chain, at + lasts})
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -170,6 +170,7 @@
 		g.tableAdopted("watch")
 	}
 	if !w.MayLag {
+		// An answer that may lag says nothing of how things are now.
 		g.routing.Confirm(g.routing.Table().Version, sent)
 	}
 	return changes.Revision, nil
@@ -231,6 +232,7 @@
 func (g *Gateway) watchUpstreams(ctx context.Context, w platform.Watching) (int64, error) {
 	confirmed := g.Now()
 	if w.MayLag {
+		// The answer says nothing of how things are now.
 		confirmed = 0
 	}
 	changes, err := g.store.WatchUpstreams(ctx, w)
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -10,6 +10,7 @@
 // none goes to an upstream that has left. Faults that come on top excuse what
 // they may cut, but no wrong answer, no second run and no false refusal.
 //
-// Gateways use the boot clock alone, so steps of the time of day are no fault
-// of theirs and are not played.
+// Gateways call each other directly: cuts between them are not played. They use
+// the boot clock alone, so steps of the time of day do not concern them and are
+// not played either.
 package soak
