--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -56,7 +56,7 @@
 		for _, r := range u.Runs() {
 			c.runs[r.Request] = append(c.runs[r.Request], run{r, i})
 			if !known[r.Request] {
-				s.found("upstreams run what callers sent", r.Request)
+				s.found("upstreams run what callers sent", fmt.Sprintf("%q at %s with %v", r.Request, u.Instance, r.Header))
 			}
 			if r.Chain != "" && !r.Whole() {
 				s.found("a chain runs every layer once", r.Chain)
--- a/internal/transport/exchange/exchange_test.go
+++ b/internal/transport/exchange/exchange_test.go
@@ -74,16 +74,19 @@
 	return string(body), err
 }
 
+// answerAll answers each request on a connection with a whole answer.
+func answerAll(p *peer, conn net.Conn, reader *bufio.Reader) {
+	for {
+		if _, err := p.read(reader); err != nil {
+			return
+		}
+		io.WriteString(conn, whole)
+	}
+}
+
 func TestConnectionIsKept(t *testing.T) {
 	c := qt.New(t)
-	p := newPeer(t, func(p *peer, conn net.Conn, reader *bufio.Reader) {
-		for {
-			if _, err := p.read(reader); err != nil {
-				return
-			}
-			io.WriteString(conn, whole)
-		}
-	})
+	p := newPeer(t, answerAll)
 	pool := newPool()
 	defer pool.Close()
 	for range 5 {
@@ -227,14 +230,7 @@
 
 func TestIdleConnectionIsGivenUpBeforeTheUpstreamDoes(t *testing.T) {
 	c := qt.New(t)
-	p := newPeer(t, func(p *peer, conn net.Conn, reader *bufio.Reader) {
-		for {
-			if _, err := p.read(reader); err != nil {
-				return
-			}
-			io.WriteString(conn, whole)
-		}
-	})
+	p := newPeer(t, answerAll)
 	pool := newPool()
 	a, err := pool.Do(context.Background(), &Request{Address: p.address, Method: "GET", URI: "/", Host: "h", Header: http.Header{}})
 	c.Assert(err, qt.IsNil)
