Leave alone upstreams that say they leave, or ask for no requests

Cause: answers that say that their upstream is about to end, and refusals that state a time for which the upstream wants no requests, were read by nobody. A leaving upstream whose entry did not say so got requests until the entry went; an overloaded one was tried again after 100 ms, and probed.

Ruled out: counting both as faults. A fault is told to peers and ends by a probe; the wait that an upstream asks for binds this VM alone, probes included, and ends by time; that an upstream leaves holds for one start of it, for good.

Change: decoded once in platform/, noted for the head of any answer, also of probes, reports and orders. An upstream that leaves is out of service here at once and at the peers by their news, until another start of it is listed. One that holds off gets nothing from here until its time has passed (an hour at most); if it named another stage, that one counts as full and itself as not to be called. Half of a zone's gateways told so for 5 s or more plan its layers without it. If only such upstreams could serve, a request waits for the first, or is refused at once until exactly then. Checked again right before sending. Counter, log lines, hint for explain; the soak has such upstreams and checks.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -67,6 +67,8 @@
 	paceDueAt time.Duration
 	// took is the moving mean of the time to answer.
 	took, tookAt time.Duration
+	// holdOff is what the upstream has asked for itself.
+	holdOff HoldOff
 	// failures is the moving share of attempts that failed.
 	failures float64
 	at       time.Duration
@@ -115,6 +117,9 @@
 func (r *Register) DueProbes(now time.Duration) []string {
 	var due []string
 	for instance, rec := range r.records {
+		if now < rec.holdOff.Calls {
+			continue
+		}
 		if rec.suspected || rec.probing && now >= rec.outUntil {
 			rec.due(now)
 			due = append(due, instance)
@@ -163,6 +168,12 @@
 
 // Out says whether an upstream must be left alone.
 func (r *Register) Out(instance string, now time.Duration) bool {
+	return r.Faulty(instance, now) || now < r.Held(instance).Work
+}
+
+// Faulty says whether an upstream must be left alone for a fault, as opposed to
+// its own request.
+func (r *Register) Faulty(instance string, now time.Duration) bool {
 	rec := r.records[instance]
 	return rec != nil && (rec.probing || now < max(rec.outUntil, rec.heardUntil))
 }
--- a/internal/coordination/health/pace.go
+++ b/internal/coordination/health/pace.go
@@ -20,7 +20,7 @@
 // the next question.
 func (r *Register) PaceDue(instance string, now time.Duration) bool {
 	rec := r.record(instance)
-	if now < rec.paceDueAt {
+	if now < max(rec.paceDueAt, rec.holdOff.Calls) {
 		return false
 	}
 	rec.paceDueAt = now + paceInterval
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,6 +23,9 @@
 // send makes one attempt and checks the head of the answer. The error is a
 // [verdict.Error]; it has been noted with the upstream at fault.
 func (g *Gateway) send(ctx context.Context, q *query, p place, resumeAfter string) (*answer, error) {
+	if !g.maySend(p) {
+		return nil, g.failed(q, p, heldOff(), relay.Answer{})
+	}
 	call := &relay.Call{
 		Upstream:    p.upstream,
 		Chain:       p.chain,
@@ -64,8 +67,17 @@
 	return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamProtocol, Message: message}
 }
 
+// heldOff returns the error of a call that was not sent because its upstream
+// wants none from this VM.
+func heldOff() *verdict.Error {
+	return &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamBusy, Message: "upstream wants no calls"}
+}
+
 // exchange sends a call and reads the head of the answer.
 func (g *Gateway) exchange(ctx context.Context, c *relay.Call) (*answer, error) {
+	if !g.mayCall(c.Upstream) {
+		return nil, heldOff()
+	}
 	a, err := g.pool.Do(ctx, &exchange.Request{
 		Address: c.Upstream.Address,
 		Method:  c.Method,
@@ -79,6 +91,7 @@
 	}
 	out := &answer{Answer: a, head: platform.DecodeAnswer(a.Status, a.Header)}
 	a.SetKeepAlive(out.head.KeepAlive)
+	g.noteAnswer(c.Upstream, out.head)
 	return out, nil
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -80,8 +80,9 @@
 			}
 		},
 	}
-	if s.limited(q, now) {
-		query.MayBegin = func(u *fleet.Upstream) bool { return q.ranOn[u.Instance] }
+	limited := s.limited(q, now)
+	query.MayBegin = func(u *fleet.Upstream) bool {
+		return s.health.MayCall(u.Instance, now) && (!limited || q.ranOn[u.Instance])
 	}
 	return query
 }
@@ -108,7 +109,7 @@
 	var best *fleet.Upstream
 	least := 0.0
 	for _, u := range p.members {
-		if q.shunned[u.Instance] || s.health.Out(u.Instance, now) {
+		if q.shunned[u.Instance] || s.health.Out(u.Instance, now) || !s.health.MayCall(u.Instance, now) {
 			continue
 		}
 		cost := s.callCost(u, now)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,9 @@
 	// tableLost says that the configuration could not be followed when last
 	// tried.
 	tableLost atomic.Bool
+	// noticed says that an upstream has given notice that it leaves, or wants no
+	// requests for a while.
+	noticed atomic.Bool
 	// draining says that the graceful stop has begun.
 	draining atomic.Bool
 	// inFlight counts the callers' requests at work.
--- a/internal/gateway/list.go
+++ b/internal/gateway/list.go
@@ -43,6 +43,7 @@
 	}
 	old := s.upstreams
 	s.upstreams = all
+	s.forgetHoldOffs(old, all)
 	s.listedAt = max(s.listedAt, l.at)
 	s.listRevision = l.revision
 	for instance, u := range all {
@@ -92,6 +93,9 @@
 	}
 	delete(s.lapsed, c.Instance)
 	s.upstreams[c.Instance] = c.Upstream
+	if old != nil && old.Started != c.Upstream.Started {
+		s.health.Renew(c.Instance)
+	}
 	if old == nil {
 		s.grownAt = now
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,11 +15,13 @@
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	// first is the time to the first event, or to the answer.
-	first        *prometheus.HistogramVec
-	whole        *prometheus.HistogramVec
-	connections  prometheus.Counter
-	storeCalls   *prometheus.CounterVec
-	orders       *prometheus.CounterVec
+	first       *prometheus.HistogramVec
+	whole       *prometheus.HistogramVec
+	connections prometheus.Counter
+	storeCalls  *prometheus.CounterVec
+	orders      *prometheus.CounterVec
+	// notices counts what upstreams say of themselves in their answers.
+	notices      *prometheus.CounterVec
 	tableVersion prometheus.Gauge
 }
 
@@ -52,6 +54,9 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_orders_total", Help: "Orders to engines, by outcome.",
 		}, []string{"outcome"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_upstream_notices_total", Help: "Answers whose upstream says that it leaves, or wants no requests for a while.",
+		}, []string{"notice"}),
 		tableVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lovageport_gateway_configuration_version", Help: "Version of the configuration in force.",
 		}),
@@ -67,7 +72,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.first, m.whole, m.connections, m.storeCalls, m.orders, m.tableVersion, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.first, m.whole, m.connections, m.storeCalls, m.orders, m.notices, m.tableVersion, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -130,6 +130,7 @@
 			s.health.Hear(f.Upstream, f.Left, now)
 		}
 	}
+	s.hearLeaving(n, now)
 	s.hearSuspicions(n.Suspicions, now)
 	switch {
 	case n.Address.Address == s.roster.Self.Address:
@@ -170,6 +171,7 @@
 	n.Suspicions = s.wireSuspicions(now)
 	n.Peers = s.somePeers(now)
 	n.OfZone = zone != s.zone
+	s.addNotices(n, now)
 	s.addLoads(n)
 	s.addCounts(n, now)
 	return n
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -101,7 +101,7 @@
 			if len(mine) == 0 {
 				continue
 			}
-			goal := placement.Plan(p.service.Engine, s.ledger.Expected(s.alive(p.members), now))
+			goal := placement.Plan(p.service.Engine, s.ledger.Expected(s.alive(p.members, now), now))
 			lacks := func(zone string) bool { return !s.whole[p.service.Name+" "+zone] }
 			due = append(due, s.ledger.Due(goal, mine, lacks, now)...)
 		}
@@ -129,12 +129,13 @@
 	return now-s.grownAt < settleTime
 }
 
-// alive returns the engines but for those of the own zone that do not answer;
-// for other zones the way there may be at fault.
-func (s *state) alive(members []*fleet.Upstream) []*fleet.Upstream {
+// alive returns the engines but for those of the own zone that do not answer or
+// are overloaded; for other zones the way there may be at fault.
+func (s *state) alive(members []*fleet.Upstream, now time.Duration) []*fleet.Upstream {
 	var out []*fleet.Upstream
+	overloaded := s.overloaded(now)
 	for _, u := range members {
-		if u.Zone != s.zone || !s.health.Lost(u.Instance) {
+		if u.Zone != s.zone || !s.health.Lost(u.Instance) && !overloaded[u.Instance] {
 			out = append(out, u)
 		}
 	}
@@ -152,7 +153,7 @@
 			mine = s.roster.Places(u.Zone, own, now)
 			places[u.Zone] = mine
 		}
-		if mine && !s.health.Out(u.Instance, now) && !s.links.Doubted(s.zone, u.Zone, now) {
+		if mine && !s.health.Out(u.Instance, now) && s.health.MayCall(u.Instance, now) && !s.links.Doubted(s.zone, u.Zone, now) {
 			out = append(out, u)
 		}
 	}
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -90,7 +90,7 @@
 		return false
 	}
 	switch e.Reason {
-	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.RetryBudget, verdict.RetryLimit, verdict.Quarantined, verdict.CallerGone:
+	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.HeldOff, verdict.RetryBudget, verdict.RetryLimit, verdict.Quarantined, verdict.CallerGone:
 		return false
 	}
 	q.setWait(now)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -64,6 +64,9 @@
 	// it does not name them.
 	listBackAt time.Duration
 	lapsed     map[string]time.Duration
+	// leaving are the upstreams that have said that they are about to end, with
+	// when they were last listed.
+	leaving map[fleet.Incarnation]time.Duration
 	// whole says which zones hold all layers of which services.
 	whole map[string]bool
 	// grownAt is when the list of upstreams last grew.
@@ -100,6 +103,7 @@
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*load)
+	s.leaving = make(map[fleet.Incarnation]time.Duration)
 	s.lapsed = make(map[string]time.Duration)
 	s.windows = make(map[string]*retry.Window)
 	s.drained = make(map[string]*admission.Rate)
@@ -115,13 +119,14 @@
 // rebuild makes the pools anew.
 func (s *state) rebuild() {
 	s.pools = make(map[string]*pool)
+	s.keepLeaving(s.now())
 	if s.table == nil {
 		return
 	}
 	for _, instance := range slices.Sorted(maps.Keys(s.upstreams)) {
 		u := s.upstreams[instance]
 		service := s.table.Services[u.Service]
-		if service == nil || u.State != fleet.Serving {
+		if service == nil || u.State != fleet.Serving || s.leaves(u) {
 			continue
 		}
 		p := s.pools[u.Service]
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -95,6 +95,10 @@
 		Cost:     int(q.tokens),
 		Deadline: asTime(min(q.waitUntil, q.deadline)),
 	}
+	if refusal := s.relief(q, now); refusal != nil {
+		w.reply <- taken{err: refusal}
+		return
+	}
 	if reason, hopeless := s.hopeless(q, item, now); hopeless {
 		s.refuseWaiting(w, reason, now)
 		return
@@ -166,7 +170,11 @@
 	}
 	p, err := s.take(w.q, now)
 	if err != nil && waitable(err) {
-		return false
+		refusal := s.relief(w.q, now)
+		if refusal == nil {
+			return false
+		}
+		err = refusal
 	}
 	s.waiting.Pop(service)
 	if err == nil {
--- a/internal/history/print.go
+++ b/internal/history/print.go
@@ -97,6 +97,8 @@
 	switch r {
 	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.UpstreamBusy:
 		return "there was no room in time: fill in 'place given' tells how full the path was; look for 'layers of a zone' with whole=false and for 'upstream gone'"
+	case verdict.HeldOff:
+		return "all upstreams that could take it had asked for no requests: 'upstream holds off requests' says for how long, retry_after when the first takes them again"
 	case verdict.DeadlineExceeded:
 		return "the route's timeout passed: attempts and pauses tell whether the upstreams were slow or one of them failed before"
 	case verdict.RetryLimit, verdict.RetryBudget:
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -61,9 +61,14 @@
 	ListRevision int64
 	// OfZone says that Loads and Services are the sums of the sender's zone,
 	// as far as it knows; otherwise they are its own.
-	OfZone   bool
-	Loads    []UpstreamLoad
-	Faults   []UpstreamFault
+	OfZone bool
+	Loads  []UpstreamLoad
+	Faults []UpstreamFault
+	// Leaving are starts of upstreams that have said that they are about to
+	// end.
+	Leaving []fleet.Incarnation
+	// HeldOff are upstreams that have asked the sender for no requests.
+	HeldOff  []UpstreamFault
 	Services []ServiceCounts
 	// Suspicions are requests that crashed upstreams.
 	Suspicions []Suspicion
@@ -80,6 +85,8 @@
 		return errors.New("peering: news without sender")
 	case n.TableAge < 0 || n.Table < 0:
 		return errors.New("peering: negative age or version")
+	case len(n.Leaving) > MaxNews || len(n.HeldOff) > MaxNews:
+		return errors.New("peering: too many notices")
 	case len(n.Faults) > MaxNews || len(n.Suspicions) > MaxNews || len(n.Peers) > MaxNews:
 		return errors.New("peering: too much news")
 	}
--- a/internal/protocol/peering/peering.go
+++ b/internal/protocol/peering/peering.go
@@ -12,7 +12,7 @@
 )
 
 // Version is that of these messages; entries of other versions are refused.
-const Version = 3
+const Version = 4
 
 // Bounds of the messages.
 const (
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -71,6 +71,12 @@
 	AtFault string
 	// WrongInstance says that another upstream has the address.
 	WrongInstance bool
+	// Leaving says that the upstream is about to end and should get nothing
+	// new.
+	Leaving bool
+	// HoldOff is how long an upstream that refused wants no requests from this
+	// VM; 0 if it does not say.
+	HoldOff time.Duration
 	// KeepAlive is how long the connection may stay idle; 0 if not stated.
 	KeepAlive time.Duration
 	// Events says that the body is a series of events.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -73,8 +73,10 @@
 	}
 	c.checkNeverBack()
 	c.checkRetries()
+	c.checkSaidLeaving()
 	if planned {
 		c.checkLeaves()
+		c.checkHoldOffs()
 	}
 }
 
@@ -172,10 +174,6 @@
 // checkNeverBack checks that a process that has served by a configuration goes
 // back to none before it.
 func (c *checker) checkNeverBack() {
-	type process struct {
-		gateway     *gateway
-		incarnation int
-	}
 	// newest is the newest configuration that a process has shown, and when.
 	type shown struct {
 		number int
@@ -194,7 +192,7 @@
 	slices.SortFunc(served, func(a, b *call) int { return a.ended.Compare(b.ended) })
 	newest := make(map[process][]shown)
 	for _, k := range served {
-		p := process{k.gateway, k.incarnation}
+		p := k.process()
 		for _, s := range newest[p] {
 			if s.number > number[k.key] && k.sent.After(s.at.Add(backSlack)) {
 				c.found("a configuration never goes back", k)
@@ -246,7 +244,7 @@
 	for id, runs := range c.runs {
 		for _, r := range runs {
 			for _, l := range c.site.leaves {
-				if l.server == r.server && r.At.After(l.from.Add(drainBound)) && r.At.Before(l.to) {
+				if l.listed && l.server == r.server && r.At.After(l.from.Add(drainBound)) && r.At.Before(l.to) {
 					c.site.found("an upstream that leaves gets nothing new", fmt.Sprintf("%s at %s, %v after it left", id, c.site.servers[r.server].Instance, r.At.Sub(l.from)))
 				}
 			}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -51,7 +51,7 @@
 // plannedWork draws one piece of planned work.
 func (d *drawer) plannedWork() (string, func()) {
 	g := d.site.gateways[d.random.IntN(len(d.site.gateways))]
-	switch d.random.IntN(6) {
+	switch d.random.IntN(7) {
 	case 0:
 		return "stop " + g.name, func() { g.signal(syscall.SIGTERM) }
 	case 1:
@@ -66,9 +66,12 @@
 		return "configure", d.site.configure
 	case 4:
 		return "forget history", d.site.store.Forget
+	case 5:
+		i, wait, length := d.random.IntN(len(d.site.servers)), d.length(time.Second, 3*time.Second), d.length(500*time.Millisecond, 3*time.Second)
+		return fmt.Sprintf("refuse at %s for %v, each time for %v", d.site.servers[i].Instance, length, wait), func() { d.site.refuse(i, wait, length) }
 	}
-	i, length := d.random.IntN(len(d.site.servers)), d.length(time.Second, 6*time.Second)
-	return fmt.Sprintf("leave %s for %v", d.site.servers[i].Instance, length), func() { d.site.leave(i, length) }
+	i, length, listed := d.random.IntN(len(d.site.servers)), d.length(time.Second, 6*time.Second), d.random.IntN(2) == 0
+	return fmt.Sprintf("leave %s for %v, listed as draining: %v", d.site.servers[i].Instance, length, listed), func() { d.site.leave(i, length, listed) }
 }
 
 // trouble draws one fault of processes, store or links.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -39,10 +39,12 @@
 	at time.Time
 }
 
-// leave is the time in which an upstream was draining.
+// leave is the time in which an upstream was leaving, and whether its entry said
+// so too.
 type leave struct {
 	server   int
 	from, to time.Time
+	listed   bool
 }
 
 // Violation is a promise that did not hold.
@@ -169,17 +171,36 @@
 	return s.versions[n-1].key, before
 }
 
-// leave has an upstream drain for a time, unless it is away already.
-func (s *site) leave(server int, length time.Duration) {
+// leave has an upstream leave for a time, unless it is away already: all its
+// answers say so, and its entry too if listed is set. It comes back as another
+// start of the same upstream.
+func (s *site) leave(server int, length time.Duration, listed bool) {
 	if !s.takeAway(server) {
 		return
 	}
-	s.servers[server].Register("draining")
+	s.servers[server].SetLeaving(true)
+	if listed {
+		s.servers[server].Register("draining")
+	}
 	from := time.Now()
 	time.Sleep(length)
 	s.mu.Lock()
-	s.leaves = append(s.leaves, leave{server, from, time.Now()})
+	s.leaves = append(s.leaves, leave{server, from, time.Now(), listed})
 	s.mu.Unlock()
+	s.servers[server].SetLeaving(false)
+	s.servers[server].Restart()
+	s.bringBack(server)
+}
+
+// refuse has an upstream refuse all requests for a time, and ask for none for
+// wait each time, unless it is away already.
+func (s *site) refuse(server int, wait, length time.Duration) {
+	if !s.takeAway(server) {
+		return
+	}
+	s.servers[server].Refuse(wait)
+	time.Sleep(length)
+	s.servers[server].Refuse(0)
 	s.bringBack(server)
 }
 
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -78,6 +78,7 @@
 	UpstreamRefused    Reason = "upstream_refused"
 	UpstreamWithdrawn  Reason = "upstream_withdrawn"
 	UpstreamBusy       Reason = "upstream_busy"
+	HeldOff            Reason = "held_off"
 	UpstreamLost       Reason = "upstream_lost"
 	UpstreamSilent     Reason = "upstream_silent"
 	UpstreamProtocol   Reason = "upstream_protocol"
