Tell peers what upstreams answer, and ask each of them once for all

Cause: on the large site most calls without a request are questions: each of 95 gateways probes each lost upstream every 0.8 s and asks each engine of a stream with a pause above 120 ms for its pace.

Ruled out: one gateway alone asking for its zone. It may be cut off from what the others reach, and a stopped one would leave nobody asking for seconds.

Change: answers to probes and paces are told to the peers of the zone for 1.5 s and believed there, unless an upstream taken back so fails at once. Gateways put off their next probe at random by as much as they are many, but for the one that places the layers. What counts as a slow pause follows the route's longest one.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -55,6 +55,12 @@
 	probing bool
 	// failedProbes counts the probes since the last answer.
 	failedProbes int
+	// blamedAt is when the upstream last failed to answer here, and answeredAt
+	// when it last answered a probe of this gateway.
+	blamedAt, answeredAt time.Duration
+	// believedAt is when it was last taken back by a peer's word alone, and
+	// doubtUntil until when no such word is believed.
+	believedAt, doubtUntil time.Duration
 	// suspected says that it should be probed at once, and suspectUntil until
 	// when it is not suspected again.
 	suspected    bool
@@ -62,9 +68,11 @@
 	// heardUntil is outUntil by the word of peers; it is not passed on, so that
 	// no outage is kept up by peers that repeat each other.
 	heardUntil time.Duration
-	// pace is the engine's last reported one.
-	pace      float64
-	paceDueAt time.Duration
+	// pace is the engine's last reported one, as of paceAt; paceAskedHere says
+	// that this gateway asked for it.
+	pace              float64
+	paceAt, paceDueAt time.Duration
+	paceAskedHere     bool
 	// took is the moving mean of the time to answer.
 	took, tookAt time.Duration
 	// holdOff is what the upstream has asked for itself.
@@ -77,6 +85,13 @@
 // Register holds what is believed of upstreams, by instance. Its zero value
 // believes all to be well.
 type Register struct {
+	// Sharers is how many gateways ask the same upstreams and tell each other
+	// the answers, so that each may ask less often; up to 1 for none but this.
+	Sharers int
+	// Random returns a number in [0, 1), which keeps the gateways from asking at
+	// the same time; nil for always 0.
+	Random func() float64
+
 	records map[string]*record
 }
 
@@ -97,8 +112,13 @@
 func (r *Register) Blame(instance string, f Fault, now time.Duration) bool {
 	rec := r.record(instance)
 	wasOut := r.Out(instance, now)
-	rec.outUntil = max(rec.outUntil, now+pauses[f])
-	rec.probing = rec.probing || f == Unreachable
+	end := now + pauses[f]
+	if f == Unreachable {
+		end += r.stagger(rec, now)
+		rec.doubt(now)
+		rec.probing = true
+	}
+	rec.outUntil = max(rec.outUntil, end)
 	return !wasOut
 }
 
@@ -121,7 +141,7 @@
 			continue
 		}
 		if rec.suspected || rec.probing && now >= rec.outUntil {
-			rec.due(now)
+			rec.due(now, r.stagger(rec, now))
 			due = append(due, instance)
 		}
 	}
@@ -129,12 +149,12 @@
 	return due
 }
 
-func (rec *record) due(now time.Duration) {
+func (rec *record) due(now, stagger time.Duration) {
 	if rec.suspected {
 		rec.suspected = false
 		return
 	}
-	rec.outUntil = now + probeInterval
+	rec.outUntil = now + probeInterval + stagger
 }
 
 // ProbeFailed notes that an upstream did not answer a probe.
@@ -153,10 +173,14 @@
 // Answered notes that an upstream has answered a probe. It says whether the
 // upstream is in use again by that.
 func (r *Register) Answered(instance string, now time.Duration) bool {
-	rec := r.records[instance]
-	if rec == nil {
-		return false
-	}
+	rec := r.record(instance)
+	rec.answeredAt = now
+	return rec.takeBack(now)
+}
+
+// takeBack ends the wait for an answer to a probe, and says whether there was
+// one.
+func (rec *record) takeBack(now time.Duration) bool {
 	rec.failedProbes = 0
 	if !rec.probing {
 		return false
--- a/internal/coordination/health/health_test.go
+++ b/internal/coordination/health/health_test.go
@@ -70,10 +70,10 @@
 	var r Register
 	c.Assert(r.PaceDue("u", time.Second), qt.IsTrue)
 	c.Assert(r.PaceDue("u", time.Second), qt.IsFalse)
-	c.Assert(r.SetPace("u", 4.5), qt.IsTrue)
+	c.Assert(r.SetPace("u", 4.5, time.Second), qt.IsTrue)
 	c.Assert(r.Pace("u"), qt.Equals, 4.5)
 	c.Assert(r.SlowDue(2*time.Second), qt.DeepEquals, []string{"u"})
-	c.Assert(r.SetPace("u", 1), qt.IsTrue)
+	c.Assert(r.SetPace("u", 1, 2*time.Second), qt.IsTrue)
 	c.Assert(r.Pace("u"), qt.Equals, 1.0)
 	c.Assert(r.SlowDue(3*time.Second), qt.HasLen, 0)
 }
--- a/internal/coordination/health/holdoff_test.go
+++ b/internal/coordination/health/holdoff_test.go
@@ -29,7 +29,7 @@
 	var r Register
 	now := time.Second
 	r.Blame("u", Unreachable, now)
-	r.SetPace("u", 5)
+	r.SetPace("u", 5, now)
 	r.HoldCalls("u", time.Minute, now)
 	later := now + 30*time.Second
 	c.Assert(r.DueProbes(later), qt.HasLen, 0)
--- a/internal/coordination/health/pace.go
+++ b/internal/coordination/health/pace.go
@@ -40,12 +40,17 @@
 	return due
 }
 
-// SetPace notes an engine's pace. It says whether the engine has become slow,
-// or is so no longer.
-func (r *Register) SetPace(instance string, pace float64) bool {
+// SetPace notes the pace that an engine has reported here. It says whether the
+// engine has become slow, or is so no longer.
+func (r *Register) SetPace(instance string, pace float64, now time.Duration) bool {
 	rec := r.record(instance)
+	rec.paceAskedHere = true
+	return rec.setPace(pace, now)
+}
+
+func (rec *record) setPace(pace float64, at time.Duration) bool {
 	changed := (rec.pace > slowPace) != (pace > slowPace)
-	rec.pace = pace
+	rec.pace, rec.paceAt = pace, at
 	return changed
 }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -143,7 +143,7 @@
 			return s.broken(ctx, p, err)
 		}
 		watch.moved()
-		if pause := s.noteEvent(s.g.Now()); pause > slowPause {
+		if pause := s.noteEvent(s.g.Now()); pause > s.slowPause() {
 			s.g.askPace(p)
 		}
 		s.begin(a)
@@ -159,9 +159,21 @@
 	}
 }
 
-// slowPause is the pause between events after which the engines of a chain are
-// asked whether they are slow.
-const slowPause = 120 * time.Millisecond
+// Pauses between events after which the engines of a chain are asked whether
+// they are slow.
+const (
+	// slowPauseShare is that part of the longest pause that the route allows.
+	slowPauseShare = 0.6
+	// defaultSlowPause is for routes that allow any.
+	defaultSlowPause = 120 * time.Millisecond
+)
+
+func (s *generation) slowPause() time.Duration {
+	if s.route.MaxPause <= 0 {
+		return defaultSlowPause
+	}
+	return time.Duration(slowPauseShare * float64(s.route.MaxPause))
+}
 
 // begin writes the head of the answer, once.
 func (s *generation) begin(a *answer) {
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -39,7 +39,7 @@
 		return
 	}
 	g.control.Send(func(s *state) {
-		if s.health.SetPace(u.Instance, report.Pace) {
+		if s.health.SetPace(u.Instance, report.Pace, g.Now()) {
 			g.Log.Info("engine changed its pace", zap.String("upstream", u.Instance), zap.Float64("pace", report.Pace))
 		}
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/coordination/roster"
 	"lovageport.example/internal/loop"
@@ -128,8 +129,12 @@
 		// What a peer of another zone can't reach may be within reach here.
 		if u != nil && (n.Zone == s.zone || n.Zone == u.Zone) {
 			s.health.Hear(f.Upstream, f.Left, now)
+			if s.asksFirst && u.Zone == s.zone {
+				s.health.Suspect(f.Upstream, now)
+			}
 		}
 	}
+	s.hearFindings(n, now)
 	s.hearLeaving(n, now)
 	s.hearSuspicions(n.Suspicions, now)
 	switch {
@@ -141,6 +146,46 @@
 	}
 }
 
+// hearFindings takes in what upstreams have answered a peer of the own zone,
+// which reaches them on the same way.
+func (s *state) hearFindings(n *peering.News, now time.Duration) {
+	if n.Zone != s.zone {
+		return
+	}
+	for _, f := range n.Findings {
+		if s.upstreams[f.Upstream] == nil {
+			continue
+		}
+		if s.health.HearFinding(health.Finding{Instance: f.Upstream, Age: f.Age, Pace: float64(f.Pace)}, now) {
+			s.log.Info("upstream found by peer", zap.String("upstream", f.Upstream), zap.String("peer", n.Gateway), zap.Duration("age", f.Age), zap.Float32("pace", f.Pace))
+		}
+	}
+}
+
+// addFindings adds what upstreams have answered this gateway, for peers of the
+// own zone.
+func (s *state) addFindings(n *peering.News, now time.Duration) {
+	if n.OfZone {
+		return
+	}
+	for _, f := range s.health.Findings(now) {
+		if len(n.Findings) < peering.MaxNews {
+			n.Findings = append(n.Findings, peering.UpstreamFinding{Upstream: f.Instance, Age: f.Age, Pace: float32(f.Pace)})
+		}
+	}
+}
+
+// shareQuestions says how many gateways of the zone ask the upstreams. The one
+// that places the layers asks as if it were alone: it must know which engines
+// are lost.
+func (s *state) shareQuestions(own *peering.News, now time.Duration) {
+	s.asksFirst = s.roster.Places(s.zone, own, now)
+	s.health.Sharers = s.near.Len() + 1
+	if s.asksFirst {
+		s.health.Sharers = 1
+	}
+}
+
 // dropSilent forgets what peers carry that have not been heard lately, and
 // zones of which none has.
 func (s *state) dropSilent(now time.Duration) {
@@ -172,6 +217,7 @@
 	n.Peers = s.somePeers(now)
 	n.OfZone = zone != s.zone
 	s.addNotices(n, now)
+	s.addFindings(n, now)
 	s.addLoads(n)
 	s.addCounts(n, now)
 	return n
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -40,7 +40,9 @@
 func (g *Gateway) dueProbes() []probed {
 	var due []probed
 	g.control.Do(func(s *state) {
-		for _, instance := range s.health.DueProbes(g.Now()) {
+		now := g.Now()
+		s.shareQuestions(s.belief(g, now), now)
+		for _, instance := range s.health.DueProbes(now) {
 			u := s.upstreams[instance]
 			if u == nil {
 				continue
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -59,6 +59,9 @@
 	// many have been heard in the last minute.
 	near, far    tally.Tally
 	peers, heard int
+	// asksFirst says that this gateway asks lost upstreams of its zone whatever
+	// others do.
+	asksFirst bool
 	// listBackAt is when the list was last read after it could not be, and
 	// lapsed are the upstreams, by instance, that are kept until a time though
 	// it does not name them.
@@ -98,6 +101,7 @@
 	s.allowance = g.allowance()
 	s.random = g.Random
 	s.now = g.Now
+	s.health.Random = g.Random
 	s.suspicions.Limit = crashLimit
 	s.waiting.Max = maxWaiting
 	s.upstreams = make(map[string]*fleet.Upstream)
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -33,6 +33,17 @@
 	Left time.Duration
 }
 
+// UpstreamFinding is an upstream's answer to a question of a gateway.
+type UpstreamFinding struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	// Age is the time since the answer.
+	Age time.Duration
+	// Pace is the engine's; 0 if it was only asked whether it is well, which it
+	// is.
+	Pace float32
+}
+
 // ServiceCounts are a gateway's requests and repeats within the retry window.
 type ServiceCounts struct {
 	_                 struct{} `cbor:",toarray"`
@@ -64,6 +75,8 @@
 	OfZone bool
 	Loads  []UpstreamLoad
 	Faults []UpstreamFault
+	// Findings are answers of upstreams to questions of the sender.
+	Findings []UpstreamFinding
 	// Leaving are starts of upstreams that have said that they are about to
 	// end.
 	Leaving []fleet.Incarnation
@@ -85,7 +98,7 @@
 		return errors.New("peering: news without sender")
 	case n.TableAge < 0 || n.Table < 0:
 		return errors.New("peering: negative age or version")
-	case len(n.Leaving) > MaxNews || len(n.HeldOff) > MaxNews:
+	case len(n.Findings) > MaxNews || len(n.Leaving) > MaxNews || len(n.HeldOff) > MaxNews:
 		return errors.New("peering: too many notices")
 	case len(n.Faults) > MaxNews || len(n.Suspicions) > MaxNews || len(n.Peers) > MaxNews:
 		return errors.New("peering: too much news")
