Count a slow upstream among those that a call was sent to

Change: a silent upstream is left alone as before, but only one that takes no connection, or does not answer for its streams, counts as gone.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -13,8 +13,11 @@
 
 // The faults.
 const (
-	// Unreachable upstreams refuse connections, or do not answer.
+	// Unreachable upstreams refuse connections, or say nothing about what they
+	// do: they have ended or are cut off.
 	Unreachable Fault = iota
+	// Silent upstreams take too long to answer, and may be at work.
+	Silent
 	// Misplaced upstreams have another instance at their address, or do not
 	// hold the layers that they are listed with.
 	Misplaced
@@ -22,10 +25,11 @@
 	Full
 )
 
-// pauses is how long an upstream is left alone for a fault; an unreachable one
-// must then answer a probe.
+// pauses is how long an upstream is left alone for a fault; an unreachable or
+// silent one must then answer a probe.
 var pauses = [...]time.Duration{
 	Unreachable: 600 * time.Millisecond,
+	Silent:      600 * time.Millisecond,
 	Misplaced:   700 * time.Millisecond,
 	Full:        100 * time.Millisecond,
 }
@@ -53,6 +57,8 @@
 	// probing says that the upstream must answer a probe before it is used
 	// again.
 	probing bool
+	// unreachable says that it has ended or is cut off, as far as is known.
+	unreachable bool
 	// failedProbes counts the probes since the last answer.
 	failedProbes int
 	// blamedAt is when the upstream last failed to answer here, and answeredAt
@@ -113,11 +119,12 @@
 	rec := r.record(instance)
 	wasOut := r.Out(instance, now)
 	end := now + pauses[f]
-	if f == Unreachable {
+	if f == Unreachable || f == Silent {
 		end += r.stagger(rec, now)
 		rec.doubt(now)
 		rec.probing = true
 	}
+	rec.unreachable = rec.unreachable || f == Unreachable
 	rec.outUntil = max(rec.outUntil, end)
 	return !wasOut
 }
@@ -170,6 +177,13 @@
 	return rec != nil && rec.probing && rec.failedProbes >= lostProbes
 }
 
+// Unreachable says whether an upstream has ended or is cut off, as far as is
+// known here.
+func (r *Register) Unreachable(instance string) bool {
+	rec := r.records[instance]
+	return rec != nil && rec.unreachable
+}
+
 // Answered notes that an upstream has answered a probe. It says whether the
 // upstream is in use again by that.
 func (r *Register) Answered(instance string, now time.Duration) bool {
@@ -182,6 +196,7 @@
 // one.
 func (rec *record) takeBack(now time.Duration) bool {
 	rec.failedProbes = 0
+	rec.unreachable = false
 	if !rec.probing {
 		return false
 	}
@@ -259,5 +274,5 @@
 
 // String names the fault.
 func (f Fault) String() string {
-	return [...]string{Unreachable: "unreachable", Misplaced: "misplaced", Full: "full"}[f]
+	return [...]string{Unreachable: "unreachable", Silent: "silent", Misplaced: "misplaced", Full: "full"}[f]
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -48,11 +48,11 @@
 // are passed over if others cover the layers.
 func (s *state) findChain(p *pool, q *query, now time.Duration) (place, error) {
 	found, ok := p.layers.Find(s.chainQuery(q, q.shunned, now))
-	if !ok && len(q.shunned) > 0 && !s.limited(q, now) {
+	if !ok && len(q.shunned) > 0 && !s.limited(q) {
 		found, ok = p.layers.Find(s.chainQuery(q, nil, now))
 	}
 	if !ok {
-		if s.limited(q, now) {
+		if s.limited(q) {
 			return place{}, verdict.Refuse(verdict.RetryLimit, "the request has run on as many upstreams as it may")
 		}
 		return place{}, verdict.Refuse(verdict.NoChain, "no upstreams in service cover all layers of %s", q.service)
@@ -80,7 +80,7 @@
 			}
 		},
 	}
-	limited := s.limited(q, now)
+	limited := s.limited(q)
 	query.MayBegin = func(u *fleet.Upstream) bool {
 		return s.health.MayCall(u.Instance, now) && (!limited || q.ranOn[u.Instance])
 	}
@@ -89,11 +89,11 @@
 
 // limited says whether a request has run on as many upstreams as it may, so
 // that it must begin at one of them. Upstreams that have ended or can't be
-// reached do not count.
-func (s *state) limited(q *query, now time.Duration) bool {
+// reached do not count; those that are only slow do, since they may run it.
+func (s *state) limited(q *query) bool {
 	ran := 0
 	for instance := range q.ranOn {
-		if s.upstreams[instance] != nil && !s.health.Out(instance, now) {
+		if s.upstreams[instance] != nil && !s.health.Unreachable(instance) {
 			ran++
 		}
 	}
@@ -103,7 +103,7 @@
 // findUpstream finds the upstream of a call to a plain service: the one with
 // the least of its places taken, in the own zone if that is no worse.
 func (s *state) findUpstream(p *pool, q *query, now time.Duration) (place, error) {
-	if s.limited(q, now) {
+	if s.limited(q) {
 		return place{}, verdict.Refuse(verdict.RetryLimit, "the request has run on as many upstreams as it may")
 	}
 	var best *fleet.Upstream
--- a/internal/gateway/invoke.go
+++ b/internal/gateway/invoke.go
@@ -104,7 +104,7 @@
 // silent notes an upstream that let a call wait for too long.
 func (g *Gateway) silent(p place, err error) error {
 	if verdict.Of(err).Reason == verdict.UpstreamSilent {
-		g.control.Send(func(s *state) { s.blameFor(p.upstream, health.Unreachable, g.Now()) })
+		g.control.Send(func(s *state) { s.blameFor(p.upstream, health.Silent, g.Now()) })
 	}
 	return err
 }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -11,6 +11,7 @@
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
+	"lovageport.example/pkg/verdict"
 )
 
 // probeTick is how often it is looked at which upstreams to probe.
@@ -66,7 +67,7 @@
 		g.Log.Debug("upstream does not answer", zap.String("upstream", u.Instance), zap.Error(err))
 		g.control.Do(func(s *state) {
 			s.health.ProbeFailed(u.Instance)
-			s.blameFor(u.Upstream, health.Unreachable, g.Now())
+			s.blameFor(u.Upstream, probeFault(err), g.Now())
 		})
 		return
 	}
@@ -74,7 +75,7 @@
 	well := a.head.Status/100 == 2
 	g.control.Do(func(s *state) {
 		if !well {
-			s.blameFor(u.Upstream, health.Unreachable, g.Now())
+			s.blameFor(u.Upstream, health.Silent, g.Now())
 			return
 		}
 		if s.health.Answered(u.Instance, g.Now()) {
@@ -82,3 +83,12 @@
 		}
 	})
 }
+
+// probeFault returns what it says of an upstream that a probe has failed. A
+// probe may have to wait for a place like a request.
+func probeFault(err error) health.Fault {
+	if verdict.Of(err).Reason == verdict.UpstreamRefused {
+		return health.Unreachable
+	}
+	return health.Silent
+}
