Raise the cost of a stage by the rate of prompts that come to it

Cause: the time of a stage was that of its steps and its memory; reading prompts, which shares the engine with them, was not in it. All gateways crowd the fastest chain until its memory fills (the busiest first engine of the large site gets 28 times the mean).

Change: gateways tell the rate of prompt token-layers they send to each engine; a stage's time is divided by what reading leaves of the engine, by the engine's own figures.

--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -31,6 +31,10 @@
 // loadWeight says how much a full memory raises the cost of a stage.
 const loadWeight = 6.0
 
+// maxUse bounds the share of its time that an engine is taken to read prompts:
+// above it rates that are a second old say no more.
+const maxUse = 0.95
+
 // Load is what is known of the work on an upstream.
 type Load struct {
 	// Out says that the upstream must not be used.
@@ -39,6 +43,8 @@
 	TokenLayers float64
 	// Requests is how many run there.
 	Requests float64
+	// Reading is the rate at which prompts come in, in token-layers a second.
+	Reading float64
 	// Slowdown multiplies the upstream's time; 0 counts as 1.
 	Slowdown float64
 }
@@ -47,6 +53,7 @@
 func (l Load) Plus(other Load) Load {
 	l.TokenLayers += other.TokenLayers
 	l.Requests += other.Requests
+	l.Reading += other.Reading
 	return l
 }
 
@@ -58,6 +65,8 @@
 	// pace is the milliseconds of one layer for one token of one request, and
 	// perRequest what each further request of the batch adds.
 	pace, perRequest float64
+	// reading is the milliseconds that one prompt token takes up for one layer.
+	reading float64
 }
 
 // Map is the layers that the upstreams of one service hold. It is immutable.
@@ -97,6 +106,7 @@
 		Capacity:   e.RoomTokens(u.Accelerator, u.Held.Len()) * float64(u.Held.Len()),
 		pace:       a.Pace * e.Step.Seconds() * 1e3 / layers,
 		perRequest: a.Pace * e.StepPerRequest.Seconds() * 1e3 / layers,
+		reading:    e.ReadTime(u.Accelerator).Seconds() * 1e3 / layers,
 	})
 	m.bounds = append(m.bounds, u.Held.From, u.Held.To)
 	zone := slices.Index(m.zones, u.Zone)
@@ -295,6 +305,7 @@
 	holder := &f.m.Holders[h]
 	slowdown := max(1, load.Slowdown)
 	time := float64(layers) * (holder.pace + holder.perRequest*load.Requests) * slowdown
+	time /= 1 - min(holder.reading*load.Reading/1e3*slowdown, maxUse)
 	fill := f.fill(h, layers)
 	cost := time*(1+loadWeight*fill*fill*fill*fill)*f.noise[h] + HopCost
 	if fill > Overcommit {
--- a/internal/coordination/tally/tally.go
+++ b/internal/coordination/tally/tally.go
@@ -64,6 +64,7 @@
 		sum := t.loads[l.Upstream]
 		sum.Requests += sign * float64(l.Requests)
 		sum.TokenLayers += sign * float64(l.TokenLayers)
+		sum.Reading = max(0, sum.Reading+sign*float64(l.Reading))
 		if sum.Requests <= 0 {
 			// Without requests nothing is carried, whatever rounding left.
 			delete(t.loads, l.Upstream)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -76,6 +76,7 @@
 				Out:         shunned[u.Instance] || s.health.Out(u.Instance, now),
 				TokenLayers: l.tokenLayers + others.TokenLayers,
 				Requests:    float64(l.requests) + others.Requests,
+				Reading:     l.reading.At(now) + others.Reading,
 				Slowdown:    s.health.Pace(u.Instance) * (1 + failureCost*s.health.Failures(u.Instance, now)),
 			}
 		},
@@ -124,7 +125,7 @@
 }
 
 // occupy counts an attempt as load.
-func (s *state) occupy(q *query, p place) {
+func (s *state) occupy(q *query, p place, now time.Duration) {
 	if p.chain == nil {
 		s.load(p.upstream.Instance).requests++
 		return
@@ -133,6 +134,7 @@
 		l := s.load(stage.Upstream.Instance)
 		l.requests++
 		l.tokenLayers += q.tokens * float64(stage.Layers.Len())
+		l.reading.Add(float64(q.PromptTokens*stage.Layers.Len()), now)
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -218,7 +218,7 @@
 	n.OfZone = zone != s.zone
 	s.addNotices(n, now)
 	s.addFindings(n, now)
-	s.addLoads(n)
+	s.addLoads(n, now)
 	s.addCounts(n, now)
 	return n
 }
@@ -239,17 +239,17 @@
 }
 
 // addLoads adds what is under way at the upstreams.
-func (s *state) addLoads(n *peering.News) {
+func (s *state) addLoads(n *peering.News, now time.Duration) {
 	for instance := range s.upstreams {
 		var sum path.Load
 		if l := s.loads[instance]; l != nil {
-			sum = path.Load{Requests: float64(l.requests), TokenLayers: l.tokenLayers}
+			sum = path.Load{Requests: float64(l.requests), TokenLayers: l.tokenLayers, Reading: l.reading.At(now)}
 		}
 		if n.OfZone {
 			sum = sum.Plus(s.near.Load(instance))
 		}
 		if sum.Requests > 0 {
-			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: instance, Requests: int(sum.Requests), TokenLayers: float32(sum.TokenLayers)})
+			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: instance, Requests: int(sum.Requests), TokenLayers: float32(sum.TokenLayers), Reading: float32(sum.Reading)})
 		}
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -92,6 +92,8 @@
 type load struct {
 	requests    int
 	tokenLayers float64
+	// reading is the rate of prompts, in token-layers.
+	reading path.Rate
 }
 
 func (s *state) init(g *Gateway) {
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -23,6 +23,8 @@
 	Upstream    string
 	Requests    int
 	TokenLayers float32
+	// Reading is the rate of prompts, in token-layers a second.
+	Reading float32
 }
 
 // UpstreamFault says that a gateway leaves an upstream alone.
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -77,6 +77,9 @@
 	StepPerKiloToken time.Duration
 	// ReadPerSecond is how many prompt tokens are read in a second.
 	ReadPerSecond float64
+	// ReadChunk is how many prompt tokens are read at most with each step of
+	// the requests that are writing.
+	ReadChunk float64
 	// Load is the time to load all layers.
 	Load time.Duration
 	// LoadsAtOnce is how many loads run before they slow each other.
@@ -100,6 +103,20 @@
 	return max(0, free*bytesPerMB/perToken)
 }
 
+// ReadTime returns the time that a prompt token takes up of an accelerator that
+// holds all layers and has others writing.
+func (e *Engine) ReadTime(accelerator string) time.Duration {
+	a := e.Accelerators[accelerator]
+	seconds := 0.0
+	if e.ReadPerSecond > 0 {
+		seconds = a.ReadFactor / e.ReadPerSecond
+	}
+	if e.ReadChunk > 0 {
+		seconds += a.Pace * e.Step.Seconds() / e.ReadChunk
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // bytesPerMB is the size of the MB in which memory is stated.
 const bytesPerMB = 1e6
 
