Ask a store that is down less often where there are many gateways

Ruled out: longer pauses for all. The one that reads for its zone must see at once that the store is back; and 5 s for the others, since they take entries that are gone for lapsed until they have reached the store themselves.

Change: gateways that don't read for their zone pause up to 2.5 s, by their number.

Test: TestRetries.

--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -276,6 +276,35 @@
 	return min(pause, maxWatchPause)
 }
 
+// Pauses after calls of the store that have failed.
+const (
+	// minRetryPause and maxRetryPause bound that of a gateway that reads for its
+	// zone.
+	minRetryPause = 200 * time.Millisecond
+	maxRetryPause = time.Second
+	// maxOtherRetryPause bounds that of the others, which hear from the reader
+	// what the store says. Until they have reached it themselves they take entries
+	// that are gone for lapsed, which must end well before users count the store
+	// as stable again, 3 to 5 s after its return.
+	maxOtherRetryPause = 2500 * time.Millisecond
+)
+
+// RetryPause returns the pause after a call of the store that has failed, the
+// failures-th in a row. Gateways that don't read for their zone pause for longer
+// the more they are, so that the calls of all to a store that is down do not grow
+// with their number.
+func (r *Roster) RetryPause(failures int, now time.Duration, follows bool) time.Duration {
+	longest := maxRetryPause
+	if !r.Reads(now, follows) {
+		longest = min(maxRetryPause*time.Duration(max(1, len(r.ordered)/fewPeers)), maxOtherRetryPause)
+	}
+	pause := minRetryPause
+	for ; failures > 1 && pause < longest; failures-- {
+		pause *= 2
+	}
+	return min(pause, longest)
+}
+
 // MaxListAge is how old a gateway's list of upstreams may be if it is to place
 // layers by it.
 const MaxListAge = 2500 * time.Millisecond
--- a/internal/coordination/roster/roster_test.go
+++ b/internal/coordination/roster/roster_test.go
@@ -124,6 +124,34 @@
 	}
 }
 
+// TestRetries: while the store is down, the first of the zone asks it each second,
+// and the others the less the more gateways there are.
+func TestRetries(t *testing.T) {
+	for _, x := range []struct {
+		peers    int
+		self     string
+		failures int
+		pause    time.Duration
+	}{
+		{peers: 0, self: "h0", failures: 1, pause: minRetryPause},
+		{peers: 0, self: "h0", failures: 3, pause: 4 * minRetryPause},
+		{peers: 0, self: "h0", failures: 99, pause: maxRetryPause},
+		{peers: 9, self: "h99", failures: 99, pause: maxRetryPause},
+		{peers: 12, self: "h99", failures: 99, pause: 2 * maxRetryPause},
+		{peers: 90, self: "h0", failures: 99, pause: maxRetryPause},
+		{peers: 90, self: "h99", failures: 1, pause: minRetryPause},
+		{peers: 90, self: "h99", failures: 99, pause: maxOtherRetryPause},
+	} {
+		t.Run(fmt.Sprint(x.peers, x.self, x.failures), func(t *testing.T) {
+			r := &Roster{Self: address("a", x.self)}
+			for i := range x.peers {
+				r.Hear(news([]string{"a", "b", "c"}[i%3], fmt.Sprintf("h5%d", i), time.Second), time.Minute)
+			}
+			qt.Check(t, r.RetryPause(x.failures, time.Minute, x.self == "h0"), qt.Equals, x.pause)
+		})
+	}
+}
+
 func TestLearnsFromHearsay(t *testing.T) {
 	c := qt.New(t)
 	r := &Roster{Self: address("a", "h1")}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,13 +11,6 @@
 	"lovageport.example/platform"
 )
 
-// Times of following the platform's store.
-const (
-	// minRetryPause and maxRetryPause bound the pause after failed calls.
-	minRetryPause = 200 * time.Millisecond
-	maxRetryPause = time.Second
-)
-
 // Names of what is followed, in logs.
 const (
 	tableName = "configuration"
@@ -44,7 +37,7 @@
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	var revision int64
-	pause := minRetryPause
+	failures := 0
 	for ctx.Err() == nil {
 		next, err := f.step(ctx, revision)
 		f.g.noteStore(f.what, err)
@@ -53,12 +46,12 @@
 				// What was missed meanwhile is read at once when the store is back.
 				revision = 0
 			}
-			f.pause(ctx, pause)
-			pause = min(2*pause, maxRetryPause)
+			failures++
+			f.pause(ctx, f.g.retryPause(failures))
 			continue
 		}
 		revision = next
-		pause = minRetryPause
+		failures = 0
 		if f.pause(ctx, f.rest()) {
 			revision = 0
 		}
@@ -147,6 +140,13 @@
 	return d
 }
 
+// retryPause is the pause after a failed call, the failures-th in a row.
+func (g *Gateway) retryPause(failures int) time.Duration {
+	var d time.Duration
+	g.control.Do(func(s *state) { d = s.roster.RetryPause(failures, g.Now(), s.follows()) })
+	return d
+}
+
 func (g *Gateway) readTable(ctx context.Context) (int64, error) {
 	sent := g.Now()
 	table, revision, err := g.store.Table(ctx)
