--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/oklog/run"
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"lovageport.example/internal/clock"
 	"lovageport.example/internal/coordination/retry"
@@ -64,6 +65,9 @@
 	// tableLost says that the configuration could not be followed when last
 	// tried.
 	tableLost atomic.Bool
+	// asking shares the answers of engines between streams that ask at the same
+	// time.
+	asking singleflight.Group
 	// noticed says that an upstream has given notice that it leaves, or wants no
 	// requests for a while.
 	noticed atomic.Bool
