Send no more over a pipe between zones than it carries

Cause: on the grown further site a quarter of the work was late while almost none was refused. A prompt is 22 MB of activations, a pipe of 8,800 Mbit/s carries 49 a second; three to eight times that was sent, and each transfer waits for the one before it.

Ruled out: dead stages (the engines answered and named none), memory (fill 0.3 to 0.7 at first).

A gateway takes at most its part of what the others leave and spaces its crossings by it, since it hears of theirs a second late. Requests then run in another zone as a whole, wait, or are refused.

--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -139,6 +139,8 @@
 	// Noise multiplies the cost of a holder, so that processes which see the
 	// same loads do not all choose alike; nil for none.
 	Noise func() float64
+	// Pipe returns the pipe between two zones; nil if none limits anything.
+	Pipe func(a, b string) Pipe
 	// Doubted says whether the link between two zones is to be avoided; nil
 	// avoids none.
 	Doubted func(a, b string) bool
@@ -151,7 +153,7 @@
 // Chain is a composition.
 type Chain struct {
 	Stages []relay.Stage
-	// Full says that a stage has no room for the request.
+	// Full says that a stage, or a pipe on the way, has no room for the request.
 	Full bool
 	// Fill is how full the fullest stage is with the request, 1 for full.
 	Fill float64
@@ -194,6 +196,8 @@
 	// loads, noise are those of the holders.
 	loads []Load
 	noise []float64
+	// pipes are those between zones by their indexes.
+	pipes [][]Pipe
 	// whole forbids leaving a holder before the end of its range.
 	whole bool
 	// end is the zone of the last stage of the best chain.
@@ -210,6 +214,15 @@
 			f.noise[i] = f.q.Noise()
 		}
 	}
+	f.pipes = make([][]Pipe, len(f.m.zones))
+	for a, from := range f.m.zones {
+		f.pipes[a] = make([]Pipe, len(f.m.zones))
+		for b, to := range f.m.zones {
+			if a != b && f.q.Pipe != nil {
+				f.pipes[a][b] = f.q.Pipe(from, to)
+			}
+		}
+	}
 }
 
 // from returns the cost of the cheapest chain whose first stage is in a zone.
@@ -262,6 +275,15 @@
 	return ZoneCost
 }
 
+// pipeCost is that of passing activations on to another zone beside others.
+func (f *finder) pipeCost(from, to int) float64 {
+	p := &f.pipes[from][to]
+	if p.Full {
+		return fullCost
+	}
+	return p.wait()
+}
+
 func (f *finder) doubted(from, to string) bool { return f.q.Doubted != nil && f.q.Doubted(from, to) }
 
 // relax tries all stages that can follow a node.
@@ -280,7 +302,7 @@
 			if f.whole && m.bounds[j] != held.To {
 				continue
 			}
-			cost := n.cost + f.stageCost(h, m.bounds[j]-at) + f.zoneCost(zone, m.zoneOf[h])
+			cost := n.cost + f.stageCost(h, m.bounds[j]-at) + f.zoneCost(zone, m.zoneOf[h]) + f.pipeCost(zone, m.zoneOf[h])
 			if first && m.Holders[h].Upstream.Instance == f.q.First {
 				cost -= firstGain
 			}
@@ -339,7 +361,7 @@
 		chain.Stages = append(chain.Stages, relay.Stage{Upstream: f.m.Holders[n.holder].Upstream, Layers: layers})
 		fill := f.fill(n.holder, layers.Len())
 		chain.Fill = max(chain.Fill, fill)
-		chain.Full = chain.Full || fill > Overcommit
+		chain.Full = chain.Full || fill > Overcommit || f.pipes[n.fromZone][zone].Full
 		i, zone = n.from, n.fromZone
 	}
 	slices.Reverse(chain.Stages)
--- a/internal/coordination/tally/tally.go
+++ b/internal/coordination/tally/tally.go
@@ -18,12 +18,18 @@
 	said   map[string]word
 	loads  map[string]path.Load
 	counts map[string]retry.Counts
+	// pipes are the rates of prompt tokens, by service and pipe.
+	pipes map[pipe]float64
 }
 
+// pipe names a pipe between two zones that engines of a service share.
+type pipe struct{ service, name string }
+
 // word is what one source said.
 type word struct {
 	loads  []peering.UpstreamLoad
 	counts []peering.ServiceCounts
+	pipes  []peering.PipeUse
 }
 
 // Put replaces what a source said.
@@ -32,9 +38,10 @@
 		t.said = make(map[string]word)
 		t.loads = make(map[string]path.Load)
 		t.counts = make(map[string]retry.Counts)
+		t.pipes = make(map[pipe]float64)
 	}
 	t.add(t.said[source], -1)
-	now := word{n.Loads, n.Services}
+	now := word{n.Loads, n.Services, n.Pipes}
 	t.said[source] = now
 	t.add(now, 1)
 }
@@ -58,6 +65,9 @@
 // Counts returns what was counted for a service.
 func (t *Tally) Counts(service string) retry.Counts { return t.counts[service] }
 
+// Crossing returns the rate of prompt tokens over a pipe, by the second.
+func (t *Tally) Crossing(service, name string) float64 { return t.pipes[pipe{service, name}] }
+
 // add adds a word to the sums, or takes it away if sign is negative.
 func (t *Tally) add(w word, sign float64) {
 	for _, l := range w.loads {
@@ -72,6 +82,10 @@
 		}
 		t.loads[l.Upstream] = sum
 	}
+	for _, p := range w.pipes {
+		key := pipe{p.Service, p.Pipe}
+		t.pipes[key] = max(0, t.pipes[key]+sign*float64(p.Reading))
+	}
 	for _, c := range w.counts {
 		sum := t.counts[c.Service]
 		sum.Requests = max(0, sum.Requests+sign*float64(c.Requests))
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -6,6 +6,7 @@
 	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/routing"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -47,9 +48,9 @@
 // findChain finds the chain of a generation. Upstreams that failed the request
 // are passed over if others cover the layers.
 func (s *state) findChain(p *pool, q *query, now time.Duration) (place, error) {
-	found, ok := p.layers.Find(s.chainQuery(q, q.shunned, now))
+	found, ok := p.layers.Find(s.chainQuery(p, q, q.shunned, now))
 	if !ok && len(q.shunned) > 0 && !s.limited(q) {
-		found, ok = p.layers.Find(s.chainQuery(q, nil, now))
+		found, ok = p.layers.Find(s.chainQuery(p, q, nil, now))
 	}
 	if !ok {
 		if s.limited(q) {
@@ -63,12 +64,28 @@
 	return place{upstream: found.Stages[0].Upstream, chain: found.Stages, fill: found.Fill}, nil
 }
 
-func (s *state) chainQuery(q *query, shunned map[string]bool, now time.Duration) *path.Query {
+// pipe returns the pipe between two zones as a prompt of some tokens finds it.
+func (s *state) pipe(p *pool, a, b string, tokens float64, now time.Duration) path.Pipe {
+	key := pipeKey{p.service.Name, path.PipeName(a, b)}
+	return s.crossing(key).Pipe(s.share(p.service, key), tokens, now)
+}
+
+// share returns what is known of a pipe.
+func (s *state) share(service *routing.Service, key pipeKey) path.Share {
+	return path.Share{
+		Rate:     service.Engine.PipeTokens(),
+		Others:   s.near.Crossing(key.service, key.name) + s.far.Crossing(key.service, key.name),
+		Gateways: s.near.Len() + 1,
+	}
+}
+
+func (s *state) chainQuery(p *pool, q *query, shunned map[string]bool, now time.Duration) *path.Query {
 	query := &path.Query{
 		Zone:    s.zone,
 		Tokens:  q.tokens,
 		First:   q.first,
 		Noise:   func() float64 { return 1 + noise*(s.random()-0.5) },
+		Pipe:    func(a, b string) path.Pipe { return s.pipe(p, a, b, float64(q.PromptTokens), now) },
 		Doubted: func(a, b string) bool { return s.links.Doubted(a, b, now) },
 		Load: func(u *fleet.Upstream) path.Load {
 			l, others := s.load(u.Instance), s.others(u.Instance)
@@ -130,7 +147,10 @@
 		s.load(p.upstream.Instance).requests++
 		return
 	}
-	for _, stage := range p.chain {
+	for i, stage := range p.chain {
+		if i > 0 && p.chain[i-1].Upstream.Zone != stage.Upstream.Zone {
+			s.cross(q, p.chain[i-1].Upstream.Zone, stage.Upstream.Zone, now)
+		}
 		l := s.load(stage.Upstream.Instance)
 		l.requests++
 		l.tokenLayers += q.tokens * float64(stage.Layers.Len())
@@ -138,6 +158,16 @@
 	}
 }
 
+// cross notes that a prompt goes from one zone to another.
+func (s *state) cross(q *query, from, to string, now time.Duration) {
+	service := s.table.Services[q.service]
+	if service == nil || service.Engine == nil {
+		return
+	}
+	key := pipeKey{q.service, path.PipeName(from, to)}
+	s.crossing(key).Cross(s.share(service, key), float64(q.PromptTokens), now)
+}
+
 func (s *state) callCost(u *fleet.Upstream, now time.Duration) float64 {
 	cost := (float64(s.load(u.Instance).requests+1) + s.others(u.Instance).Requests) / float64(u.Slots)
 	if u.Zone != s.zone {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -219,6 +219,7 @@
 	s.addNotices(n, now)
 	s.addFindings(n, now)
 	s.addLoads(n, now)
+	s.addPipes(n, now)
 	s.addCounts(n, now)
 	return n
 }
@@ -254,6 +255,22 @@
 	}
 }
 
+// leastCrossing is the rate of prompt tokens below which a pipe is not told of.
+const leastCrossing = 1.0
+
+// addPipes adds what is sent over pipes.
+func (s *state) addPipes(n *peering.News, now time.Duration) {
+	for key, c := range s.crossings {
+		sum := c.At(now)
+		if n.OfZone {
+			sum += s.near.Crossing(key.service, key.name)
+		}
+		if sum >= leastCrossing {
+			n.Pipes = append(n.Pipes, peering.PipeUse{Service: key.service, Pipe: key.name, Reading: float32(sum)})
+		}
+	}
+}
+
 // addCounts adds the requests and repeats within the retry window.
 func (s *state) addCounts(n *peering.News, now time.Duration) {
 	if s.table == nil {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -39,8 +39,10 @@
 	entryHashes map[string]uint64
 	pools       map[string]*pool
 	loads       map[string]*load
-	health      health.Register
-	links       health.Links
+	// crossings are what this gateway sends over pipes, by service and name.
+	crossings map[pipeKey]*path.Crossing
+	health    health.Register
+	links     health.Links
 	// suspicions are the requests that were in flight where upstreams crashed.
 	suspicions quarantine.Register
 	// told are those told to peers at toldAt.
@@ -88,6 +90,9 @@
 	layers *path.Map
 }
 
+// pipeKey names a pipe between two zones that engines of a service share.
+type pipeKey struct{ service, name string }
+
 // load is what this process has at work on an upstream.
 type load struct {
 	requests    int
@@ -109,6 +114,7 @@
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*load)
+	s.crossings = make(map[pipeKey]*path.Crossing)
 	s.leaving = make(map[fleet.Incarnation]time.Duration)
 	s.lapsed = make(map[string]time.Duration)
 	s.windows = make(map[string]*retry.Window)
@@ -162,6 +168,15 @@
 	return l
 }
 
+func (s *state) crossing(key pipeKey) *path.Crossing {
+	c := s.crossings[key]
+	if c == nil {
+		c = &path.Crossing{}
+		s.crossings[key] = c
+	}
+	return c
+}
+
 func (s *state) window(service string) *retry.Window {
 	w := s.windows[service]
 	if w == nil {
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -27,6 +27,15 @@
 	Reading float32
 }
 
+// PipeUse is what a gateway, or a zone, sends over the pipe between two zones.
+type PipeUse struct {
+	_ struct{} `cbor:",toarray"`
+	// Service is that of the engines, and Pipe as [path.PipeName] names it.
+	Service, Pipe string
+	// Reading is the rate of prompt tokens, by the second.
+	Reading float32
+}
+
 // UpstreamFault says that a gateway leaves an upstream alone.
 type UpstreamFault struct {
 	_        struct{} `cbor:",toarray"`
@@ -85,6 +94,8 @@
 	// HeldOff are upstreams that have asked the sender for no requests.
 	HeldOff  []UpstreamFault
 	Services []ServiceCounts
+	// Pipes are sums like Loads.
+	Pipes []PipeUse
 	// Suspicions are requests that crashed upstreams.
 	Suspicions []Suspicion
 	// Peers are gateways that the sender has heard lately.
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -88,7 +88,10 @@
 	MeanPrompt, MeanAnswer float64
 	// ActivationBytes is what is passed on between stages for each token.
 	ActivationBytes float64
-	Accelerators    map[string]Accelerator
+	// PipeRate is how many bytes pass between two zones in a second; 0 for any
+	// number.
+	PipeRate     float64
+	Accelerators map[string]Accelerator
 }
 
 // RoomTokens returns how many tokens of KV cache fit beside layers layers on
@@ -117,6 +120,15 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// PipeTokens returns how many prompt tokens pass between two zones in a second;
+// 0 for any number.
+func (e *Engine) PipeTokens() float64 {
+	if e.ActivationBytes <= 0 {
+		return 0
+	}
+	return e.PipeRate / e.ActivationBytes
+}
+
 // bytesPerMB is the size of the MB in which memory is stated.
 const bytesPerMB = 1e6
 
