Doubt links for silent upstreams, too

Cause: since a silent upstream is no longer taken for one that can't be reached, calls and probes into a zone that is cut off did not count as signs of the cut. TestSilenceOfAnotherZoneDoubtsTheLink.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -174,7 +174,8 @@
 	if s.health.Blame(u.Instance, f, now) {
 		s.log.Info("upstream left alone", zap.String("upstream", u.Instance), zap.String("zone", u.Zone), zap.Stringer("fault", f), zap.Duration("list_age", now-s.listedAt))
 	}
-	if f == health.Unreachable && s.links.Lost(s.zone, u.Zone, u.Instance, now) {
+	noAnswer := f == health.Unreachable || f == health.Silent
+	if noAnswer && s.links.Lost(s.zone, u.Zone, u.Instance, now) {
 		s.log.Info("link between zones doubted", zap.String("from", s.zone), zap.String("to", u.Zone), zap.String("upstream", u.Instance))
 	}
 }
--- a/internal/gateway/suspect_test.go
+++ b/internal/gateway/suspect_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
@@ -46,3 +47,18 @@
 		})
 	}
 }
+
+// TestSilenceOfAnotherZoneDoubtsTheLink: two upstreams of a zone that do not
+// answer in time may be beyond a link that is cut, whatever they were asked.
+func TestSilenceOfAnotherZoneDoubtsTheLink(t *testing.T) {
+	for _, fault := range []health.Fault{health.Unreachable, health.Silent} {
+		t.Run(fault.String(), func(t *testing.T) {
+			s := newState(t)
+			s.zone = "b"
+			for _, instance := range []string{"e1", "e2"} {
+				s.blameFor(&fleet.Upstream{Instance: instance, Zone: "a"}, fault, time.Minute)
+			}
+			qt.Check(t, s.links.Doubted("b", "a", time.Minute+time.Millisecond), qt.IsTrue)
+		})
+	}
+}
