Give no first stage more streams than it has slots

Streams whose chain begins at one l40s of their zone had their first event after 1.3 s (median), those that begin at the l4 beside it after 0.1 s; 43 streams a second began there, of some 4 s each, and an engine takes 192 at once as first stage. Where a stream waits for that was not looked at: slots were not in the cost of a chain.

Ruled out: the gateways' own queue (1 ms from arrival to place), pipes (chains of one zone), reading (0.1 to 0.5 of the engine's time), silent stages.

Change: gateways tell how many streams begin at an engine; the cost of beginning there rises with the part of its slots that is taken, and with none left it has no room. The log has the first question about a silent stream, and the one that finds a fault.

--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -43,6 +43,8 @@
 	TokenLayers float64
 	// Requests is how many run there.
 	Requests float64
+	// Begun is how many of them have it as first stage.
+	Begun float64
 	// Reading is the rate at which prompts come in, in token-layers a second.
 	Reading float64
 	// Slowdown multiplies the upstream's time; 0 counts as 1.
@@ -53,6 +55,7 @@
 func (l Load) Plus(other Load) Load {
 	l.TokenLayers += other.TokenLayers
 	l.Requests += other.Requests
+	l.Begun += other.Begun
 	l.Reading += other.Reading
 	return l
 }
@@ -303,8 +306,8 @@
 				continue
 			}
 			cost := n.cost + f.stageCost(h, m.bounds[j]-at) + f.zoneCost(zone, m.zoneOf[h]) + f.pipeCost(zone, m.zoneOf[h])
-			if first && m.Holders[h].Upstream.Instance == f.q.First {
-				cost -= firstGain
+			if first {
+				cost += f.beginCost(h)
 			}
 			to := &nodes[j][m.zoneOf[h]]
 			if !to.reached || cost < to.cost {
@@ -318,6 +321,33 @@
 	return f.q.MayBegin == nil || f.q.MayBegin(f.m.Holders[h].Upstream)
 }
 
+// slotWeight is the milliseconds for each token that a first stage costs all of
+// whose slots are taken: a request more waits there until another ends.
+const slotWeight = 30.0
+
+// beginCost is that of having a holder as first stage.
+func (f *finder) beginCost(h int) float64 {
+	cost := 0.0
+	if f.m.Holders[h].Upstream.Instance == f.q.First {
+		cost -= firstGain
+	}
+	taken := f.slotsTaken(h)
+	if taken > 1 {
+		cost += fullCost
+	}
+	return cost + slotWeight*taken*taken*taken*taken
+}
+
+// slotsTaken returns which part of the slots of a first stage is taken with the
+// request; 0 if they are not limited.
+func (f *finder) slotsTaken(h int) float64 {
+	slots := f.m.Holders[h].Upstream.Slots
+	if slots <= 0 {
+		return 0
+	}
+	return (f.loads[h].Begun + 1) / float64(slots)
+}
+
 // firstGain is what keeping the first stage is worth, in milliseconds for each
 // token.
 const firstGain = 50.0
@@ -362,6 +392,9 @@
 		fill := f.fill(n.holder, layers.Len())
 		chain.Fill = max(chain.Fill, fill)
 		chain.Full = chain.Full || fill > Overcommit || f.pipes[n.fromZone][zone].Full
+		if n.from == 0 {
+			chain.Full = chain.Full || f.slotsTaken(n.holder) > 1
+		}
 		i, zone = n.from, n.fromZone
 	}
 	slices.Reverse(chain.Stages)
--- a/internal/coordination/tally/tally.go
+++ b/internal/coordination/tally/tally.go
@@ -73,6 +73,7 @@
 	for _, l := range w.loads {
 		sum := t.loads[l.Upstream]
 		sum.Requests += sign * float64(l.Requests)
+		sum.Begun += sign * float64(l.Begun)
 		sum.TokenLayers += sign * float64(l.TokenLayers)
 		sum.Reading = max(0, sum.Reading+sign*float64(l.Reading))
 		if sum.Requests <= 0 {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -93,6 +93,7 @@
 				Out:         shunned[u.Instance] || s.health.Out(u.Instance, now),
 				TokenLayers: l.tokenLayers + others.TokenLayers,
 				Requests:    float64(l.requests) + others.Requests,
+				Begun:       float64(l.begun) + others.Begun,
 				Reading:     l.reading.At(now) + others.Reading,
 				Slowdown:    s.health.Pace(u.Instance) * (1 + failureCost*s.health.Failures(u.Instance, now)),
 			}
@@ -147,6 +148,7 @@
 		s.load(p.upstream.Instance).requests++
 		return
 	}
+	s.load(p.upstream.Instance).begun++
 	for i, stage := range p.chain {
 		if i > 0 && p.chain[i-1].Upstream.Zone != stage.Upstream.Zone {
 			s.cross(q, p.chain[i-1].Upstream.Zone, stage.Upstream.Zone, now)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -244,13 +244,13 @@
 	for instance := range s.upstreams {
 		var sum path.Load
 		if l := s.loads[instance]; l != nil {
-			sum = path.Load{Requests: float64(l.requests), TokenLayers: l.tokenLayers, Reading: l.reading.At(now)}
+			sum = path.Load{Requests: float64(l.requests), Begun: float64(l.begun), TokenLayers: l.tokenLayers, Reading: l.reading.At(now)}
 		}
 		if n.OfZone {
 			sum = sum.Plus(s.near.Load(instance))
 		}
 		if sum.Requests > 0 {
-			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: instance, Requests: int(sum.Requests), TokenLayers: float32(sum.TokenLayers), Reading: float32(sum.Reading)})
+			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: instance, Requests: int(sum.Requests), Begun: int(sum.Begun), TokenLayers: float32(sum.TokenLayers), Reading: float32(sum.Reading)})
 		}
 	}
 }
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -124,6 +124,7 @@
 		s.load(p.upstream.Instance).requests--
 		return
 	}
+	s.load(p.upstream.Instance).begun--
 	for _, stage := range p.chain {
 		l := s.load(stage.Upstream.Instance)
 		l.requests--
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -80,9 +80,14 @@
 // ask asks the first upstream which stage does not answer.
 func (w *silence) ask() {
 	culprit := w.g.findStalled(w.q, w.p)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if culprit != "" || w.questions == 0 {
+		// The later questions of a long wait say nothing new.
+		w.g.Log.Info("stream silent", zap.String("request", w.q.ID), zap.String("upstream", w.p.upstream.Instance),
+			zap.String("at_fault", culprit), zap.Duration("since_start", w.g.Now()-w.q.arrived))
+	}
 	if culprit == "" {
-		w.mu.Lock()
-		defer w.mu.Unlock()
 		w.wait(w.questions + 1)
 		return
 	}
@@ -120,8 +125,6 @@
 	if at >= 0 {
 		culprit = p.chain[at].Upstream.Instance
 	}
-	g.Log.Info("stream silent", zap.String("request", q.ID), zap.String("upstream", p.upstream.Instance),
-		zap.String("at_fault", culprit), zap.Duration("since_start", g.Now()-q.arrived), zap.Error(err))
 	if at < 0 {
 		return ""
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -97,6 +97,8 @@
 type load struct {
 	requests    int
 	tokenLayers float64
+	// begun is how many of the requests have it as first stage.
+	begun int
 	// reading is the rate of prompts, in token-layers.
 	reading path.Rate
 }
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -19,9 +19,11 @@
 
 // UpstreamLoad is what a gateway has at work on an upstream.
 type UpstreamLoad struct {
-	_           struct{} `cbor:",toarray"`
-	Upstream    string
-	Requests    int
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Requests int
+	// Begun is how many of them have it as first stage.
+	Begun       int
 	TokenLayers float32
 	// Reading is the rate of prompts, in token-layers a second.
 	Reading float32
