Bound all that is read of upstreams, the store and peers

Cause: heads of answers were read by the HTTP library without a bound: a status line, a header line or headers without end were kept in memory until the deadline of the request.

At the bound the connection is reset, the verdict says protocol, the upstream is asked whether it is well, and the request goes elsewhere if its route allows.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -121,6 +121,9 @@
 // in the control loop.
 func (s *state) blame(q *query, p place, e *verdict.Error, head relay.Answer, now time.Duration) {
 	e.Upstream = p.upstream.Instance
+	if e.Reason == verdict.UpstreamProtocol {
+		s.health.Suspect(p.upstream.Instance, now)
+	}
 	fault, found := faultOf(e, head)
 	if p.chain == nil {
 		s.health.Result(p.upstream.Instance, e.Run != verdict.NotRun, now)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -3,14 +3,23 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
+
+	"lovageport.example/internal/transport/exchange"
 )
 
 // errTorn says that a stream ended within an event.
 var errTorn = errors.New("gateway: stream ended within an event")
 
-// maxEventBytes bounds one event.
-const maxEventBytes = 1 << 20
+// Bounds of what a stream may bring.
+const (
+	// maxEventBytes bounds one event, and what comes without an event that has
+	// an ID.
+	maxEventBytes = 256 << 10
+	// maxEventIDBytes bounds the ID of an event, which is kept and sent on.
+	maxEventIDBytes = 1 << 10
+)
 
 // eventReader cuts a stream into whole events.
 type eventReader struct {
@@ -19,20 +28,22 @@
 	buffer []byte
 	// taken is how much of buffer the last call has returned.
 	taken int
-	ended error
+	// unnamed counts the bytes returned since the last event with an ID.
+	unnamed int
+	ended   error
 }
 
 // next returns the next whole events, as many as have arrived, as they are,
 // and the ID of the last one. The bytes are valid until the next call. It
-// returns io.EOF at the end of the stream, and [errTorn] if that is within an
-// event.
+// returns io.EOF at the end of the stream, [errTorn] if that is within an
+// event, and [exchange.ErrMalformed] for bytes that are no events.
 func (r *eventReader) next() (events []byte, lastID string, err error) {
 	r.buffer = append(r.buffer[:0], r.buffer[r.taken:]...)
 	r.taken = 0
 	for {
 		if end := eventsEnd(r.buffer); end > 0 {
 			r.taken = end
-			return r.buffer[:end], lastEventID(r.buffer[:end]), nil
+			return r.named(r.buffer[:end])
 		}
 		if r.ended != nil {
 			return nil, "", r.end()
@@ -41,6 +52,24 @@
 	}
 }
 
+// named returns whole events with the ID of the last one, if they are within
+// bounds.
+func (r *eventReader) named(events []byte) ([]byte, string, error) {
+	id := lastEventID(events)
+	if id != "" {
+		r.unnamed = 0
+	} else {
+		r.unnamed += len(events)
+	}
+	switch {
+	case len(id) > maxEventIDBytes:
+		return nil, "", fmt.Errorf("%w: ID of an event above %d bytes", exchange.ErrMalformed, maxEventIDBytes)
+	case r.unnamed > maxEventBytes:
+		return nil, "", fmt.Errorf("%w: events without ID above %d bytes", exchange.ErrMalformed, maxEventBytes)
+	}
+	return events, id, nil
+}
+
 func (r *eventReader) end() error {
 	if r.ended == io.EOF && len(r.buffer) > 0 {
 		return errTorn
@@ -53,7 +82,7 @@
 
 func (r *eventReader) read() {
 	if len(r.buffer) > maxEventBytes {
-		r.ended = errTorn
+		r.ended = fmt.Errorf("%w: event above %d bytes", exchange.ErrMalformed, maxEventBytes)
 		return
 	}
 	start := len(r.buffer)
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovageport.example/internal/setting"
+	"lovageport.example/internal/transport/exchange"
 )
 
 func testSettings() *setting.Gateway {
@@ -65,3 +66,59 @@
 		})
 	}
 }
+
+// endlessReader repeats a text for ever, and counts what was read.
+type endlessReader struct {
+	text string
+	read int
+}
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		n += copy(p[n:], r.text[(r.read+n)%len(r.text):])
+	}
+	r.read += n
+	return n, nil
+}
+
+// TestEndlessEvents: bytes that never become an event with an ID are given up
+// at a bound.
+func TestEndlessEvents(t *testing.T) {
+	for _, x := range []struct{ name, start, again string }{
+		{"event", "id: 1\ndata: ", "x"},
+		{"lines of an event", "id: 1\n", "data: x\n"},
+		{"ID", "", "id: " + strings.Repeat("1", maxEventIDBytes+1) + "\n\n"},
+		{"events without ID", "", ": nothing\n\n"},
+		{"empty events", "", "\n\n"},
+		{"no text", "", "\x00"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			again := &endlessReader{text: x.again}
+			_, _, err := readEvents(io.MultiReader(strings.NewReader(x.start), again))
+			qt.Check(t, errors.Is(err, exchange.ErrMalformed), qt.IsTrue, qt.Commentf("%v", err))
+			qt.Check(t, again.read <= 2*maxEventBytes, qt.IsTrue, qt.Commentf("%d bytes read", again.read))
+		})
+	}
+}
+
+// FuzzEvents: whatever comes, whole events are passed on as they are, and
+// nothing else is.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\nda")
+	f.Add("id: 7\r\ndata: a\r\n\r\n")
+	f.Add("\n\n\n")
+	f.Add("id:\n\nid: x")
+	f.Fuzz(func(t *testing.T, in string) {
+		out, id, err := readEvents(iotest.OneByteReader(strings.NewReader(in)))
+		if !strings.HasPrefix(in, out) {
+			t.Errorf("%q is no start of %q", out, in)
+		}
+		if err == nil {
+			t.Error("no end")
+		}
+		if len(id) > maxEventIDBytes {
+			t.Errorf("ID of %d bytes", len(id))
+		}
+	})
+}
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/protocol/relay"
+	"lovageport.example/internal/transport/exchange"
 	"lovageport.example/pkg/verdict"
 	"lovageport.example/platform"
 )
@@ -105,7 +107,7 @@
 }
 
 // maxFailureBytes bounds the body of an answer that is no stream.
-const maxFailureBytes = 1 << 20
+const maxFailureBytes = 256 << 10
 
 // passOn gives the caller an answer that is no stream, if none has begun. A
 // failure is kept until no other upstream can be tried.
@@ -192,6 +194,11 @@
 	}
 	s.g.Log.Info("stream broke", zap.String("request", s.ID), zap.Int("attempt", s.attempts), zap.String("upstream", p.upstream.Instance),
 		zap.String("last_event", s.last), zap.Error(err))
+	if errors.Is(err, exchange.ErrMalformed) {
+		e.Reason = verdict.UpstreamProtocol
+		s.g.control.Do(func(st *state) { st.blame(s.query, p, e, relay.Answer{}, s.g.Now()) })
+		return e
+	}
 	s.g.checkCrash(ctx, s.query, p.upstream)
 	return e
 }
--- a/internal/gateway/invoke.go
+++ b/internal/gateway/invoke.go
@@ -10,8 +10,9 @@
 	"lovageport.example/pkg/verdict"
 )
 
-// maxAnswerBytes bounds the answer of a plain service.
-const maxAnswerBytes = 16 << 20
+// maxAnswerBytes bounds the answer of a plain service, which is kept in memory
+// until it is whole.
+const maxAnswerBytes = 512 << 10
 
 // callSilence is how long an upstream may take over an idempotent call before
 // another is tried.
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -39,13 +39,15 @@
 
 // drawHarm draws what happens to a link.
 func (d *drawer) drawHarm() Harm {
-	return []Harm{
+	harms := []Harm{
 		{Delay: d.length(20*time.Millisecond, 400*time.Millisecond)},
 		{SilentTo: true},
 		{SilentFrom: true},
 		{SilentTo: true, SilentFrom: true},
 		{Reset: true},
-	}[d.random.IntN(5)]
+		{Endless: true},
+	}
+	return harms[d.random.IntN(len(harms))]
 }
 
 // plannedWork draws one piece of planned work.
@@ -105,6 +107,8 @@
 		return fmt.Sprintf("store of %s %+v for %v", g.name, h, length), d.harm(g.store, h, length)
 	case 5:
 		h := d.drawHarm()
+		// What callers get is the gateway's own.
+		h.Endless = false
 		return fmt.Sprintf("callers of %s %+v for %v", g.name, h, length), d.harm(g.callers, h, length)
 	case 6:
 		return fmt.Sprintf("crash %s for %v", d.site.servers[i].Instance, length), func() { d.site.crash(i, length) }
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -21,6 +21,8 @@
 	retryShare  = 0.2
 	retrySlack  = 30
 	retryWindow = 10 * time.Second
+	// memoryBound is that of the smallest VMs, in KB.
+	memoryBound = 184 << 10
 )
 
 // gateway is a gateway process that is started again whenever it has ended.
@@ -127,6 +129,9 @@
 	defer g.mu.Unlock()
 	state := p.Command.ProcessState
 	took := time.Since(g.toldAt)
+	if usage, ok := state.SysUsage().(*syscall.Rusage); ok && usage.Maxrss > memoryBound {
+		g.found("a gateway keeps within its memory", fmt.Sprintf("%s took %d KB", g.name, usage.Maxrss))
+	}
 	switch {
 	case g.killed:
 	case !g.told:
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"time"
 )
@@ -17,6 +18,8 @@
 	SilentTo, SilentFrom bool
 	// Reset breaks connections, open and new ones.
 	Reset bool
+	// Endless replaces what comes from the target by bytes that never end.
+	Endless bool
 }
 
 // Link passes connections on to a target, over loopback.
@@ -92,6 +95,7 @@
 		sum.SilentTo = sum.SilentTo || h.SilentTo
 		sum.SilentFrom = sum.SilentFrom || h.SilentFrom
 		sum.Reset = sum.Reset || h.Reset
+		sum.Endless = sum.Endless || h.Endless
 	}
 	return sum, l.changed
 }
@@ -140,8 +144,13 @@
 	}
 	defer l.remove(to)
 	var pumps sync.WaitGroup
-	pumps.Go(func() { l.pump(to, from, func(h Harm) bool { return h.SilentTo }) })
-	pumps.Go(func() { l.pump(from, to, func(h Harm) bool { return h.SilentFrom }) })
+	pumps.Go(func() { l.pump(to, from, direction{silent: func(h Harm) bool { return h.SilentTo }}) })
+	pumps.Go(func() {
+		l.pump(from, to, direction{
+			silent:  func(h Harm) bool { return h.SilentFrom },
+			endless: func(h Harm) bool { return h.Endless },
+		})
+	})
 	pumps.Wait()
 }
 
@@ -163,12 +172,32 @@
 // pieceBytes is how much is passed on at a time.
 const pieceBytes = 16 << 10
 
+// direction says which harms hold for what passes in one direction; a function
+// that is nil names none.
+type direction struct{ silent, endless func(Harm) bool }
+
+// pour writes the start of an answer whose head never ends, until the other end
+// closes the connection.
+func pour(to net.Conn) {
+	text := []byte("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", pieceBytes))
+	for {
+		if _, err := to.Write(text); err != nil {
+			return
+		}
+	}
+}
+
 // pump passes on what comes from one end until it ends, and the end with it.
-func (l *Link) pump(to, from net.Conn, silent func(Harm) bool) {
+func (l *Link) pump(to, from net.Conn, d direction) {
 	piece := make([]byte, pieceBytes)
 	for {
 		n, err := from.Read(piece)
-		l.hold(silent)
+		l.hold(d.silent)
+		if h, _ := l.harm(); n > 0 && d.endless != nil && d.endless(h) {
+			pour(to)
+			reset(from)
+			return
+		}
 		if n > 0 {
 			if _, err := to.Write(piece[:n]); err != nil {
 				reset(from)
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -75,3 +75,15 @@
 		})
 	}
 }
+
+// TestLinkPours: bytes that never end come in place of what the target says.
+func TestLinkPours(t *testing.T) {
+	l, c, r := echo(t)
+	defer l.Harm(Harm{Endless: true})()
+	fmt.Fprintln(c, "hello")
+	for range 3 {
+		line, err := r.ReadString('\n')
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, line == "hello\n", qt.IsFalse)
+	}
+}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 	servers  []*platformtest.Upstream
 	links    []*Link
 	gateways []*gateway
+	// stranger is among the peers that gateways are told of; what it says never
+	// ends.
+	stranger net.Listener
 	running  sync.WaitGroup
 
 	mu sync.Mutex
@@ -110,8 +114,13 @@
 const seedPeers = 3
 
 func (s *site) startGateways() error {
+	var err error
+	if s.stranger, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return err
+	}
+	s.running.Go(s.serveStranger)
 	for i, g := range s.gateways {
-		var seeds []string
+		seeds := []string{s.stranger.Addr().String()}
 		for k := range min(seedPeers, len(s.gateways)-1) {
 			seeds = append(seeds, s.gateways[(i+k+1)%len(s.gateways)].peers)
 		}
@@ -129,11 +138,28 @@
 	return nil
 }
 
+// serveStranger answers whoever connects with bytes that never end.
+func (s *site) serveStranger() {
+	for {
+		conn, err := s.stranger.Accept()
+		if err != nil {
+			return
+		}
+		s.running.Go(func() {
+			pour(conn)
+			conn.Close()
+		})
+	}
+}
+
 // close ends all that the site has started.
 func (s *site) close() {
 	for _, g := range s.gateways {
 		g.stop()
 	}
+	if s.stranger != nil {
+		s.stranger.Close()
+	}
 	s.running.Wait()
 	for _, g := range s.gateways {
 		g.callers.Close()
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -72,7 +71,7 @@
 	if err != nil {
 		return nil, fail(err)
 	}
-	response, err := readHead(conn.reader, r.Method)
+	response, err := conn.readHead(r.Method)
 	if err != nil {
 		return nil, fail(err)
 	}
@@ -131,9 +130,17 @@
 // maxInformational bounds the 1xx answers before the real one.
 const maxInformational = 4
 
-func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+// readHead reads the head of the answer and those of the informational answers
+// before it, of at most [maxHeadBytes] together.
+func (c *connection) readHead(method string) (*http.Response, error) {
+	c.source.limit(maxHeadBytes)
+	defer c.source.unlimit()
 	for range maxInformational {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil && c.source.reached() {
+			// The library may take the cut line for the fault.
+			return nil, fmt.Errorf("%w: head above %d bytes", ErrMalformed, maxHeadBytes)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -141,7 +148,7 @@
 			return response, nil
 		}
 	}
-	return nil, errors.New("exchange: no final answer")
+	return nil, fmt.Errorf("%w: no final answer", ErrMalformed)
 }
 
 // lost is the verdict on an exchange that broke after the request may have
@@ -153,6 +160,8 @@
 		out.Reason = verdict.UpstreamSilent
 	case ctx.Err() != nil:
 		out.Reason = verdict.CallerGone
+	case errors.Is(err, ErrMalformed):
+		out.Reason = verdict.UpstreamProtocol
 	}
 	return out
 }
@@ -165,17 +174,22 @@
 }
 
 // Read reads the body. It returns io.EOF only after the whole body, or at the
-// clean end of a connection if the body is unframed.
+// clean end of a connection if the body is unframed. The error is
+// [ErrMalformed] if the framing of the body is.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	a.whole = a.whole || err == io.EOF
-	return n, err
+	return n, bodyError(err)
 }
 
 // ReadAll reads the whole body, of at most max bytes.
 func (a *Answer) ReadAll(ctx context.Context, max int64) ([]byte, error) {
+	tooLong := fmt.Errorf("%w: answer above %d bytes", ErrMalformed, max)
+	if a.Length > max {
+		return nil, lost(ctx, tooLong)
+	}
 	var body bytes.Buffer
-	if a.Length > 0 && a.Length <= max {
+	if a.Length > 0 {
 		body.Grow(int(a.Length) + bytes.MinRead)
 	}
 	n, err := body.ReadFrom(io.LimitReader(a, max+1))
@@ -183,7 +197,7 @@
 		return nil, lost(ctx, err)
 	}
 	if n > max {
-		return nil, &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamProtocol, Err: fmt.Errorf("exchange: answer above %d bytes", max)}
+		return nil, lost(ctx, tooLong)
 	}
 	return body.Bytes(), nil
 }
--- a/internal/transport/exchange/pool.go
+++ b/internal/transport/exchange/pool.go
@@ -56,7 +56,9 @@
 // connection carries one exchange at a time.
 type connection struct {
 	net.Conn
+	// reader reads from the connection through source, which bounds heads.
 	reader *bufio.Reader
+	source *boundedReader
 	// putAt is when it was put by, and rested for how long it had been when it
 	// was taken again; 0 for a new connection.
 	putAt  time.Time
@@ -85,7 +87,8 @@
 	if p.Opened != nil {
 		p.Opened()
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+	source := &boundedReader{from: conn}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(source, bufferSize), source: source}, nil
 }
 
 // pop returns the newest kept connection, or nil, and how long it may have
--- /dev/null
+++ b/internal/transport/peer/endless_test.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"storj.io/drpc/drpcwire"
+
+	"lovageport.example/internal/protocol/peering"
+)
+
+// endlessMessage returns the frames of a message that never ends: none of them
+// is the last.
+func endlessMessage(kind drpcwire.Kind) []byte {
+	return drpcwire.AppendFrame(nil, drpcwire.Frame{Data: make([]byte, 4<<10), ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: kind})
+}
+
+// pour writes a text until the connection is closed, and returns how much it
+// could.
+func pour(conn net.Conn, text []byte) int {
+	total := 0
+	for {
+		n, err := conn.Write(text)
+		total += n
+		if err != nil {
+			return total
+		}
+	}
+}
+
+// TestEndlessReply: a peer whose answer never ends is given up at a bound, and
+// not when the time of the call is up.
+func TestEndlessReply(t *testing.T) {
+	for name, text := range map[string][]byte{"message": endlessMessage(drpcwire.KindMessage), "no message": make([]byte, 4<<10)} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			defer listener.Close()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.ReadFull(conn, make([]byte, 16))
+				pour(conn, text)
+			}()
+			clients := &Clients{Timeout: 5 * time.Second}
+			defer clients.Close()
+			began := time.Now()
+			_, err = clients.News(t.Context(), listener.Addr().String(), &peering.News{Version: peering.Version})
+			qt.Check(t, err, qt.IsNotNil)
+			qt.Check(t, errors.Is(err, context.DeadlineExceeded), qt.IsFalse)
+			qt.Check(t, time.Since(began) < 4*time.Second, qt.IsTrue)
+		})
+	}
+}
+
+// TestEndlessCall: a peer that says something that never ends is cut off, and
+// little of it is kept.
+func TestEndlessCall(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go Serve(t.Context(), listener, &Handler{}, func(error) {})
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	written := make(chan int, 1)
+	go func() { written <- pour(conn, endlessMessage(drpcwire.KindInvoke)) }()
+	select {
+	case n := <-written:
+		t.Logf("cut off after %d bytes", n)
+	case <-time.After(5 * time.Second):
+		t.Fatal("never cut off")
+	}
+	runtime.ReadMemStats(&after)
+	qt.Check(t, after.TotalAlloc-before.TotalAlloc < 8*maxCallBytes, qt.IsTrue, qt.Commentf("%d bytes allocated", after.TotalAlloc-before.TotalAlloc))
+}
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -12,8 +12,10 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"lovageport.example/internal/protocol/peering"
 )
@@ -136,7 +138,20 @@
 	if err := mux.Register(h, description{theCodec}); err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
-	return drpcserver.NewWithOptions(mux, drpcserver.Options{Log: log}).Serve(ctx, listener)
+	return drpcserver.NewWithOptions(mux, drpcserver.Options{Log: log, Manager: bounded(maxCallBytes)}).Serve(ctx, listener)
+}
+
+// Bounds of messages: what a peer sends is kept in memory until it is whole.
+const (
+	// maxCallBytes bounds what a peer says.
+	maxCallBytes = 1 << 20
+	// maxReplyBytes bounds what it answers: lists may take megabytes.
+	maxReplyBytes = 4 << 20
+)
+
+// bounded returns the options of connections whose messages are bounded.
+func bounded(most int) drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: most}}
 }
 
 // Clients calls peers, over one connection each that is kept open.
@@ -213,7 +228,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: bounded(maxReplyBytes)}), nil
 }
 
 func (c *Clients) idle(address string) *drpcconn.Conn {
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -43,9 +43,10 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	c.http = &http.Client{Transport: &http.Transport{
-		DialContext:         markDial(dial, c.Timeout),
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     time.Minute,
+		MaxResponseHeaderBytes: call.MaxHeadBytes,
+		DialContext:            markDial(dial, c.Timeout),
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        time.Minute,
 	}}
 	return store.Objects{
 		Get:    c.get,
--- a/internal/transport/upstream/engines.go
+++ b/internal/transport/upstream/engines.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lovageport.example/internal/protocol/engine"
+	"lovageport.example/internal/transport/call"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -50,10 +51,11 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	return &Engines{Dial: dial, client: &http.Client{Transport: &http.Transport{
-		DialContext:         limitDial(dial),
-		MaxIdleConnsPerHost: maxIdlePerHost,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		MaxResponseHeaderBytes: call.MaxHeadBytes,
+		DialContext:            limitDial(dial),
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
 	}}}
 }
 
@@ -318,7 +320,7 @@
 	if err := request.Write(conn); err != nil {
 		return Unanswered
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, call.MaxHeadBytes)), request)
 	if err != nil {
 		return Unanswered
 	}
--- a/internal/transport/upstream/services.go
+++ b/internal/transport/upstream/services.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"lovageport.example/internal/transport/call"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -61,10 +62,11 @@
 	return &Services{
 		dial: limitDial(dial),
 		pooled: newServiceClient(&http.Transport{
-			DialContext:         limitDial(dial),
-			MaxIdleConnsPerHost: maxIdlePerHost,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
+			MaxResponseHeaderBytes: call.MaxHeadBytes,
+			DialContext:            limitDial(dial),
+			MaxIdleConnsPerHost:    maxIdlePerHost,
+			IdleConnTimeout:        time.Minute,
+			DisableCompression:     true,
 		}),
 	}
 }
@@ -126,8 +128,9 @@
 	}
 	used := false
 	return newServiceClient(&http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		MaxResponseHeaderBytes: call.MaxHeadBytes,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			if used {
 				return nil, errors.New("upstream: one connection a call")
