Never take back into use an upstream whose entry has gone

Cause: an entry that is missing after the store came back is kept for 2.2 s, since it may only have lapsed. When that time was up and the store had been lost and found again meanwhile, the entry was kept once more but no longer counted as kept: it stayed for good, was lent to peers as if it were listed, under the newest revision, and they took it back into use.

Ruled out by reading: an older list or watch (revisions never go back); a list read while pages changed (the revision is that of the first).

Change: the second look at a kept entry keeps it as kept. An entry is told from one made again by the store's revision at which it was made: what has been seen gone is not taken in again from anybody, a renewal is. A peer's list does not make an upstream serve that is known to drain in the same start.

--- a/internal/gateway/list.go
+++ b/internal/gateway/list.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +26,8 @@
 	revision int64
 	// at is the boot time as of which the list is known to be right.
 	at time.Duration
+	// lent says that it comes from a peer.
+	lent bool
 }
 
 // setUpstreams puts a whole list in place of what was known, unless more was.
@@ -33,6 +37,10 @@
 	}
 	s.noteListBack(now)
 	all := l.upstreams
+	maps.DeleteFunc(all, func(_ string, u *fleet.Upstream) bool { return s.outdated(u) })
+	if l.lent {
+		s.keepDraining(all)
+	}
 	if len(all) > len(s.upstreams) {
 		s.grownAt = now
 	}
@@ -83,6 +91,9 @@
 }
 
 func (s *state) changeUpstream(c platform.UpstreamChange, now time.Duration) {
+	if c.Upstream != nil && s.outdated(c.Upstream) {
+		return
+	}
 	s.noteEntry(c.Instance, c.Upstream)
 	old := s.upstreams[c.Instance]
 	if c.Upstream == nil {
@@ -102,6 +113,39 @@
 	s.logChange(old, c.Upstream, now)
 }
 
+// absence is an entry that the list has ceased to name.
+type absence struct {
+	// registered is when the entry was made, by the store's revision.
+	registered int64
+	at         time.Duration
+}
+
+// outdated says whether an entry is one that has been seen gone: whoever still
+// names it knows less. An entry that was made again is another.
+func (s *state) outdated(u *fleet.Upstream) bool {
+	a, gone := s.gone[u.Instance]
+	return gone && u.Registered > 0 && u.Registered <= a.registered
+}
+
+// keepDraining leaves upstreams of a peer's list draining that are known to be:
+// only the store says that a start of an upstream serves again.
+func (s *state) keepDraining(lent map[string]*fleet.Upstream) {
+	for instance, u := range lent {
+		known := s.upstreams[instance]
+		if known == nil || known.State != fleet.Draining || known.Incarnation() != u.Incarnation() || known.Registered != u.Registered {
+			continue
+		}
+		draining := *u
+		draining.State = fleet.Draining
+		lent[instance] = &draining
+	}
+}
+
+// forgetGone forgets the entries that have been gone for long.
+func (s *state) forgetGone(now time.Duration) {
+	maps.DeleteFunc(s.gone, func(_ string, a absence) bool { return now-a.at > leavingMemory })
+}
+
 // logChange logs what the list says now of an upstream, if it said something
 // else before; old is nil if it did not name it.
 func (s *state) logChange(old, u *fleet.Upstream, now time.Duration) {
@@ -110,12 +154,13 @@
 	}
 	s.log.Info("upstream changed", zap.String("upstream", u.Instance), zap.String("service", u.Service), zap.String("zone", u.Zone), zap.String("accelerator", u.Accelerator),
 		zap.Bool("draining", u.State == fleet.Draining), zap.Int("from", u.Held.From), zap.Int("to", u.Held.To),
-		zap.Int64("started", u.Started), zap.Int64("revision", s.listRevision), zap.Duration("list_age", now-s.listedAt))
+		zap.Int64("started", u.Started), zap.Int64("registered", u.Registered), zap.Int64("revision", s.listRevision), zap.Duration("list_age", now-s.listedAt))
 }
 
 // lose takes out an upstream that the list does not name any more, or keeps it
 // for a while if its entry may just have lapsed.
 func (s *state) lose(u *fleet.Upstream, now time.Duration) {
+	s.gone[u.Instance] = absence{registered: max(u.Registered, s.gone[u.Instance].registered), at: now}
 	until := s.listBackAt + lapseTime
 	if s.listBackAt > 0 && now < until && u.State == fleet.Serving {
 		s.lapsed[u.Instance] = until
@@ -135,16 +180,30 @@
 			continue
 		}
 		lost = true
+		delete(s.lapsed, instance)
 		if u := s.upstreams[instance]; u != nil {
+			// The list may have been lost and come back meanwhile.
 			s.lose(u, now)
 		}
-		delete(s.lapsed, instance)
 	}
 	if lost {
 		s.rebuild()
 	}
 }
 
+// lent returns the upstreams of the list for a peer, in the order of their
+// instances. Those that are kept though the list does not name them are left
+// out.
+func (s *state) lent() []*fleet.Upstream {
+	var out []*fleet.Upstream
+	for _, instance := range slices.Sorted(maps.Keys(s.upstreams)) {
+		if _, lapsed := s.lapsed[instance]; !lapsed {
+			out = append(out, s.upstreams[instance])
+		}
+	}
+	return out
+}
+
 // noteEntry keeps the digest of the list; u is nil for an upstream that is
 // gone.
 func (s *state) noteEntry(instance string, u *fleet.Upstream) {
--- a/internal/gateway/list_test.go
+++ b/internal/gateway/list_test.go
@@ -44,7 +44,7 @@
 	}
 	whole := func(revision int64, to int) func(*state) {
 		return func(s *state) {
-			s.setUpstreams(wholeList{map[string]*fleet.Upstream{"e": engine("e", to)}, revision, time.Second}, 2*time.Second)
+			s.setUpstreams(wholeList{upstreams: map[string]*fleet.Upstream{"e": engine("e", to)}, revision: revision, at: time.Second}, 2*time.Second)
 		}
 	}
 	for _, x := range []struct {
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -25,7 +25,7 @@
 		all[name] = &fleet.Upstream{Instance: name, Address: name + ":1", Service: "llm", Zone: "a", Accelerator: "big", Slots: 192, Started: 1,
 			Held: fleet.Range{From: from, To: from + 5}}
 	}
-	s.setUpstreams(wholeList{all, 2, time.Second}, time.Second)
+	s.setUpstreams(wholeList{upstreams: all, revision: 2, at: time.Second}, time.Second)
 	return s
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -330,11 +328,7 @@
 			return
 		}
 		out.ListAge, out.ListRevision = g.Now()-s.listedAt, s.listRevision
-		for _, instance := range slices.Sorted(maps.Keys(s.upstreams)) {
-			if _, lapsed := s.lapsed[instance]; !lapsed {
-				out.Upstreams = append(out.Upstreams, s.upstreams[instance])
-			}
-		}
+		out.Upstreams = s.lent()
 	})
 	return out
 }
@@ -432,7 +426,7 @@
 	if lent.ListAge < 0 {
 		return
 	}
-	l := wholeList{upstreams: make(map[string]*fleet.Upstream, len(lent.Upstreams)), revision: lent.ListRevision, at: sent - lent.ListAge}
+	l := wholeList{upstreams: make(map[string]*fleet.Upstream, len(lent.Upstreams)), revision: lent.ListRevision, at: sent - lent.ListAge, lent: true}
 	for _, u := range lent.Upstreams {
 		l.upstreams[u.Instance] = u
 	}
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -22,7 +22,7 @@
 		name := fmt.Sprintf("e%d", i)
 		all[name] = &fleet.Upstream{Instance: name, Service: "llm", Zone: fmt.Sprint(i % 3), Accelerator: "big", Slots: 192, Held: fleet.Range{From: 0, To: 10}}
 	}
-	s.setUpstreams(wholeList{all, 1, time.Second}, time.Second)
+	s.setUpstreams(wholeList{upstreams: all, revision: 1, at: time.Second}, time.Second)
 	next := 0
 	return s, func() *peering.News {
 		next++
@@ -87,7 +87,7 @@
 	const now = time.Minute
 	s := newState(t)
 	s.window("llm").Take(s.allowance, retry.Counts{}, 1, now)
-	s.setUpstreams(wholeList{map[string]*fleet.Upstream{}, 1, now}, now)
+	s.setUpstreams(wholeList{upstreams: map[string]*fleet.Upstream{}, revision: 1, at: now}, now)
 	n := s.news(&Gateway{}, s.zone, now)
 	qt.Assert(t, n.Services, qt.HasLen, 1)
 	qt.Check(t, n.Services[0].Repeats, qt.Equals, float32(1))
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -69,6 +69,8 @@
 	// it does not name them.
 	listBackAt time.Duration
 	lapsed     map[string]time.Duration
+	// gone are the last entries, by instance, that the list has ceased to name.
+	gone map[string]absence
 	// leaving are the upstreams that have said that they are about to end, with
 	// when they were last listed.
 	leaving map[fleet.Incarnation]time.Duration
@@ -119,6 +121,7 @@
 	s.crossings = make(map[pipeKey]*path.Crossing)
 	s.leaving = make(map[fleet.Incarnation]time.Duration)
 	s.lapsed = make(map[string]time.Duration)
+	s.gone = make(map[string]absence)
 	s.windows = make(map[string]*retry.Window)
 	s.drained = make(map[string]*admission.Rate)
 	s.storeLost = make(map[string]bool)
@@ -134,6 +137,7 @@
 func (s *state) rebuild() {
 	s.pools = make(map[string]*pool)
 	s.keepLeaving(s.now())
+	s.forgetGone(s.now())
 	if s.table == nil {
 		return
 	}
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -38,9 +38,9 @@
 	}
 	qt.Assert(t, table.Prepare(), qt.IsNil)
 	s.setTable(table)
-	s.setUpstreams(wholeList{map[string]*fleet.Upstream{
+	s.setUpstreams(wholeList{upstreams: map[string]*fleet.Upstream{
 		"e": {Instance: "e", Service: "llm", Zone: "a", Accelerator: "big", Slots: 192, Held: fleet.Range{From: 0, To: 10}},
-	}, 1, time.Second}, time.Second)
+	}, revision: 1, at: time.Second}, time.Second)
 	return s
 }
 
@@ -240,9 +240,9 @@
 	out := replay(s, 15*time.Second, testStep, testHold, func(now time.Duration) []arrival {
 		switch now {
 		case 12 * time.Second:
-			s.setUpstreams(wholeList{map[string]*fleet.Upstream{}, 1, now}, now)
+			s.setUpstreams(wholeList{upstreams: map[string]*fleet.Upstream{}, revision: 1, at: now}, now)
 		case 12*time.Second + 500*time.Millisecond:
-			s.setUpstreams(wholeList{all, 1, now}, now)
+			s.setUpstreams(wholeList{upstreams: all, revision: 1, at: now}, now)
 		}
 		if now%(50*time.Millisecond) != 0 {
 			return nil
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -11,6 +11,9 @@
 	Serving State = iota
 	// Draining upstreams finish what they have and take nothing new.
 	Draining
+	// Unusable upstreams have an entry that can't be understood. Nothing else is
+	// known of them.
+	Unusable
 )
 
 // Range is a span of layers, To exclusive. The zero value holds none.
@@ -35,6 +38,10 @@
 	// Started is when the process of the upstream started, in Unix
 	// milliseconds by its own clock; 0 if it does not say.
 	Started int64
+	// Registered is the store's revision at which the upstream's entry was made;
+	// 0 if it is not known. An entry that lapsed and was made again has a later
+	// one.
+	Registered int64
 	// Accelerator names the kind of accelerator; empty for plain services.
 	Accelerator string
 	// Held is the range of layers that an engine holds.
