--- a/internal/coordination/roster/roster.go
+++ b/internal/coordination/roster/roster.go
@@ -173,6 +173,22 @@
 	return heard
 }
 
+// CutOff says whether gateways of other zones were heard, and none of them has
+// been lately.
+func (r *Roster) CutOff(now time.Duration) bool {
+	known := false
+	for _, m := range r.ordered {
+		if m.Zone == r.Self.Zone || m.HeardAt == 0 {
+			continue
+		}
+		known = true
+		if r.alive(m, now) {
+			return false
+		}
+	}
+	return known
+}
+
 // Due returns the members to call now, those due for longest first, and notes
 // them as called.
 func (r *Roster) Due(now time.Duration) []*Member {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,8 @@
 	// noticed says that an upstream has given notice that it leaves, or wants no
 	// requests for a while.
 	noticed atomic.Bool
+	// cutOff says that no gateway of another zone has been heard lately.
+	cutOff atomic.Bool
 	// draining says that the graceful stop has begun.
 	draining atomic.Bool
 	// inFlight counts the callers' requests at work.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -84,6 +84,7 @@
 			now := g.Now()
 			s.roster.Prune(now)
 			s.dropSilent(now)
+			g.noteCutOff(s.roster.CutOff(now))
 			for _, m := range s.roster.Due(now) {
 				due[m.Address.Address] = s.news(g, m.Zone, now)
 			}
@@ -95,6 +96,15 @@
 	return nil
 }
 
+// noteCutOff notes whether this zone is cut off from the others.
+func (g *Gateway) noteCutOff(cutOff bool) {
+	if g.cutOff.Swap(cutOff) == cutOff {
+		return
+	}
+	age, _ := g.routing.Age(g.Now())
+	g.Log.Info("other zones", zap.Bool("cut_off", cutOff), zap.Duration("configuration_age", age))
+}
+
 func (g *Gateway) tellOne(ctx context.Context, address string, said *peering.News) {
 	sent := g.Now()
 	answer, err := g.peers.News(ctx, address, said)
