--- a/cmd/lovageport/gateway.go
+++ b/cmd/lovageport/gateway.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -21,6 +22,10 @@
 	Config string `env:"LOVAGEPORT_NODE_FILE" required:"" type:"path" help:"Settings file."`
 }
 
+// garbagePercent is by how much the heap grows until garbage is collected. The
+// VMs have little memory, and a gateway's heap is a few megabytes.
+const garbagePercent = 25
+
 // settingsInterval is how often the settings file is looked at: it may change
 // without a signal.
 const settingsInterval = 5 * time.Second
@@ -54,6 +59,7 @@
 func (c *gatewayCommand) Run() error {
 	// Signals are caught before anything else: until then they end the process.
 	ctx, drain := stopSignals()
+	debug.SetGCPercent(garbagePercent)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := setting.LoadGateway(c.Config)
