Go on with other stages within the pause that a route allows

They were asked about after three quarters of the pause, the first engine knows of a lost stage only 0.2 s later, and then all streams of the engine read their prompts again on one other chain, 0.2 to 0.4 s for some fifty of them.

Stages are asked themselves, by the rhythm of the stream, and only those that no stream of this gateway has passed lately.

--- a/internal/coordination/health/silence.go
+++ b/internal/coordination/health/silence.go
@@ -5,41 +5,74 @@
 // Times of questions about a stream that brings nothing.
 const (
 	// maxDoubtAfter is how long one may be silent at most before the first
-	// question.
-	maxDoubtAfter = 500 * time.Millisecond
-	// doubtShare is the part of the time that the route allows after which there
-	// is one: the stream must go on elsewhere within the rest.
-	doubtShare = 0.75
-	// secondDoubtAfter is how long after the first question the second one
-	// follows: an engine knows of a stage that does not answer some hundred
-	// milliseconds late.
-	secondDoubtAfter = 150 * time.Millisecond
+	// question, and lateDoubtAfter how long after several the next one follows.
+	maxDoubtAfter  = 500 * time.Millisecond
+	lateDoubtAfter = 500 * time.Millisecond
+	// crowdedQuiet and sparseQuiet are how long a stage that many or few streams
+	// pass must have brought nothing to be asked, and crowd from how many on they
+	// are many: their events come by turns.
+	crowdedQuiet = 90 * time.Millisecond
+	sparseQuiet  = 120 * time.Millisecond
+	crowd        = 3
+	// minDoubtAfter is the shortest silence that is asked about.
+	minDoubtAfter = 80 * time.Millisecond
+	// pauseShare and firstShare are the parts of the longest pause and of the
+	// time to the first event that a route allows after which there is a
+	// question at the latest: the prompt must be read elsewhere within the rest.
+	pauseShare = 0.5
+	firstShare = 0.3
+	// rhythmFactor is how many times the usual pause of a stream is a silence.
+	rhythmFactor = 3.5
+	// nextDoubtAfter is the time between the first few questions. They cost
+	// little: only stages are asked that nobody else has heard of since.
+	nextDoubtAfter = 40 * time.Millisecond
+	// earlyDoubts is how many questions follow each other so quickly, and
+	// middleDoubtAfter the time until the next.
+	earlyDoubts      = 4
+	middleDoubtAfter = 150 * time.Millisecond
 )
 
-// Silence says when the upstreams of a stream that brings nothing are asked
-// what it waits for.
+// Silence says when the stages of a stream that brings nothing are asked
+// whether they are well.
 type Silence struct {
 	// Objective is the time within which the first event should come, and
 	// MaxPause the longest pause after it; 0 if any will do.
 	Objective, MaxPause time.Duration
+	// Rhythm is the usual time between the events of the stream; 0 if it is not
+	// known.
+	Rhythm time.Duration
+}
+
+// StageQuiet returns how long a stage that a number of streams pass must have
+// brought nothing to any of them to be asked whether it is well.
+func StageQuiet(streams int) time.Duration {
+	if streams >= crowd {
+		return crowdedQuiet
+	}
+	return sparseQuiet
 }
 
 // Next returns how long to wait for the next question, after a number of them
 // that brought nothing. begun says that the stream has brought an event.
 func (s Silence) Next(begun bool, questions int) time.Duration {
-	switch questions {
-	case 0:
-	case 1:
-		return secondDoubtAfter
-	default:
-		return maxDoubtAfter
+	switch {
+	case questions > earlyDoubts:
+		return lateDoubtAfter
+	case questions == earlyDoubts:
+		return middleDoubtAfter
+	case questions > 0:
+		return nextDoubtAfter
 	}
-	allowed := s.Objective
+	allowed, share := s.Objective, firstShare
 	if begun {
-		allowed = s.MaxPause
+		allowed, share = s.MaxPause, pauseShare
 	}
 	if allowed <= 0 {
 		return maxDoubtAfter
 	}
-	return min(maxDoubtAfter, time.Duration(doubtShare*float64(allowed)))
+	latest := min(maxDoubtAfter, time.Duration(share*float64(allowed)))
+	if !begun || s.Rhythm <= 0 {
+		return latest
+	}
+	return min(latest, max(minDoubtAfter, time.Duration(rhythmFactor*float64(s.Rhythm))))
 }
--- /dev/null
+++ b/internal/coordination/path/gap.go
@@ -0,0 +1,37 @@
+package path
+
+import (
+	"slices"
+
+	"lovageport.example/internal/state/fleet"
+)
+
+// Gap is what a chain lacks that has lost a stage other than the first.
+type Gap struct {
+	Layers fleet.Range
+	// Before is the zone of the stage before the gap, and After that of the one
+	// behind it, or of the first stage if there is none.
+	Before, After string
+}
+
+// Fill returns the cheapest stages for a gap. It says false if no upstreams in
+// use cover its layers.
+func (m *Map) Fill(q *Query, g Gap) (Chain, bool) {
+	start, begins := slices.BinarySearch(m.bounds, g.Layers.From)
+	stop, ends := slices.BinarySearch(m.bounds, g.Layers.To)
+	before, after := slices.Index(m.zones, g.Before), slices.Index(m.zones, g.After)
+	if !begins || !ends || start == 0 || before < 0 || after < 0 {
+		return Chain{}, false
+	}
+	f := finder{m: m, q: q, start: start, stop: stop}
+	f.weigh()
+	nodes := make([][]node, len(m.bounds))
+	for i := range nodes {
+		nodes[i] = make([]node, len(m.zones))
+	}
+	f.relax(nodes, start, before, node{holder: -1, reached: true}, false)
+	if _, found := f.search(nodes, after); !found {
+		return Chain{}, false
+	}
+	return f.trace(nodes, before)
+}
--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
@@ -31,6 +32,14 @@
 // loadWeight says how much a full memory raises the cost of a stage.
 const loadWeight = 6.0
 
+// Costs, in milliseconds for each token, of a millisecond that a prompt waits for
+// others to be read: an answer has some hundred tokens, but a stream that has to
+// go on is soon late.
+const (
+	waitWeight       = 0.01
+	urgentWaitWeight = 0.1
+)
+
 // maxUse bounds the share of its time that an engine is taken to read prompts:
 // above it rates that are a second old say no more.
 const maxUse = 0.95
@@ -47,6 +56,8 @@
 	Begun float64
 	// Reading is the rate at which prompts come in, in token-layers a second.
 	Reading float64
+	// Backlog is how long a prompt waits there for others to be read.
+	Backlog time.Duration
 	// Slowdown multiplies the upstream's time; 0 counts as 1.
 	Slowdown float64
 }
@@ -120,6 +131,13 @@
 	m.zoneOf = append(m.zoneOf, zone)
 }
 
+// ReadTime returns how long an upstream takes to read the tokens of a prompt for
+// some layers.
+func (m *Map) ReadTime(u *fleet.Upstream, tokens, layers int) time.Duration {
+	perLayer := m.Engine.ReadTime(u.Accelerator).Seconds() / float64(m.Engine.Layers)
+	return time.Duration(perLayer * float64(tokens*layers) * float64(time.Second))
+}
+
 // Capacity returns the room of an upstream in token-layers; 0 if it holds
 // nothing.
 func (m *Map) Capacity(instance string) float64 {
@@ -137,8 +155,13 @@
 	Zone string
 	// Tokens is the KV cache that the request may come to need.
 	Tokens float64
+	// PromptTokens are those to read.
+	PromptTokens int
 	// Load returns the load of an upstream.
 	Load func(u *fleet.Upstream) Load
+	// Urgent says that the caller is waiting for the next event of a stream that
+	// has begun, so that the time to read it again counts most.
+	Urgent bool
 	// Noise multiplies the cost of a holder, so that processes which see the
 	// same loads do not all choose alike; nil for none.
 	Noise func() float64
@@ -160,6 +183,9 @@
 	Full bool
 	// Fill is how full the fullest stage is with the request, 1 for full.
 	Fill float64
+	// Wait is how long the prompts before and then that of the request take to be
+	// read.
+	Wait time.Duration
 }
 
 // node is the cheapest way to have run the layers up to a bound.
@@ -174,7 +200,7 @@
 // Find returns the cheapest chain. It says false if no upstreams in use cover
 // all layers.
 func (m *Map) Find(q *Query) (Chain, bool) {
-	f := finder{m: m, q: q}
+	f := finder{m: m, q: q, stop: len(m.bounds) - 1}
 	f.weigh()
 	best, found := Chain{}, false
 	bestCost := 0.0
@@ -201,6 +227,8 @@
 	noise []float64
 	// pipes are those between zones by their indexes.
 	pipes [][]Pipe
+	// start and stop are the bounds between which layers are to be run.
+	start, stop int
 	// whole forbids leaving a holder before the end of its range.
 	whole bool
 	// end is the zone of the last stage of the best chain.
@@ -236,25 +264,32 @@
 		nodes[i] = make([]node, len(m.zones))
 	}
 	f.relax(nodes, 0, first, node{cost: f.entryCost(first), holder: -1, reached: true}, true)
-	for i := 1; i < len(m.bounds)-1; i++ {
-		for zone := range m.zones {
+	cost, found := f.search(nodes, first)
+	return cost, nodes, found
+}
+
+// search goes on from the start to the stop, from where the next stage is in a
+// zone, and returns the cost of the cheapest way.
+func (f *finder) search(nodes [][]node, next int) (float64, bool) {
+	for i := f.start + 1; i < f.stop; i++ {
+		for zone := range f.m.zones {
 			if n := nodes[i][zone]; n.reached {
 				f.relax(nodes, i, zone, n, false)
 			}
 		}
 	}
-	last := nodes[len(m.bounds)-1]
+	last := nodes[f.stop]
 	best, found := 0.0, false
-	for zone := range m.zones {
+	for zone := range f.m.zones {
 		if !last[zone].reached {
 			continue
 		}
-		cost := last[zone].cost + f.zoneCost(zone, first)
+		cost := last[zone].cost + f.zoneCost(zone, next)
 		if !found || cost < best {
 			best, found, f.end = cost, true, zone
 		}
 	}
-	return best, nodes, found
+	return best, found
 }
 
 // entryCost is that of reaching the first stage from the caller's zone.
@@ -301,7 +336,7 @@
 		if first && (m.zoneOf[h] != zone || !f.mayBegin(h)) {
 			continue
 		}
-		for j := i + 1; j < len(m.bounds) && m.bounds[j] <= held.To; j++ {
+		for j := i + 1; j <= f.stop && m.bounds[j] <= held.To; j++ {
 			if f.whole && m.bounds[j] != held.To {
 				continue
 			}
@@ -356,16 +391,32 @@
 	load := &f.loads[h]
 	holder := &f.m.Holders[h]
 	slowdown := max(1, load.Slowdown)
-	time := float64(layers) * (holder.pace + holder.perRequest*load.Requests) * slowdown
-	time /= 1 - min(holder.reading*load.Reading/1e3*slowdown, maxUse)
+	step := float64(layers) * (holder.pace + holder.perRequest*load.Requests) * slowdown
+	step /= 1 - min(holder.reading*load.Reading/1e3*slowdown, maxUse)
 	fill := f.fill(h, layers)
-	cost := time*(1+loadWeight*fill*fill*fill*fill)*f.noise[h] + HopCost
+	cost := step*(1+loadWeight*fill*fill*fill*fill)*f.noise[h] + HopCost + f.waitCost(load)
 	if fill > Overcommit {
 		cost += fullCost * fill
 	}
 	return cost
 }
 
+// waitCost is that of waiting until the prompts before have been read.
+func (f *finder) waitCost(load *Load) float64 {
+	weight := waitWeight
+	if f.q.Urgent {
+		weight = urgentWaitWeight
+	}
+	return weight * load.Backlog.Seconds() * 1e3
+}
+
+// readWait returns how long a holder takes to read the prompt for some layers,
+// after those before it.
+func (f *finder) readWait(h, layers int) time.Duration {
+	reading := f.m.ReadTime(f.m.Holders[h].Upstream, f.q.PromptTokens, layers)
+	return time.Duration(float64(f.loads[h].Backlog+reading) * max(1, f.loads[h].Slowdown))
+}
+
 // fill returns how full a holder is with the request.
 func (f *finder) fill(h, layers int) float64 {
 	capacity := f.m.Holders[h].Capacity
@@ -380,8 +431,8 @@
 func (f *finder) trace(nodes [][]node, first int) (Chain, bool) {
 	var chain Chain
 	seen := make([]bool, len(f.m.Holders))
-	i, zone := len(f.m.bounds)-1, f.end
-	for i > 0 {
+	i, zone := f.stop, f.end
+	for i > f.start {
 		n := nodes[i][zone]
 		if seen[n.holder] {
 			return f.traceWhole(first)
@@ -391,8 +442,9 @@
 		chain.Stages = append(chain.Stages, relay.Stage{Upstream: f.m.Holders[n.holder].Upstream, Layers: layers})
 		fill := f.fill(n.holder, layers.Len())
 		chain.Fill = max(chain.Fill, fill)
+		chain.Wait += f.readWait(n.holder, layers.Len())
 		chain.Full = chain.Full || fill > Overcommit || f.pipes[n.fromZone][zone].Full
-		if n.from == 0 {
+		if n.from == 0 && f.start == 0 {
 			chain.Full = chain.Full || f.slotsTaken(n.holder) > 1
 		}
 		i, zone = n.from, n.fromZone
@@ -402,7 +454,7 @@
 }
 
 func (f *finder) traceWhole(first int) (Chain, bool) {
-	if f.whole {
+	if f.whole || f.start > 0 {
 		return Chain{}, false
 	}
 	whole := *f
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -5,6 +5,7 @@
 
 	"lovageport.example/internal/coordination/path"
 	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/pkg/verdict"
@@ -61,7 +62,16 @@
 	if found.Full {
 		return place{}, verdict.Refuse(verdict.QueueFull, "no upstreams of %s have room for %.0f tokens", q.service, q.tokens)
 	}
-	return place{upstream: found.Stages[0].Upstream, chain: found.Stages, fill: found.Fill}, nil
+	return s.placeOn(found.Stages, found.Fill), nil
+}
+
+// placeOn returns the place on a chain.
+func (s *state) placeOn(chain []relay.Stage, fill float64) place {
+	p := place{upstream: chain[0].Upstream, chain: chain, fill: fill}
+	for _, stage := range chain {
+		p.activity = append(p.activity, &s.load(stage.Upstream.Instance).activity)
+	}
+	return p
 }
 
 // pipe returns the pipe between two zones as a prompt of some tokens finds it.
@@ -81,12 +91,15 @@
 
 func (s *state) chainQuery(p *pool, q *query, shunned map[string]bool, now time.Duration) *path.Query {
 	query := &path.Query{
-		Zone:    s.zone,
-		Tokens:  q.tokens,
-		First:   q.first,
-		Noise:   func() float64 { return 1 + noise*(s.random()-0.5) },
-		Pipe:    func(a, b string) path.Pipe { return s.pipe(p, a, b, float64(q.PromptTokens), now) },
-		Doubted: func(a, b string) bool { return s.links.Doubted(a, b, now) },
+		Zone:   s.zone,
+		Tokens: q.tokens,
+
+		PromptTokens: q.PromptTokens,
+		First:        q.first,
+		Urgent:       q.lastEvent > 0,
+		Noise:        func() float64 { return 1 + noise*(s.random()-0.5) },
+		Pipe:         func(a, b string) path.Pipe { return s.pipe(p, a, b, float64(q.PromptTokens), now) },
+		Doubted:      func(a, b string) bool { return s.links.Doubted(a, b, now) },
 		Load: func(u *fleet.Upstream) path.Load {
 			l, others := s.load(u.Instance), s.others(u.Instance)
 			return path.Load{
@@ -95,6 +108,7 @@
 				Requests:    float64(l.requests) + others.Requests,
 				Begun:       float64(l.begun) + others.Begun,
 				Reading:     l.reading.At(now) + others.Reading,
+				Backlog:     l.backlog.At(now),
 				Slowdown:    s.health.Pace(u.Instance) * (1 + failureCost*s.health.Failures(u.Instance, now)),
 			}
 		},
@@ -149,14 +163,30 @@
 		return
 	}
 	s.load(p.upstream.Instance).begun++
-	for i, stage := range p.chain {
-		if i > 0 && p.chain[i-1].Upstream.Zone != stage.Upstream.Zone {
-			s.cross(q, p.chain[i-1].Upstream.Zone, stage.Upstream.Zone, now)
+	s.occupyStages(q, p.chain, p.upstream.Zone, now)
+}
+
+// occupyStages counts stages of a generation as load; before is the zone that
+// its activations come from.
+func (s *state) occupyStages(q *query, stages []relay.Stage, before string, now time.Duration) {
+	var layers *path.Map
+	if pool := s.pools[q.service]; pool != nil {
+		layers = pool.layers
+	}
+	for _, stage := range stages {
+		if before != stage.Upstream.Zone {
+			s.cross(q, before, stage.Upstream.Zone, now)
 		}
+		before = stage.Upstream.Zone
 		l := s.load(stage.Upstream.Instance)
 		l.requests++
 		l.tokenLayers += q.tokens * float64(stage.Layers.Len())
 		l.reading.Add(float64(q.PromptTokens*stage.Layers.Len()), now)
+		if layers != nil {
+			// The other gateways of the zone send about as much.
+			reading := layers.ReadTime(stage.Upstream, q.PromptTokens, stage.Layers.Len())
+			l.backlog.Add(reading*time.Duration(s.near.Len()+1), now)
+		}
 	}
 }
 
--- a/internal/gateway/generate.go
+++ b/internal/gateway/generate.go
@@ -90,11 +90,10 @@
 	if err != nil {
 		return err
 	}
-	defer s.g.control.Send(func(st *state) { st.give(s.query, p) })
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := newSilence(s.g, s.query, p, cancel)
-	defer watch.stop()
+	defer s.leave(watch)
 	a, err := s.g.send(ctx, s.query, p, s.last)
 	if err != nil {
 		return watch.explain(err)
@@ -106,6 +105,12 @@
 	return watch.explain(s.copyEvents(ctx, p, a, watch))
 }
 
+// leave ends the watch of an attempt and gives its place back.
+func (s *generation) leave(watch *silence) {
+	p := watch.stop()
+	s.g.control.Send(func(st *state) { st.give(s.query, p) })
+}
+
 // maxFailureBytes bounds the body of an answer that is no stream.
 const maxFailureBytes = 256 << 10
 
@@ -143,8 +148,9 @@
 		if err != nil {
 			return s.broken(ctx, p, err)
 		}
-		watch.moved()
-		if pause := s.noteEvent(s.g.Now()); pause > s.slowPause() {
+		now := s.g.Now()
+		watch.moved(now)
+		if pause := s.noteEvent(now); pause > s.slowPause() {
 			s.g.askPace(p)
 		}
 		s.begin(a)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,8 @@
 	connections prometheus.Counter
 	storeCalls  *prometheus.CounterVec
 	orders      *prometheus.CounterVec
+	// lostStages counts the stages that streams have lost, by what became of them.
+	lostStages *prometheus.CounterVec
 	// notices counts what upstreams say of themselves in their answers.
 	notices      *prometheus.CounterVec
 	tableVersion prometheus.Gauge
@@ -54,6 +56,9 @@
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_orders_total", Help: "Orders to engines, by outcome.",
 		}, []string{"outcome"}),
+		lostStages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_lost_stages_total", Help: "Stages that streams have lost, by whether others took their place.",
+		}, []string{"outcome"}),
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_upstream_notices_total", Help: "Answers whose upstream says that it leaves, or wants no requests for a while.",
 		}, []string{"notice"}),
@@ -72,7 +77,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.first, m.whole, m.connections, m.storeCalls, m.orders, m.notices, m.tableVersion, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.first, m.whole, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.tableVersion, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -181,7 +181,7 @@
 	switch {
 	case err != nil:
 		outcome = orderUnknown
-	case !platform.PlacementTaken(status):
+	case !platform.OrderTaken(status):
 		outcome = orderRefused
 	}
 	g.noteOrder(ctx, o, outcome)
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"lovageport.example/internal/protocol/relay"
@@ -104,6 +105,9 @@
 	chain []relay.Stage
 	// fill is how full the fullest stage is, 1 for full.
 	fill float64
+	// activity are the boot times, in nanoseconds, at which an event last passed
+	// each stage, of this stream or of others.
+	activity []*atomic.Int64
 }
 
 // String names the upstreams of the chain in their order, for logs.
@@ -125,7 +129,12 @@
 		return
 	}
 	s.load(p.upstream.Instance).begun--
-	for _, stage := range p.chain {
+	s.giveStages(q, p.chain)
+}
+
+// giveStages ends the work of stages on a generation.
+func (s *state) giveStages(q *query, stages []relay.Stage) {
+	for _, stage := range stages {
 		l := s.load(stage.Upstream.Instance)
 		l.requests--
 		l.tokenLayers -= q.tokens * float64(stage.Layers.Len())
