Use one upstream at an address

Change: of several entries with one address the one that was made last counts. TestOneUpstreamAtAnAddress fails without it.

--- a/internal/gateway/gone_test.go
+++ b/internal/gateway/gone_test.go
@@ -230,3 +230,15 @@
 	}
 	g.held = has
 }
+
+// TestOneUpstreamAtAnAddress: an upstream that crashed and came back under
+// another name at the same address is not used under both: a chain with both
+// would be refused.
+func TestOneUpstreamAtAnAddress(t *testing.T) {
+	s := newState(t)
+	old, replacement := registered("e1", 5), registered("e2", 9)
+	old.Address, replacement.Address = "10.0.0.1:80", "10.0.0.1:80"
+	s.setUpstreams(wholeList{upstreams: map[string]*fleet.Upstream{"e1": old, "e2": replacement}, revision: 10, at: time.Minute}, time.Minute)
+	qt.Assert(t, s.pools["llm"].members, qt.HasLen, 1)
+	qt.Check(t, s.pools["llm"].members[0].Instance, qt.Equals, "e2")
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -147,10 +147,11 @@
 	if s.table == nil {
 		return
 	}
+	newest := s.newestAt()
 	for _, instance := range slices.Sorted(maps.Keys(s.upstreams)) {
 		u := s.upstreams[instance]
 		service := s.table.Services[u.Service]
-		if service == nil || u.State != fleet.Serving || s.leaves(u) {
+		if service == nil || u.State != fleet.Serving || s.leaves(u) || u.Registered < newest[u.Address] {
 			continue
 		}
 		p := s.pools[u.Service]
@@ -171,6 +172,16 @@
 	maps.DeleteFunc(s.loads, func(instance string, l *load) bool { return l.requests == 0 && !live(instance) })
 }
 
+// newestAt returns when the newest entry of each address was made: an address has
+// one upstream, and the entry of one that crashed there lapses late.
+func (s *state) newestAt() map[string]int64 {
+	newest := make(map[string]int64, len(s.upstreams))
+	for _, u := range s.upstreams {
+		newest[u.Address] = max(newest[u.Address], u.Registered)
+	}
+	return newest
+}
+
 func (s *state) load(instance string) *load {
 	l := s.loads[instance]
 	if l == nil {
