Count from logs why requests were late or failed

'lovageport causes' reads logs and prints each fate with what was waited for last, its count and a request to look at with 'lovageport explain'.

--- a/cmd/lovageport/explain.go
+++ b/cmd/lovageport/explain.go
@@ -24,15 +24,8 @@
 
 func (c *explainCommand) explain(in io.Reader, out io.Writer) error {
 	log := &history.Log{Request: c.Request}
-	if len(c.Files) == 0 {
-		if err := log.Read(in, "-"); err != nil {
-			return err
-		}
-	}
-	for _, file := range c.Files {
-		if err := readLog(log, file); err != nil {
-			return err
-		}
+	if err := readLogs(log, c.Files, in); err != nil {
+		return err
 	}
 	story, err := log.Story(c.Before, c.After)
 	if errors.Is(err, history.ErrUnknown) {
@@ -44,11 +37,45 @@
 	return story.Print(out)
 }
 
-func readLog(log *history.Log, file string) error {
+// causesCommand counts from logs why requests were late or failed.
+type causesCommand struct {
+	Files []string      `arg:"" optional:"" type:"existingfile" help:"Logs, one of each process; standard input if there are none."`
+	First time.Duration `default:"500ms" help:"Longest time to the first event that is not late."`
+	Pause time.Duration `default:"200ms" help:"Longest pause between two events that is not late."`
+}
+
+// Run prints the causes with their counts.
+func (c *causesCommand) Run() error {
+	causes := &history.Causes{Late: history.Late{First: c.First, Pause: c.Pause}}
+	if err := readLogs(causes, c.Files, os.Stdin); err != nil {
+		return err
+	}
+	return causes.Print(os.Stdout)
+}
+
+// logReader takes in the logs of processes.
+type logReader interface {
+	Read(r io.Reader, source string) error
+}
+
+// readLogs reads files, or in if there are none.
+func readLogs(to logReader, files []string, in io.Reader) error {
+	if len(files) == 0 {
+		return to.Read(in, "-")
+	}
+	for _, file := range files {
+		if err := readLog(to, file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(to logReader, file string) error {
 	f, err := os.Open(file)
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	return log.Read(f, file)
+	return to.Read(f, file)
 }
--- a/cmd/lovageport/main.go
+++ b/cmd/lovageport/main.go
@@ -24,6 +24,7 @@
 	Diff     diffCommand     `cmd:"" help:"Show what apply would change."`
 	Get      getCommand      `cmd:"" help:"Print the accepted configuration."`
 	Explain  explainCommand  `cmd:"" help:"Tell from logs what happened to a request."`
+	Causes   causesCommand   `cmd:"" help:"Count from logs why requests were late or failed."`
 	Status   statusCommand   `cmd:"" help:"Show an entry, its peers and the upstreams."`
 	Withdraw withdrawCommand `cmd:"" help:"Take upstreams out of service."`
 	Return   returnCommand   `cmd:"" help:"Put withdrawn upstreams back in service."`
--- /dev/null
+++ b/internal/history/causes_test.go
@@ -0,0 +1,37 @@
+package history_test
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"lovageport.example/internal/history"
+)
+
+// The causes of a few lines: one request was answered in time, the others were
+// not.
+func ExampleCauses() {
+	log := `time=2026-12-04T10:00:00Z level=info event="place given" gateway=g1 request=a attempt=1
+time=2026-12-04T10:00:01Z level=info event="request answered" gateway=g1 request=a status=200 took=1s first_event=60ms longest_pause=40ms
+time=2026-12-04T10:00:01Z level=info event="place given" gateway=g1 request=b attempt=1
+time=2026-12-04T10:00:02Z level=info event="stage lost" gateway=g1 request=b at_fault=e2 outcome=replaced
+time=2026-12-04T10:00:03Z level=info event="request answered" gateway=g1 request=b status=200 took=2s first_event=60ms longest_pause=310ms
+time=2026-12-04T10:00:03Z level=info event="place given" gateway=g1 request=c attempt=1
+time=2026-12-04T10:00:04Z level=info event="request answered" gateway=g1 request=c status=200 took=1.8s first_event=900ms longest_pause=40ms
+time=2026-12-04T10:00:04Z level=info event="request failed" gateway=g1 request=d status=503 took=1.2s reason=deadline_unmeetable
+time=2026-12-04T10:00:05Z level=info event="place given" gateway=g1 request=e attempt=1
+`
+	c := history.Causes{Late: history.Late{First: 500 * time.Millisecond, Pause: 200 * time.Millisecond}}
+	if err := c.Read(strings.NewReader(log), "g1.log"); err != nil {
+		panic(err)
+	}
+	if err := c.Print(os.Stdout); err != nil {
+		panic(err)
+	}
+	// Output:
+	// 4 requests ended, 1 have no line on their end
+	//
+	// 1  failed: deadline_unmeetable  it got no place             d
+	// 1  first event late             it waited for a place       c
+	// 1  pause too long               a stage was lost: replaced  b
+}
