--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -127,10 +127,21 @@
 		w.wait(w.questions + 1)
 		return
 	}
+	w.end(p, at)
+}
+
+// end ends the attempt because of a stage. The caller holds mu.
+func (w *silence) end(p place, at int) {
 	culprit := p.chain[at].Upstream.Instance
+	now := w.g.Now()
 	w.g.Log.Info("stream silent", zap.String("request", w.q.ID), zap.String("upstream", p.upstream.Instance),
-		zap.String("at_fault", culprit), zap.Int("questions", w.questions+1), zap.Duration("last_event_age", w.g.Now()-movedAt), zap.Duration("since_start", w.g.Now()-w.q.arrived))
-	w.fault <- culprit
+		zap.String("at_fault", culprit), zap.Int("questions", w.questions+1),
+		zap.Duration("last_event_age", now-max(w.movedAt, w.q.arrived)), zap.Duration("since_start", now-w.q.arrived))
+	select {
+	case w.fault <- culprit:
+	default:
+		// An event that had come before the end began the wait anew.
+	}
 	w.cancel()
 }
 
