--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -163,7 +163,9 @@
 // others are asked all at once. later says that there were questions before: the
 // first stage then tells which one it waits for, which it knows late.
 func (g *Gateway) findStalled(q *query, p place, later bool) int {
-	suspects, at := g.suspects(p)
+	var suspects []int
+	at := -1
+	g.control.Do(func(s *state) { suspects, at = s.suspects(p, g.Now()) })
 	if at < 0 {
 		at = g.askStages(p, suspects)
 	}
@@ -178,21 +180,18 @@
 
 // suspects returns the stages that no stream has passed lately, and the first of
 // them that is known not to answer; negative if none is.
-func (g *Gateway) suspects(p place) (quiet []int, lost int) {
+func (s *state) suspects(p place, now time.Duration) (quiet []int, lost int) {
 	lost = -1
-	g.control.Do(func(s *state) {
-		now := g.Now()
-		for at, stage := range p.chain {
-			instance := stage.Upstream.Instance
-			if now-time.Duration(p.activity[at].Load()) < health.StageQuiet(s.load(instance).requests) {
-				continue
-			}
-			quiet = append(quiet, at)
-			if lost < 0 && s.health.Faulty(instance, now) && s.health.Unreachable(instance) {
-				lost = at
-			}
+	for at, stage := range p.chain {
+		instance := stage.Upstream.Instance
+		if now-time.Duration(p.activity[at].Load()) < health.StageQuiet(s.load(instance).requests) {
+			continue
 		}
-	})
+		quiet = append(quiet, at)
+		if lost < 0 && s.health.Faulty(instance, now) && s.health.Unreachable(instance) {
+			lost = at
+		}
+	}
 	return quiet, lost
 }
 
--- /dev/null
+++ b/internal/gateway/silence_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/coordination/health"
+	"lovageport.example/internal/protocol/relay"
+)
+
+// TestSecondEndOfAttempt: an attempt may end twice for silence, if an event that
+// came before the first end began the wait anew; nobody waits for the second.
+func TestSecondEndOfAttempt(t *testing.T) {
+	p := place{upstream: engine("e", 10), chain: []relay.Stage{{Upstream: engine("e", 10)}}}
+	ended := 0
+	w := &silence{g: &Gateway{Log: zap.NewNop(), Now: func() time.Duration { return time.Second }}, q: &query{}, p: p, cancel: func() { ended++ }, fault: make(chan string, 1)}
+	w.end(p, 0)
+	w.end(p, 0)
+	qt.Check(t, ended, qt.Equals, 2)
+	qt.Check(t, <-w.fault, qt.Equals, "e")
+}
+
+// TestQuietStagesAreSuspects replays a stage that is lost among others: of a
+// stage that many streams pass a short quiet is a sign, of one that few pass a
+// longer one; those that were passed since are not asked.
+func TestQuietStagesAreSuspects(t *testing.T) {
+	const now = time.Minute
+	s := newState(t)
+	g := &Gateway{Log: zap.NewNop(), Now: func() time.Duration { return now }}
+	crowded, sparse := health.StageQuiet(10), health.StageQuiet(1)
+	for _, x := range []struct {
+		name    string
+		streams int
+		quiet   time.Duration
+		suspect bool
+	}{
+		{"passed just now", 10, 5 * time.Millisecond, false},
+		{"many streams, quiet", 10, crowded, true},
+		{"few streams, as quiet", 1, crowded, false},
+		{"few streams, quiet for longer", 1, sparse, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			p := s.placeOn([]relay.Stage{{Upstream: engine("e", 10)}}, 0)
+			s.load("e").requests = x.streams
+			p.noteActivity(now - x.quiet)
+			quiet, lost := s.suspects(p, g.Now())
+			qt.Check(t, len(quiet) == 1, qt.Equals, x.suspect)
+			qt.Check(t, lost < 0, qt.IsTrue)
+		})
+	}
+	s.health.Blame("e", health.Unreachable, now)
+	p := s.placeOn([]relay.Stage{{Upstream: engine("e", 10)}}, 0)
+	p.noteActivity(now - sparse)
+	_, lost := s.suspects(p, now)
+	qt.Check(t, lost, qt.Equals, 0, qt.Commentf("what others have found is not asked again"))
+}
