Find spare stages without what the attempt under way writes

Cause, found by reading: spare stages are sought while the attempt is under way, whose goroutine notes where it has run, which first stage it has and when events came. The search read these in the control loop; a map that is written and walked at the same time ends the process.

Change: stages are sought by what does not change during an attempt; the search for a whole chain of the next attempt adds the rest. TestSpareBesideAnAttempt shows the race with the former search, under the race detector.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -89,14 +89,27 @@
 	}
 }
 
+// chainQuery returns the search for the chain of a request's next attempt. No
+// attempt may be under way.
 func (s *state) chainQuery(p *pool, q *query, shunned map[string]bool, now time.Duration) *path.Query {
-	query := &path.Query{
+	query := s.stageQuery(p, q, shunned, now)
+	query.First = q.first
+	query.Urgent = q.lastEvent > 0
+	limited := s.limited(q)
+	query.MayBegin = func(u *fleet.Upstream) bool {
+		return s.health.MayCall(u.Instance, now) && (!limited || q.ranOn[u.Instance])
+	}
+	return query
+}
+
+// stageQuery returns the search for stages of a request. It reads nothing that
+// an attempt under way changes outside of the control loop.
+func (s *state) stageQuery(p *pool, q *query, shunned map[string]bool, now time.Duration) *path.Query {
+	return &path.Query{
 		Zone:   s.zone,
 		Tokens: q.tokens,
 
 		PromptTokens: q.PromptTokens,
-		First:        q.first,
-		Urgent:       q.lastEvent > 0,
 		Noise:        func() float64 { return 1 + noise*(s.random()-0.5) },
 		Pipe:         func(a, b string) path.Pipe { return s.pipe(p, a, b, float64(q.PromptTokens), now) },
 		Doubted:      func(a, b string) bool { return s.links.Doubted(a, b, now) },
@@ -112,12 +125,8 @@
 				Slowdown:    s.health.Pace(u.Instance) * (1 + failureCost*s.health.Failures(u.Instance, now)),
 			}
 		},
+		MayBegin: func(u *fleet.Upstream) bool { return s.health.MayCall(u.Instance, now) },
 	}
-	limited := s.limited(q)
-	query.MayBegin = func(u *fleet.Upstream) bool {
-		return s.health.MayCall(u.Instance, now) && (!limited || q.ranOn[u.Instance])
-	}
-	return query
 }
 
 // limited says whether a request has run on as many upstreams as it may, so
--- a/internal/gateway/replace.go
+++ b/internal/gateway/replace.go
@@ -80,10 +80,11 @@
 	if pool == nil || pool.layers == nil {
 		return p, nil
 	}
-	search := s.chainQuery(pool, q, q.shunned, now)
-	load := search.Load
+	whole := s.stageQuery(pool, q, q.shunned, now)
+	whole.Urgent = true
+	search := *whole
 	search.Load = func(u *fleet.Upstream) path.Load {
-		l := load(u)
+		l := whole.Load(u)
 		l.Out = l.Out || stageAt(p, u.Address) >= 0
 		return l
 	}
@@ -91,11 +92,11 @@
 	if at+1 < len(p.chain) {
 		gap.After = p.chain[at+1].Upstream.Zone
 	}
-	found, ok := pool.layers.Fill(search, gap)
+	found, ok := pool.layers.Fill(&search, gap)
 	if !ok || found.Full {
 		return p, nil
 	}
-	if other, ok := pool.layers.Find(s.chainQuery(pool, q, q.shunned, now)); ok && !other.Full && other.Wait+newChainTime < found.Wait {
+	if other, ok := pool.layers.Find(whole); ok && !other.Full && other.Wait+newChainTime < found.Wait {
 		return p, nil
 	}
 	s.occupyStages(q, found.Stages, gap.Before, now)
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -9,6 +11,8 @@
 
 	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/protocol/relay"
+	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/routing"
 )
 
 // TestSecondEndOfAttempt: an attempt may end twice for silence, if an event that
@@ -23,6 +27,39 @@
 	qt.Check(t, <-w.fault, qt.Equals, "e")
 }
 
+// TestSpareBesideAnAttempt: spare stages are found while the attempt under way
+// notes where it has run and what it has brought; the race detector checks that
+// the search reads none of that.
+func TestSpareBesideAnAttempt(t *testing.T) {
+	s := newState(t)
+	halves := map[string]*fleet.Upstream{}
+	for _, name := range []string{"e1", "e2", "e3"} {
+		u := engine(name, 10)
+		u.Address, u.Slots = name, 192
+		u.Held = fleet.Range{From: 5, To: 10}
+		halves[name] = u
+	}
+	halves["e1"].Held = fleet.Range{To: 5}
+	s.setUpstreams(wholeList{upstreams: halves, revision: 2, at: time.Second}, time.Second)
+	q := &query{service: "llm", tokens: usualTokens, route: &routing.Route{}}
+	p := s.placeOn([]relay.Stage{{Upstream: halves["e1"], Layers: fleet.Range{To: 5}}, {Upstream: halves["e2"], Layers: fleet.Range{From: 5, To: 10}}}, 0)
+	var attempt sync.WaitGroup
+	attempt.Go(func() {
+		for i := range 100 {
+			q.noteRun(strconv.Itoa(i))
+			q.noteEvent(time.Duration(i))
+			q.first = "e1"
+		}
+	})
+	for range 100 {
+		next, spare := s.spare(q, p, 1, time.Second)
+		qt.Assert(t, spare, qt.HasLen, 1)
+		qt.Assert(t, next.chain[1].Upstream.Instance, qt.Equals, "e3")
+		s.giveStages(q, spare)
+	}
+	attempt.Wait()
+}
+
 // TestQuietStagesAreSuspects replays a stage that is lost among others: of a
 // stage that many streams pass a short quiet is a sign, of one that few pass a
 // longer one; those that were passed since are not asked.
