Have an entry be ready only when it has taken in its peers' withdrawals

Cause: an entry was ready once each listed peer had been called. A peer's answer counted as soon as it was heard, before the withdrawals that differ were exchanged with it; read from a store that had come back without them, an entry served an upstream that was withdrawn elsewhere.

Change: a peer counts once its withdrawals are taken in, or it does not answer.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -22,8 +22,9 @@
 	Draining    bool
 	// HeardAt is when the peer was last heard; zero for never.
 	HeardAt time.Time
-	// TriedAt is when the peer was first called, with or without success.
-	TriedAt time.Time
+	// Settled says that its withdrawals were taken in at least once, or that it
+	// did not answer.
+	Settled bool
 	// Listed says that the VM list or the settings name the peer.
 	Listed bool
 }
@@ -75,20 +76,20 @@
 	p.Withdrawals = said.Withdrawals
 	p.Draining = said.Draining
 	p.HeardAt = now
-	p.TriedAt = now
 }
 
-// Tried notes that a peer was called.
-func (t *Table) Tried(name string, now time.Time) {
+// Settle notes that the withdrawals of a peer were taken in, or that it did not
+// answer.
+func (t *Table) Settle(name string) {
 	if p := t.peers[name]; p != nil {
-		p.TriedAt = now
+		p.Settled = true
 	}
 }
 
-// AllTried says whether each listed peer was called at least once.
-func (t *Table) AllTried() bool {
+// AllSettled says whether that holds for each listed peer.
+func (t *Table) AllSettled() bool {
 	for _, p := range t.peers {
-		if p.Listed && p.TriedAt.IsZero() {
+		if p.Listed && !p.Settled {
 			return false
 		}
 	}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -112,7 +112,7 @@
 	s.dispatcher.SetLeaving(next.leaving)
 	// An entry that has once been ready stays so: what it does not know yet
 	// comes to it within seconds, and health must not flap meanwhile.
-	s.ready = s.ready || s.adopter.Ready() && s.withdrawalsRead && s.vmsRead && s.members.AllTried()
+	s.ready = s.ready || s.adopter.Ready() && s.withdrawalsRead && s.vmsRead && s.members.AllSettled()
 	next.ready = s.ready
 	c.view.Store(next)
 	if c.changed != nil {
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// targets returns the peers that get a heartbeat in a round. A peer that was
-// never called gets one at once: readiness waits for it.
+// targets returns the peers that get a heartbeat in a round. A peer whose
+// withdrawals were never taken in gets one at once: readiness waits for it.
 func (e *Entry) targets(round int) []membership.Peer {
 	var peers []membership.Peer
 	e.control.Do(func(s *state) { peers = s.members.Peers() })
@@ -49,7 +49,7 @@
 	for _, p := range peers {
 		switch {
 		case p.Address == "":
-		case p.Zone == e.Settings.Zone || p.TriedAt.IsZero():
+		case p.Zone == e.Settings.Zone || !p.Settled:
 			targets = append(targets, p)
 		default:
 			far[p.Zone] = append(far[p.Zone], p)
@@ -79,13 +79,17 @@
 func (e *Entry) beatOne(ctx context.Context, p membership.Peer, said *peering.Heartbeat) {
 	answer, err := e.clients.Heartbeat(ctx, p.Address, said)
 	if err != nil {
-		e.control.Do(func(s *state) { s.members.Tried(p.Name, time.Now()) })
+		e.control.Do(func(s *state) { s.members.Settle(p.Name) })
 		e.Log.Debug("peer not reached", zap.String("peer", p.Name), zap.Error(err))
 		return
 	}
-	if e.hear(answer) {
-		e.exchange(ctx, p.Address)
+	if !e.hear(answer) {
+		return
+	}
+	if _, err := e.exchange(ctx, p.Address); err != nil {
+		e.Log.Debug("withdrawals not exchanged", zap.String("peer", p.Name), zap.Error(err))
 	}
+	e.control.Do(func(s *state) { s.members.Settle(p.Name) })
 }
 
 // heartbeat returns what this entry says of itself.
@@ -145,7 +149,10 @@
 			hearSuspicion(s, suspicion, now)
 		}
 		differ = said.Withdrawals != s.register.Digest()
-		s.withdrawalsRead = s.withdrawalsRead || !differ
+		if !differ {
+			s.withdrawalsRead = true
+			s.members.Settle(said.Entry)
+		}
 		behind = s.adopter.Behind()
 	})
 	if behind {
