Weigh short steps as before, and measure the soak's memory right

The soak's bound on memory took what the kernel says of an ended process, which counts the memory of the parent that started it: under the race detector four gateways were said to have taken 272,508 KB each, the same number. It now reads the most that each process has had while it runs, against the same bound.

--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -20,7 +20,7 @@
 	secondHolder = 1.0
 	// stepWeight is what a millisecond less for each token is worth: answers
 	// that end sooner need their memory for less long and meet fewer faults.
-	stepWeight = 0.6
+	stepWeight = 0.3
 	// crowdRequests is how many usual requests a unit should have room for.
 	crowdRequests = 100
 	// crowdWeight is what it costs that a unit has room for just crowdRequests.
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -99,12 +99,46 @@
 		if p == nil {
 			return err
 		}
-		<-p.Done
+		g.watchMemory(p)
 		g.checkEnd(p)
 		time.Sleep(restartPause)
 	}
 }
 
+// memoryPause is the time between two looks at the memory of a process.
+const memoryPause = 100 * time.Millisecond
+
+// watchMemory looks at the most memory that a process has had, until it ends.
+func (g *gateway) watchMemory(p *program.Process) {
+	for {
+		select {
+		case <-p.Done:
+			return
+		case <-time.After(memoryPause):
+		}
+		if most := mostMemory(p.Command.Process.Pid); most > memoryBound {
+			g.found("a gateway keeps within its memory", fmt.Sprintf("%s took %d KB", g.name, most))
+			<-p.Done
+			return
+		}
+	}
+}
+
+// mostMemory returns the most memory that a process has had, in KB; 0 if it has
+// ended. What the kernel says of an ended process counts its parent's, too.
+func mostMemory(pid int) int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	_, after, _ := strings.Cut(string(status), "VmHWM:")
+	most := 0
+	if _, err := fmt.Sscan(after, &most); err != nil {
+		return 0
+	}
+	return most
+}
+
 // start starts a process, or returns none if the gateway has been stopped.
 func (g *gateway) start(out *os.File) (*program.Process, error) {
 	g.mu.Lock()
@@ -129,9 +163,6 @@
 	defer g.mu.Unlock()
 	state := p.Command.ProcessState
 	took := time.Since(g.toldAt)
-	if usage, ok := state.SysUsage().(*syscall.Rusage); ok && usage.Maxrss > memoryBound {
-		g.found("a gateway keeps within its memory", fmt.Sprintf("%s took %d KB", g.name, usage.Maxrss))
-	}
 	switch {
 	case g.killed:
 	case !g.told:
