--- a/internal/transport/exchange/bound.go
+++ b/internal/transport/exchange/bound.go
@@ -11,10 +11,6 @@
 // them than an answer may have.
 var ErrMalformed = errors.New("exchange: malformed answer")
 
-// maxHeadBytes bounds the head of an answer, with the informational answers
-// before it. The HTTP library keeps a head in memory until it ends.
-const maxHeadBytes = 64 << 10
-
 // boundedReader passes on what another reader has, up to a limit where one is
 // set.
 type boundedReader struct {
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"lovageport.example/internal/transport/call"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -131,15 +132,16 @@
 const maxInformational = 4
 
 // readHead reads the head of the answer and those of the informational answers
-// before it, of at most [maxHeadBytes] together.
+// before it, of at most [call.MaxHeadBytes] together: the HTTP library keeps
+// a head in memory until it ends.
 func (c *connection) readHead(method string) (*http.Response, error) {
-	c.source.limit(maxHeadBytes)
+	c.source.limit(call.MaxHeadBytes)
 	defer c.source.unlimit()
 	for range maxInformational {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil && c.source.reached() {
 			// The library may take the cut line for the fault.
-			return nil, fmt.Errorf("%w: head above %d bytes", ErrMalformed, maxHeadBytes)
+			return nil, fmt.Errorf("%w: head above %d bytes", ErrMalformed, call.MaxHeadBytes)
 		}
 		if err != nil {
 			return nil, err
