Plan layers by the time of tokens under load, not on the fastest chain alone

Longer streams hold memory longer, and more of them are at work when gateways lose power. In a zone of 1 a100, 3 l40s and 8 l4 the plan before has no room for 90 requests. Hypothesis: a plan whose value is the mean time of tokens while requests fill chain after chain, up to 0.4 of the KV cache beside one copy, shortens streams.

--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -18,8 +18,9 @@
 	// secondHolder is what a second engine for a unit is worth: a loss then
 	// leaves the unit in its zone.
 	secondHolder = 1.0
-	// stepWeight is what a millisecond less for each token is worth: answers
-	// that end sooner need their memory for less long and meet fewer faults.
+	// stepWeight is what a millisecond less for each token under load is worth:
+	// answers that end sooner need their memory for less long and meet fewer
+	// faults.
 	stepWeight = 0.3
 	// crowdRequests is how many usual requests a unit should have room for.
 	crowdRequests = 100
@@ -29,16 +30,6 @@
 	uncovered = -20.0
 )
 
-// Times of a stage, to compare chains by.
-const (
-	// stageTime is the milliseconds that a stage adds to a token by itself.
-	stageTime = 0.3
-	// waitFactor is how much longer than its own pass a token is at a stage.
-	waitFactor = 1.5
-	// uncoveredTime is the milliseconds that stand for layers that nobody holds.
-	uncoveredTime = 50.0
-)
-
 // minFree is the least share of an accelerator's memory that a plan leaves for
 // KV cache.
 const minFree = 0.2
@@ -50,14 +41,18 @@
 const maxRounds = 12
 
 // Plan returns the layers that each engine should hold, by instance. Engines
-// that can't hold a unit are left out.
-func Plan(e *fleet.Engine, upstreams []*fleet.Upstream) map[string]fleet.Range {
+// that can't hold a unit are left out, and so are those of zones that share no
+// model with one of the given zones.
+func Plan(e *fleet.Engine, upstreams []*fleet.Upstream, zones []string) map[string]fleet.Range {
 	unit := unitSize(e, upstreams)
 	if unit == 0 {
 		return nil
 	}
 	goal := make(map[string]fleet.Range)
 	for _, group := range groups(e, upstreams, unit) {
+		if !slices.ContainsFunc(group, func(u *fleet.Upstream) bool { return slices.Contains(zones, u.Zone) }) {
+			continue
+		}
 		p := plan(e, group, unit)
 		for i, m := range p.members {
 			if p.spans[i].count > 0 {
@@ -68,6 +63,31 @@
 	return goal
 }
 
+// Plans keeps the last plan of a service, and makes another one only when what it
+// is made from has changed. Its zero value works.
+type Plans struct {
+	engine    *fleet.Engine
+	upstreams []*fleet.Upstream
+	zones     []string
+	goal      map[string]fleet.Range
+}
+
+// Of returns the plan for engines and zones as [Plan] does. The caller changes
+// none of them, nor the plan.
+func (p *Plans) Of(e *fleet.Engine, upstreams []*fleet.Upstream, zones []string) map[string]fleet.Range {
+	if p.goal != nil && p.engine == e && slices.Equal(p.zones, zones) && slices.EqualFunc(p.upstreams, upstreams, plannedAlike) {
+		return p.goal
+	}
+	p.engine, p.upstreams, p.zones = e, upstreams, zones
+	p.goal = Plan(e, upstreams, zones)
+	return p.goal
+}
+
+// plannedAlike says whether two engines are the same to a plan.
+func plannedAlike(a, b *fleet.Upstream) bool {
+	return a.Instance == b.Instance && a.Zone == b.Zone && a.Accelerator == b.Accelerator && a.Held == b.Held
+}
+
 // plan returns the improved plan of a group. One that starts from nothing is
 // sought from several sides, since improving step by step may end early.
 func plan(e *fleet.Engine, group []*fleet.Upstream, unit int) *planner {
@@ -166,8 +186,8 @@
 	holding bool
 	// crowd is the room in tokens that crowdRequests usual requests take.
 	crowd float64
-	// reach is used by stepTime.
-	reach []float64
+	// load is the time of tokens under load.
+	load load
 }
 
 func newPlanner(e *fleet.Engine, group []*fleet.Upstream, unit int) *planner {
@@ -175,7 +195,7 @@
 	p.room = make([]float64, p.units)
 	p.holders = make([]int, p.units)
 	p.crowd = crowdRequests * (e.MeanPrompt + e.MeanAnswer)
-	p.reach = make([]float64, p.units+1)
+	memory := 0.0
 	slices.SortFunc(group, inOrder(e))
 	for _, u := range group {
 		m := member{upstream: u, most: min(p.units, maxLayers(e, u)/unit), held: heldSpan(u, unit)}
@@ -191,10 +211,12 @@
 			m.room[n] = e.RoomTokens(u.Accelerator, n*unit)
 		}
 		p.holding = p.holding || m.held.count > 0
+		memory += e.Accelerators[u.Accelerator].MemoryMB
 		p.members = append(p.members, m)
 		p.spans = append(p.spans, span{})
 		p.set(len(p.members)-1, m.held)
 	}
+	p.load = newLoad(p.units, len(p.members), e.SpareTokens(memory))
 	return p
 }
 
@@ -233,34 +255,20 @@
 	}
 }
 
-// value returns how good the plan is for the units; more is better.
-func (p *planner) value() float64 {
+// value returns how good the plan is; more is better.
+func (p *planner) value() float64 { return p.unitsValue() - p.timeCost() }
+
+// unitsValue returns how good the plan is for the units by themselves.
+func (p *planner) unitsValue() float64 {
 	total := 0.0
 	for u := range p.units {
 		total += p.unitValue(p.room[u], p.holders[u])
 	}
-	return total - stepWeight*p.stepTime()
+	return total
 }
 
-// stepTime returns the milliseconds that one token takes on the fastest chain.
-// A stage is busy most of the time, so that a token waits there for about half
-// a pass before its own.
-func (p *planner) stepTime() float64 {
-	p.reach[p.units] = 0
-	for u := p.units - 1; u >= 0; u-- {
-		p.reach[u] = uncoveredTime
-		for i, s := range p.spans {
-			if u < s.first || u >= s.first+s.count {
-				continue
-			}
-			for end := u + 1; end <= s.first+s.count; end++ {
-				time := stageTime + waitFactor*p.members[i].unitTime*float64(end-u) + p.reach[end]
-				p.reach[u] = min(p.reach[u], time)
-			}
-		}
-	}
-	return p.reach[0]
-}
+// timeCost is what the time of tokens costs, 0 at least.
+func (p *planner) timeCost() float64 { return stepWeight * p.load.time(p.members, p.spans) }
 
 // unitValue falls steeply where there is room for few requests, and hardly
 // grows where there is plenty.
@@ -301,7 +309,12 @@
 		for first := 0; first+count <= p.units; first++ {
 			s := span{first, count}
 			p.set(i, s)
-			if value := p.value() + p.keepGain(i, s); value > bestValue+1e-9 {
+			most := p.unitsValue() + p.keepGain(i, s)
+			if most <= bestValue {
+				// The time, which takes long to find, can only make it worse.
+				continue
+			}
+			if value := most - p.timeCost(); value > bestValue+1e-9 {
 				best, bestValue = s, value
 			}
 		}
--- a/internal/coordination/placement/plan_test.go
+++ b/internal/coordination/placement/plan_test.go
@@ -80,7 +80,7 @@
 func TestEachZoneHoldsAWholeModel(t *testing.T) {
 	c := qt.New(t)
 	e := testEngine()
-	placed := carryOut(bluetenring(), Plan(e, bluetenring()))
+	placed := carryOut(bluetenring(), Plan(e, bluetenring(), everywhere))
 	c.Assert(wholeZones(placed, e.Layers), qt.DeepEquals, map[string]bool{"wien": true, "graz": true, "linz": true})
 	doubled := 0
 	for _, n := range holders(placed, "graz", e.Layers) {
@@ -95,7 +95,7 @@
 	c := qt.New(t)
 	e := testEngine()
 	upstreams := append(engines("wien", 1, 1, 0), engines("graz", 0, 2, 1)...)
-	placed := carryOut(upstreams, Plan(e, upstreams))
+	placed := carryOut(upstreams, Plan(e, upstreams, everywhere))
 	covered := holders(placed, "wien", e.Layers)
 	for l, n := range holders(placed, "graz", e.Layers) {
 		c.Assert(covered[l]+n > 0, qt.IsTrue, qt.Commentf("layer %d", l))
@@ -104,16 +104,16 @@
 
 func TestPlanStaysWhenNothingChanges(t *testing.T) {
 	e := testEngine()
-	goal := Plan(e, bluetenring())
+	goal := Plan(e, bluetenring(), everywhere)
 	placed := carryOut(bluetenring(), goal)
-	qt.Assert(t, Plan(e, placed), qt.DeepEquals, goal)
+	qt.Assert(t, Plan(e, placed, everywhere), qt.DeepEquals, goal)
 }
 
 // TestLossIsMendedByWhatLacks loses each engine in turn: the zone is whole
 // again, and no more layers are loaded than nobody in the zone held any more.
 func TestLossIsMendedByWhatLacks(t *testing.T) {
 	e := testEngine()
-	placed := carryOut(bluetenring(), Plan(e, bluetenring()))
+	placed := carryOut(bluetenring(), Plan(e, bluetenring(), everywhere))
 	for i, lost := range placed {
 		t.Run(lost.Instance, func(t *testing.T) {
 			c := qt.New(t)
@@ -125,7 +125,7 @@
 					lacking++
 				}
 			}
-			goal := Plan(e, left)
+			goal := Plan(e, left, everywhere)
 			loaded := 0
 			for _, u := range left {
 				if goal[u.Instance] != u.Held {
@@ -143,13 +143,13 @@
 // nobody else moves.
 func TestNewEngineTakesThePlaceOfALostOne(t *testing.T) {
 	e := testEngine()
-	placed := carryOut(bluetenring(), Plan(e, bluetenring()))
+	placed := carryOut(bluetenring(), Plan(e, bluetenring(), everywhere))
 	for i, lost := range placed {
 		empty := *lost
 		empty.Instance = "new"
 		empty.Held = fleet.Range{}
 		now := append(append(append([]*fleet.Upstream(nil), placed[:i]...), placed[i+1:]...), &empty)
-		goal := Plan(e, now)
+		goal := Plan(e, now, everywhere)
 		for _, u := range now {
 			if u.Instance != "new" && goal[u.Instance] != u.Held {
 				t.Errorf("%s lost: %s moves from %v to %v", lost.Instance, u.Instance, u.Held, goal[u.Instance])
@@ -173,7 +173,7 @@
 				Held:        fleet.Range{From: from, To: rapid.IntRange(from, 80).Draw(t, "to")},
 			})
 		}
-		goal := Plan(e, upstreams)
+		goal := Plan(e, upstreams, everywhere)
 		for _, u := range upstreams {
 			r, ok := goal[u.Instance]
 			if !ok {
@@ -185,3 +185,6 @@
 		}
 	})
 }
+
+// everywhere are all zones.
+var everywhere = []string{"wien", "graz", "linz"}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,8 +32,9 @@
 // placeLayers gives orders to engines as long as this process is the one to do
 // so, until ctx ends.
 func (g *Gateway) placeLayers(ctx context.Context) error {
+	plans := make(map[string]*placement.Plans)
 	for loop.Wait(ctx, placeInterval) {
-		for _, o := range g.dueOrders() {
+		for _, o := range g.dueOrders(plans) {
 			go g.order(ctx, o)
 		}
 		for _, u := range g.overdue() {
@@ -88,28 +90,65 @@
 	s.rebuild()
 }
 
-// dueOrders returns the orders to give now, and notes them as given.
-func (g *Gateway) dueOrders() []placement.Order {
+// planTask is what the plan of one service is made from. The plan is made
+// outside of the control loop, since it takes milliseconds.
+type planTask struct {
+	service   string
+	engine    *fleet.Engine
+	upstreams []*fleet.Upstream
+	// zones are those whose layers this gateway places.
+	zones []string
+}
+
+// dueOrders returns the orders to give now, and notes them as given. Only
+// placeLayers calls it, which owns plans.
+func (g *Gateway) dueOrders(plans map[string]*placement.Plans) []placement.Order {
+	var tasks []planTask
+	g.control.Do(func(s *state) { tasks = s.planTasks(s.belief(g, g.Now()), g.Now()) })
 	var due []placement.Order
-	g.control.Do(func(s *state) {
-		now := g.Now()
-		for _, p := range s.pools {
-			if p.layers == nil || s.filling(p, now) {
-				continue
-			}
-			mine := s.mine(p.members, s.belief(g, now), now)
-			if len(mine) == 0 {
-				continue
-			}
-			goal := placement.Plan(p.service.Engine, s.ledger.Expected(s.alive(p.members, now), now))
-			lacks := func(zone string) bool { return !s.whole[p.service.Name+" "+zone] }
-			due = append(due, s.ledger.Due(goal, mine, lacks, now)...)
+	for _, t := range tasks {
+		if plans[t.service] == nil {
+			plans[t.service] = &placement.Plans{}
 		}
-		s.ledger.Prune(now)
-	})
+		goal := plans[t.service].Of(t.engine, t.upstreams, t.zones)
+		g.control.Do(func(s *state) { due = append(due, s.dueOrders(g, t.service, goal)...) })
+	}
 	return due
 }
 
+// planTasks returns what to plan for the zones whose layers this gateway places.
+func (s *state) planTasks(own *peering.News, now time.Duration) []planTask {
+	var tasks []planTask
+	for name, p := range s.pools {
+		if p.layers == nil || s.filling(p, now) {
+			continue
+		}
+		t := planTask{service: name, engine: p.service.Engine}
+		for _, u := range s.mine(p.members, own, now) {
+			if !slices.Contains(t.zones, u.Zone) {
+				t.zones = append(t.zones, u.Zone)
+			}
+		}
+		if len(t.zones) > 0 {
+			t.upstreams = s.ledger.Expected(s.alive(p.members, now), now)
+			tasks = append(tasks, t)
+		}
+	}
+	s.ledger.Prune(now)
+	return tasks
+}
+
+// dueOrders returns the orders that bring a service closer to a plan.
+func (s *state) dueOrders(g *Gateway, service string, goal map[string]fleet.Range) []placement.Order {
+	p := s.pools[service]
+	if p == nil {
+		return nil
+	}
+	now := g.Now()
+	lacks := func(zone string) bool { return !s.whole[service+" "+zone] }
+	return s.ledger.Due(goal, s.mine(p.members, s.belief(g, now), now), lacks, now)
+}
+
 // What becomes of an order; each is a metric label.
 const (
 	orderTaken   = "taken"
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -113,6 +113,16 @@
 	return max(0, free*bytesPerMB/perToken)
 }
 
+// SpareTokens returns how many tokens of KV cache fit beside one copy of all
+// layers in memory of so many MB.
+func (e *Engine) SpareTokens(memoryMB float64) float64 {
+	if e.KVTokenBytes <= 0 {
+		return 0
+	}
+	free := memoryMB - float64(e.Layers)*e.LayerMB
+	return max(0, free*bytesPerMB/e.KVTokenBytes)
+}
+
 // ReadTime returns the time that a prompt token takes up of an accelerator that
 // holds all layers and has others writing.
 func (e *Engine) ReadTime(accelerator string) time.Duration {
