Say when a first event was expected, beside when it came

Cause: `explain` and `causes` said that upstreams were slow, not whether that was foreseen; the prediction added up what waits at all stages, although these read at the same time. Change: predicted_first in "place given"; explain prints it beside the first event, causes tells slower than predicted from the rest; the wait of a chain is the longest backlog of its stages and the reading of the prompt at each.

--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -184,7 +184,7 @@
 	// Fill is how full the fullest stage is with the request, 1 for full.
 	Fill float64
 	// Wait is how long the prompts before and then that of the request take to be
-	// read.
+	// read. All stages read those before at the same time.
 	Wait time.Duration
 }
 
@@ -410,11 +410,15 @@
 	return weight * load.Backlog.Seconds() * 1e3
 }
 
-// readWait returns how long a holder takes to read the prompt for some layers,
-// after those before it.
-func (f *finder) readWait(h, layers int) time.Duration {
+// readTime returns how long a holder takes to read the prompt for some layers,
+// and backlog how long those before it.
+func (f *finder) readTime(h, layers int) time.Duration {
 	reading := f.m.ReadTime(f.m.Holders[h].Upstream, f.q.PromptTokens, layers)
-	return time.Duration(float64(f.loads[h].Backlog+reading) * max(1, f.loads[h].Slowdown))
+	return time.Duration(float64(reading) * max(1, f.loads[h].Slowdown))
+}
+
+func (f *finder) backlog(h int) time.Duration {
+	return time.Duration(float64(f.loads[h].Backlog) * max(1, f.loads[h].Slowdown))
 }
 
 // fill returns how full a holder is with the request.
@@ -430,6 +434,7 @@
 // upstream twice is searched again with whole ranges, which can't.
 func (f *finder) trace(nodes [][]node, first int) (Chain, bool) {
 	var chain Chain
+	var longest time.Duration
 	seen := make([]bool, len(f.m.Holders))
 	i, zone := f.stop, f.end
 	for i > f.start {
@@ -442,13 +447,15 @@
 		chain.Stages = append(chain.Stages, relay.Stage{Upstream: f.m.Holders[n.holder].Upstream, Layers: layers})
 		fill := f.fill(n.holder, layers.Len())
 		chain.Fill = max(chain.Fill, fill)
-		chain.Wait += f.readWait(n.holder, layers.Len())
+		chain.Wait += f.readTime(n.holder, layers.Len())
+		longest = max(longest, f.backlog(n.holder))
 		chain.Full = chain.Full || fill > Overcommit || f.pipes[n.fromZone][zone].Full
 		if n.from == 0 && f.start == 0 {
 			chain.Full = chain.Full || f.slotsTaken(n.holder) > 1
 		}
 		i, zone = n.from, n.fromZone
 	}
+	chain.Wait += longest
 	slices.Reverse(chain.Stages)
 	return chain, true
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -62,7 +62,9 @@
 	if found.Full {
 		return place{}, verdict.Refuse(verdict.QueueFull, "no upstreams of %s have room for %.0f tokens", q.service, q.tokens)
 	}
-	return s.placeOn(found.Stages, found.Fill), nil
+	out := s.placeOn(found.Stages, found.Fill)
+	out.predicted = found.Wait
+	return out, nil
 }
 
 // placeOn returns the place on a chain.
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -104,6 +104,9 @@
 	chain []relay.Stage
 	// fill is how full the fullest stage is, 1 for full.
 	fill float64
+	// predicted is how long the first event is expected to take from here on; 0 if
+	// nothing is known.
+	predicted time.Duration
 	// activity is that of each stage, by this stream and others.
 	activity []*activity
 }
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -237,7 +237,7 @@
 	q.attempts++
 	s.occupy(q, p, now)
 	s.log.Info("place given", zap.String("request", q.ID), zap.Int("attempt", q.attempts), zap.String("upstream", p.upstream.Instance),
-		zap.Stringer("chain", p), zap.Int("stages", len(p.chain)), zap.Int("zone_changes", zoneChanges(s.zone, p)), zap.Float64("fill", math.Round(p.fill*1000)/1000),
+		zap.Stringer("chain", p), zap.Int("stages", len(p.chain)), zap.Int("zone_changes", zoneChanges(s.zone, p)), zap.Float64("fill", math.Round(p.fill*1000)/1000), zap.Duration("predicted_first", p.predicted),
 		zap.Float64("tokens", q.tokens), zap.Duration("list_age", now-s.listedAt), zap.Int("peers", s.peers))
 	return p, nil
 }
--- a/internal/history/causes.go
+++ b/internal/history/causes.go
@@ -115,6 +115,10 @@
 // cause.
 const longWait = 100 * time.Millisecond
 
+// slowFactor is how many times later than predicted a first event comes for
+// which the prediction was wrong.
+const slowFactor = 3
+
 // why returns what a request waited for: the last of what went wrong.
 func why(lines []*Event, end *Event) string {
 	found := ""
@@ -135,15 +139,28 @@
 	if found != "" {
 		return found
 	}
+	if len(lines) == 0 {
+		return "it got no place"
+	}
+	return whySlow(lines, end)
+}
+
+// whySlow returns what a request waited for of which nothing went wrong.
+func whySlow(lines []*Event, end *Event) string {
 	arrived := end.Time.Add(-duration(end, tookKey))
 	for _, e := range lines {
-		if e.Name == "place given" && e.Time.Sub(arrived) > longWait {
+		if e.Name != placeEvent {
+			continue
+		}
+		waited := e.Time.Sub(arrived)
+		predicted := duration(e, predictedKey)
+		switch {
+		case waited > longWait:
 			return "it waited for a place"
+		case predicted > 0 && duration(end, firstKey) > slowFactor*(waited+predicted):
+			return "upstreams were slower than predicted"
 		}
 	}
-	if len(lines) == 0 {
-		return "it got no place"
-	}
 	return "upstreams were slow"
 }
 
--- a/internal/history/causes_test.go
+++ b/internal/history/causes_test.go
@@ -20,6 +20,10 @@
 time=2026-12-04T10:00:04Z level=info event="request answered" gateway=g1 request=c status=200 took=1.8s first_event=900ms longest_pause=40ms
 time=2026-12-04T10:00:04Z level=info event="request failed" gateway=g1 request=d status=503 took=1.2s reason=deadline_unmeetable
 time=2026-12-04T10:00:05Z level=info event="place given" gateway=g1 request=e attempt=1
+time=2026-12-04T10:00:06Z level=info event="place given" gateway=g1 request=f attempt=1 predicted_first=40ms
+time=2026-12-04T10:00:07Z level=info event="request answered" gateway=g1 request=f status=200 took=1s first_event=700ms longest_pause=40ms
+time=2026-12-04T10:00:08Z level=info event="place given" gateway=g1 request=g attempt=1 predicted_first=600ms
+time=2026-12-04T10:00:09Z level=info event="request answered" gateway=g1 request=g status=200 took=1s first_event=700ms longest_pause=40ms
 `
 	c := history.Causes{Late: history.Late{First: 500 * time.Millisecond, Pause: 200 * time.Millisecond}}
 	if err := c.Read(strings.NewReader(log), "g1.log"); err != nil {
@@ -29,9 +33,11 @@
 		panic(err)
 	}
 	// Output:
-	// 4 requests ended, 1 have no line on their end
+	// 6 requests ended, 1 have no line on their end
 	//
-	// 1  failed: deadline_unmeetable  it got no place             d
-	// 1  first event late             it waited for a place       c
-	// 1  pause too long               a stage was lost: replaced  b
+	// 1  failed: deadline_unmeetable  it got no place                       d
+	// 1  first event late             it waited for a place                 c
+	// 1  first event late             upstreams were slow                   g
+	// 1  first event late             upstreams were slower than predicted  f
+	// 1  pause too long               a stage was lost: replaced            b
 }
--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -104,3 +104,16 @@
 	qt.Check(t, story.Ended(), qt.IsTrue)
 	qt.Check(t, story.Outcome(), qt.Contains, history.Hint(verdict.UpstreamLost))
 }
+
+// TestOutcomeNamesWhatWasExpected: the time to the first event stands beside what
+// was expected when the place was given, the wait for it included.
+func TestOutcomeNamesWhatWasExpected(t *testing.T) {
+	text := `time=2026-01-01T00:00:01.1Z level=info event="place given" request=r1 upstream=u1 predicted_first=60ms
+time=2026-01-01T00:00:03Z level=info event="request answered" request=r1 status=200 took=2s first_event=900ms longest_pause=40ms attempts=1
+`
+	log := &history.Log{Request: "r1"}
+	qt.Assert(t, log.Read(strings.NewReader(text), "a.log"), qt.IsNil)
+	story, err := log.Story(0, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, story.Outcome(), qt.Contains, "first event after 900ms (expected after 160ms)")
+}
--- a/internal/history/print.go
+++ b/internal/history/print.go
@@ -14,15 +14,17 @@
 const (
 	answeredEvent = "request answered"
 	failedEvent   = "request failed"
+	placeEvent    = "place given"
 
-	tookKey     = "took"
-	statusKey   = "status"
-	reasonKey   = "reason"
-	verdictKey  = "verdict"
-	pauseKey    = "longest_pause"
-	firstKey    = "first_event"
-	attemptsKey = "attempts"
-	upstreamKey = "upstream"
+	tookKey      = "took"
+	statusKey    = "status"
+	reasonKey    = "reason"
+	verdictKey   = "verdict"
+	pauseKey     = "longest_pause"
+	firstKey     = "first_event"
+	predictedKey = "predicted_first"
+	attemptsKey  = "attempts"
+	upstreamKey  = "upstream"
 )
 
 // upstreamKeys are the keys whose values name upstreams, with commas between.
@@ -84,14 +86,30 @@
 		return "outcome: no line says how it ended: the process was killed, the request is still at work, or the line was dropped (see the counter of dropped lines)"
 	}
 	if e.Name == answeredEvent {
-		return fmt.Sprintf("outcome: answered with status %s after %s: first event after %s, longest pause %s, attempts %s",
-			e.Value(statusKey), e.Value(tookKey), e.Value(firstKey), e.Value(pauseKey), e.Value(attemptsKey))
+		return fmt.Sprintf("outcome: answered with status %s after %s: first event after %s%s, longest pause %s, attempts %s",
+			e.Value(statusKey), e.Value(tookKey), e.Value(firstKey), s.expected(), e.Value(pauseKey), e.Value(attemptsKey))
 	}
 	reason := verdict.Reason(e.Value(reasonKey))
 	return fmt.Sprintf("outcome: failed with status %s after %s: %s (%s)\nhint: %s",
 		e.Value(statusKey), e.Value(tookKey), reason, e.Value(verdictKey), Hint(reason))
 }
 
+// expected says when the first event was expected by the first place that was
+// given; empty if no line tells.
+func (s *Story) expected() string {
+	for _, m := range s.Moments {
+		if m.Request() != s.Request || m.Name != placeEvent {
+			continue
+		}
+		predicted := duration(m.Event, predictedKey)
+		if predicted == 0 {
+			return ""
+		}
+		return fmt.Sprintf(" (expected after %v)", (m.Time.Sub(s.Start) + predicted).Round(time.Millisecond))
+	}
+	return ""
+}
+
 // Hint says what a reason means and which lines show more.
 func Hint(r verdict.Reason) string {
 	switch r {
