Count what a stage adds to a token as it was seen

Cause: a stage was taken to add 0.2 (choice of a chain) and 0.3 ms (plan) to a token beside its pass. Change: StageCost and stageTime are 1.0. What finds no room then has to stand for more than before, 25 ms in place of 20.

--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -10,8 +10,9 @@
 
 // Costs in milliseconds for each token.
 const (
-	// HopCost is that of passing an activation on within a zone.
-	HopCost = 0.2
+	// StageCost is that of one stage more in a zone, whatever it runs: passing an
+	// activation on, and waiting until the next pass begins.
+	StageCost = 1.0
 	// ZoneCost is that of passing it on to another zone.
 	ZoneCost = 12.0
 	// EntryCost is that of a first stage in another zone than the caller's.
@@ -394,7 +395,7 @@
 	step := float64(layers) * (holder.pace + holder.perRequest*load.Requests) * slowdown
 	step /= 1 - min(holder.reading*load.Reading/1e3*slowdown, maxUse)
 	fill := f.fill(h, layers)
-	cost := step*(1+loadWeight*fill*fill*fill*fill)*f.noise[h] + HopCost + f.waitCost(load)
+	cost := step*(1+loadWeight*fill*fill*fill*fill)*f.noise[h] + StageCost + f.waitCost(load)
 	if fill > Overcommit {
 		cost += fullCost * fill
 	}
--- a/internal/coordination/placement/load.go
+++ b/internal/coordination/placement/load.go
@@ -4,14 +4,14 @@
 
 // Times of a stage, to compare chains by.
 const (
-	// stageTime is the milliseconds that a stage adds to a token by itself.
-	stageTime = 0.3
+	// stageTime is the milliseconds that a stage adds to a token, whatever it runs.
+	stageTime = 1.0
 	// waitFactor is how much longer than its own pass a token is at a stage: it
 	// is busy most of the time, so that a token waits for about half a pass.
 	waitFactor = 1.5
 	// crowdedTime is the milliseconds that stand for a token of a request for
 	// which no chain has room.
-	crowdedTime = 20.0
+	crowdedTime = 25.0
 )
 
 // demandShare is the part of the KV cache beside one copy of the model that
