Prune the ledger where orders are found, and name what a plan is good for

Cause: finding out what to plan pruned the ledger beside, and two functions had one name. Ruled out: a change of what is ordered.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -104,14 +104,21 @@
 // placeLayers calls it, which owns plans.
 func (g *Gateway) dueOrders(plans map[string]*placement.Plans) []placement.Order {
 	var tasks []planTask
-	g.control.Do(func(s *state) { tasks = s.planTasks(s.belief(g, g.Now()), g.Now()) })
+	g.control.Do(func(s *state) {
+		now := g.Now()
+		s.ledger.Prune(now)
+		tasks = s.planTasks(s.belief(g, now), now)
+	})
 	var due []placement.Order
 	for _, t := range tasks {
 		if plans[t.service] == nil {
 			plans[t.service] = &placement.Plans{}
 		}
 		goal := plans[t.service].Of(t.engine, t.upstreams, t.zones)
-		g.control.Do(func(s *state) { due = append(due, s.dueOrders(g, t.service, goal)...) })
+		g.control.Do(func(s *state) {
+			now := g.Now()
+			due = append(due, s.ordersTowards(goal, t.service, s.belief(g, now), now)...)
+		})
 	}
 	return due
 }
@@ -134,19 +141,18 @@
 			tasks = append(tasks, t)
 		}
 	}
-	s.ledger.Prune(now)
 	return tasks
 }
 
-// dueOrders returns the orders that bring a service closer to a plan.
-func (s *state) dueOrders(g *Gateway, service string, goal map[string]fleet.Range) []placement.Order {
+// ordersTowards returns the orders that bring a service closer to a plan, and
+// notes them as given.
+func (s *state) ordersTowards(goal map[string]fleet.Range, service string, own *peering.News, now time.Duration) []placement.Order {
 	p := s.pools[service]
 	if p == nil {
 		return nil
 	}
-	now := g.Now()
 	lacks := func(zone string) bool { return !s.whole[service+" "+zone] }
-	return s.ledger.Due(goal, s.mine(p.members, s.belief(g, now), now), lacks, now)
+	return s.ledger.Due(goal, s.mine(p.members, own, now), lacks, now)
 }
 
 // What becomes of an order; each is a metric label.
