Await the VM list before an entry without peers is ready

Cause (TestWithdrawalDuringOutageIsNotLost, listed as red): an entry that started while the platform was down asked for the VM list once, in vain, and counted that as read. It then knew no peer, so that "all peers have been heard" held for none; when the store came back it had the configuration and the stored withdrawals before the list was asked for again, 2 s later, and served an upstream that was withdrawn elsewhere. Which came first was up to the order of goroutines. Change: an entry without seeds waits for the list, asks for it each 0.5 s, and is ready without after 5 s. The stand-in of the platform can fail the list alone.

--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -36,7 +36,7 @@
 	platformAt time.Time
 	// withdrawalsRead says that the stored withdrawals, or a peer's, are known.
 	withdrawalsRead bool
-	// vmsRead says that the VM list has been asked for, with or without success.
+	// vmsRead says that the VM list is known, or need not be waited for.
 	vmsRead  bool
 	ready    bool
 	draining bool
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -25,6 +25,9 @@
 	pollInterval = 1500 * time.Millisecond
 	// vmInterval is how often the VM list is read.
 	vmInterval = 2 * time.Second
+	// vmPatience is for how long an entry that knows no peer waits for the VM
+	// list before it is ready without.
+	vmPatience = 5 * time.Second
 	// retryInterval is the pause after a failed call to the platform.
 	retryInterval = 500 * time.Millisecond
 	// adoptTimeout bounds one try to fetch a configuration.
@@ -252,18 +255,29 @@
 	})
 }
 
-// followVMs reads the VM list.
+// followVMs reads the VM list. An entry that knows peers by its settings is ready
+// without it once it has what they know; one that knows none waits for the
+// list, since a store that has just come back may lack withdrawals that are in
+// force.
 func (e *Entry) followVMs(ctx context.Context) error {
+	began := time.Now()
 	for {
 		list, err := e.objects.VMs(ctx)
+		pause := vmInterval
 		e.control.Do(func(s *state) {
-			s.vmsRead = true
 			if err == nil {
 				e.takeVMs(s, list)
 			}
+			s.vmsRead = s.vmsRead || err == nil || len(e.Settings.Peers.Seeds) > 0 || time.Since(began) > vmPatience
+			if !s.vmsRead {
+				pause = retryInterval
+			}
 			e.control.publish(s)
 		})
-		if !loop.Wait(ctx, vmInterval) {
+		if err != nil {
+			e.Log.Debug("VM list not read", zap.Error(err))
+		}
+		if !loop.Wait(ctx, pause) {
 			return nil
 		}
 	}
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -339,3 +339,38 @@
 		delete(f.entries, "wien-entry")
 	})
 }
+
+// TestEntryThatStartsInOutageAwaitsItsPeers: the VM list could not be read when the
+// entry started. It is not ready by the store alone once that is back, since
+// peers may know of withdrawals that the store does not.
+func TestEntryThatStartsInOutageAwaitsItsPeers(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.platform.SetFaults(faultsOfPlatform{Down: true})
+		got := f.withdraw("wien-entry", "wien-engine-1")
+		qt.Assert(t, got.err, qt.IsNil)
+		for name := range f.entries {
+			// They would store it, and learn of the late one, too soon.
+			f.net.CutBoth(name, "platform")
+		}
+		f.startEntry("late-entry", "wien")
+		f.platform.SetFaults(faultsOfPlatform{VMsDown: true})
+		time.Sleep(2 * time.Second)
+		qt.Check(t, f.status("late-entry").Ready, qt.IsFalse)
+		f.platform.SetFaults(faultsOfPlatform{})
+		f.awaitReady()
+		qt.Check(t, f.upstreamState("late-entry", "wien-engine-1"), qt.Equals, "withdrawn")
+	})
+}
+
+// TestEntryServesWithoutVMList: an entry that is alone and whose platform never
+// tells the VM list serves all the same after a while.
+func TestEntryServesWithoutVMList(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.platform.SetFaults(faultsOfPlatform{VMsDown: true})
+		for name := range f.entries {
+			f.net.CutBoth(name, "late-entry")
+		}
+		f.startEntry("late-entry", "wien")
+		f.awaitReady()
+	})
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -20,6 +20,8 @@
 type Faults struct {
 	// Down has every call fail before it takes effect.
 	Down bool
+	// VMsDown has the reading of the VM list fail.
+	VMsDown bool
 	// Hang has every call wait until its caller gives up.
 	Hang bool
 	// Delay slows every call.
@@ -115,7 +117,7 @@
 	if faults.Delay > 0 && !pause(r, faults.Delay) {
 		return
 	}
-	if faults.Down {
+	if faults.Down || faults.VMsDown && r.URL.Path == object.VMsPath {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
