Count upstreams that only stalled as run

Change: an upstream that has stalled counts as run until it has left a probe unanswered as well; one that refuses connections or is gone from the list does not. Test: TestStalledUpstreamsCountAsRun fails without the change in its first two cases.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -13,9 +13,11 @@
 
 // The faults.
 const (
-	// Unreachable upstreams refuse connections, or say nothing about what they
-	// do: they have ended or are cut off.
+	// Unreachable upstreams refuse connections: they have ended.
 	Unreachable Fault = iota
+	// Stalled upstreams say nothing about what they do while streams wait for
+	// them: they have ended or are cut off, or only a connection is.
+	Stalled
 	// Silent upstreams take too long to answer, and may be at work.
 	Silent
 	// Misplaced upstreams have another instance at their address, or do not
@@ -25,10 +27,11 @@
 	Full
 )
 
-// pauses is how long an upstream is left alone for a fault; an unreachable or
-// silent one must then answer a probe.
+// pauses is how long an upstream is left alone for a fault; one that does not
+// answer must then answer a probe.
 var pauses = [...]time.Duration{
 	Unreachable: 600 * time.Millisecond,
+	Stalled:     600 * time.Millisecond,
 	Silent:      600 * time.Millisecond,
 	Misplaced:   700 * time.Millisecond,
 	Full:        100 * time.Millisecond,
@@ -57,8 +60,9 @@
 	// probing says that the upstream must answer a probe before it is used
 	// again.
 	probing bool
-	// unreachable says that it has ended or is cut off, as far as is known.
-	unreachable bool
+	// unreachable says that it has ended, and stalled that it may have or is cut
+	// off, as far as is known.
+	unreachable, stalled bool
 	// failedProbes counts the probes since the last answer.
 	failedProbes int
 	// blamedAt is when the upstream last failed to answer here, and answeredAt
@@ -119,12 +123,13 @@
 	rec := r.record(instance)
 	wasOut := r.Out(instance, now)
 	end := now + pauses[f]
-	if f == Unreachable || f == Silent {
+	if f.NoAnswer() {
 		end += r.stagger(rec, now)
 		rec.doubt(now)
 		rec.probing = true
 	}
 	rec.unreachable = rec.unreachable || f == Unreachable
+	rec.stalled = rec.stalled || f == Stalled
 	rec.outUntil = max(rec.outUntil, end)
 	return !wasOut
 }
@@ -177,11 +182,19 @@
 	return rec != nil && rec.probing && rec.failedProbes >= lostProbes
 }
 
-// Unreachable says whether an upstream has ended or is cut off, as far as is
-// known here.
+// Unreachable says whether an upstream has most likely ended or is cut off, as
+// far as is known here.
 func (r *Register) Unreachable(instance string) bool {
 	rec := r.records[instance]
-	return rec != nil && rec.unreachable
+	return rec != nil && (rec.unreachable || rec.stalled)
+}
+
+// Ended says whether it is known that an upstream has ended or is cut off: it
+// refuses connections, or has stalled and has not answered a probe either. One
+// that has only stalled may still be at work.
+func (r *Register) Ended(instance string) bool {
+	rec := r.records[instance]
+	return rec != nil && (rec.unreachable || rec.stalled && rec.failedProbes > 0)
 }
 
 // Answered notes that an upstream has answered a probe. It says whether the
@@ -196,7 +209,7 @@
 // one.
 func (rec *record) takeBack(now time.Duration) bool {
 	rec.failedProbes = 0
-	rec.unreachable = false
+	rec.unreachable, rec.stalled = false, false
 	if !rec.probing {
 		return false
 	}
@@ -272,7 +285,10 @@
 	}
 }
 
+// NoAnswer says whether the fault is that an upstream does not answer.
+func (f Fault) NoAnswer() bool { return f == Unreachable || f == Stalled || f == Silent }
+
 // String names the fault.
 func (f Fault) String() string {
-	return [...]string{Unreachable: "unreachable", Silent: "silent", Misplaced: "misplaced", Full: "full"}[f]
+	return [...]string{Unreachable: "unreachable", Stalled: "stalled", Silent: "silent", Misplaced: "misplaced", Full: "full"}[f]
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,7 +169,7 @@
 		s.health.Suspect(u.Instance, now)
 		return
 	}
-	s.blameFor(u, health.Unreachable, now)
+	s.blameFor(u, health.Stalled, now)
 }
 
 // blameFor leaves an upstream alone for a fault.
@@ -177,8 +177,7 @@
 	if s.health.Blame(u.Instance, f, now) {
 		s.log.Info("upstream left alone", zap.String("upstream", u.Instance), zap.String("zone", u.Zone), zap.Stringer("fault", f), zap.Duration("list_age", now-s.listedAt))
 	}
-	noAnswer := f == health.Unreachable || f == health.Silent
-	if noAnswer && s.links.Lost(s.zone, u.Zone, u.Instance, now) {
+	if f.NoAnswer() && s.links.Lost(s.zone, u.Zone, u.Instance, now) {
 		s.log.Info("link between zones doubted", zap.String("from", s.zone), zap.String("to", u.Zone), zap.String("upstream", u.Instance))
 	}
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -133,11 +133,12 @@
 
 // limited says whether a request has run on as many upstreams as it may, so
 // that it must begin at one of them. Upstreams that have ended or can't be
-// reached do not count; those that are only slow do, since they may run it.
+// reached do not count; those that are only slow, or did not answer in time
+// just now, do, since they may run it.
 func (s *state) limited(q *query) bool {
 	ran := 0
 	for instance := range q.ranOn {
-		if s.upstreams[instance] != nil && !s.health.Unreachable(instance) {
+		if s.upstreams[instance] != nil && !s.health.Ended(instance) {
 			ran++
 		}
 	}
--- a/internal/gateway/suspect_test.go
+++ b/internal/gateway/suspect_test.go
@@ -16,6 +16,7 @@
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/routing"
 	"lovageport.example/internal/transport/exchange"
 )
 
@@ -62,3 +63,34 @@
 		})
 	}
 }
+
+// TestStalledUpstreamsCountAsRun replays a stream whose engines fall silent one
+// after the other on paths that break while the engines go on: it may begin at
+// two, and a third is allowed only once one of them is known to have ended.
+func TestStalledUpstreamsCountAsRun(t *testing.T) {
+	const now = time.Minute
+	for _, x := range []struct {
+		name    string
+		seen    func(s *state)
+		limited bool
+	}{
+		{"both stalled just now", func(s *state) {}, true},
+		{"one has answered a probe since", func(s *state) { s.health.Answered("e1", now) }, true},
+		{"one has not answered a probe either", func(s *state) { s.health.ProbeFailed("e1") }, false},
+		{"one refuses connections", func(s *state) { s.health.Blame("e2", health.Unreachable, now) }, false},
+		{"one is not listed any more", func(s *state) { delete(s.upstreams, "e2") }, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			s := newState(t)
+			q := &query{route: &routing.Route{MaxUpstreams: 2}}
+			for _, name := range []string{"e1", "e2"} {
+				u := engine(name, 10)
+				s.upstreams[name] = u
+				q.noteRun(name)
+				s.blameSilent(q, place{upstream: u, chain: []relay.Stage{{Upstream: u}}}, 0, now)
+			}
+			x.seen(s)
+			qt.Check(t, s.limited(q), qt.Equals, x.limited)
+		})
+	}
+}
