Join what stood twice: endless servers, reading of logs, limits of an answer

Ruled out: joining how a map and a search know the time to read a prompt, which would round differently. No test's assertion has changed.

--- a/internal/coordination/path/gap.go
+++ b/internal/coordination/path/gap.go
@@ -25,10 +25,7 @@
 	}
 	f := finder{m: m, q: q, start: start, stop: stop}
 	f.weigh()
-	nodes := make([][]node, len(m.bounds))
-	for i := range nodes {
-		nodes[i] = make([]node, len(m.zones))
-	}
+	nodes := m.newNodes()
 	f.relax(nodes, start, before, node{holder: -1, reached: true}, false)
 	if _, found := f.search(nodes, after); !found {
 		return Chain{}, false
--- a/internal/coordination/path/path.go
+++ b/internal/coordination/path/path.go
@@ -198,6 +198,15 @@
 	reached                bool
 }
 
+// newNodes returns a node for each bound and zone, none of which is reached.
+func (m *Map) newNodes() [][]node {
+	nodes := make([][]node, len(m.bounds))
+	for i := range nodes {
+		nodes[i] = make([]node, len(m.zones))
+	}
+	return nodes
+}
+
 // Find returns the cheapest chain. It says false if no upstreams in use cover
 // all layers.
 func (m *Map) Find(q *Query) (Chain, bool) {
@@ -260,10 +269,7 @@
 // from returns the cost of the cheapest chain whose first stage is in a zone.
 func (f *finder) from(first int) (float64, [][]node, bool) {
 	m := f.m
-	nodes := make([][]node, len(m.bounds))
-	for i := range nodes {
-		nodes[i] = make([]node, len(m.zones))
-	}
+	nodes := m.newNodes()
 	f.relax(nodes, 0, first, node{cost: f.entryCost(first), holder: -1, reached: true}, true)
 	cost, found := f.search(nodes, first)
 	return cost, nodes, found
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -97,9 +97,9 @@
 	query := s.stageQuery(p, q, shunned, now)
 	query.First = q.first
 	query.Urgent = q.lastEvent > 0
-	limited := s.limited(q)
-	query.MayBegin = func(u *fleet.Upstream) bool {
-		return s.health.MayCall(u.Instance, now) && (!limited || q.ranOn[u.Instance])
+	if s.limited(q) {
+		mayCall := query.MayBegin
+		query.MayBegin = func(u *fleet.Upstream) bool { return q.ranOn[u.Instance] && mayCall(u) }
 	}
 	return query
 }
@@ -108,9 +108,8 @@
 // an attempt under way changes outside of the control loop.
 func (s *state) stageQuery(p *pool, q *query, shunned map[string]bool, now time.Duration) *path.Query {
 	return &path.Query{
-		Zone:   s.zone,
-		Tokens: q.tokens,
-
+		Zone:         s.zone,
+		Tokens:       q.tokens,
 		PromptTokens: q.PromptTokens,
 		Noise:        func() float64 { return 1 + noise*(s.random()-0.5) },
 		Pipe:         func(a, b string) path.Pipe { return s.pipe(p, a, b, float64(q.PromptTokens), now) },
--- a/internal/history/causes.go
+++ b/internal/history/causes.go
@@ -1,7 +1,6 @@
 package history
 
 import (
-	"bufio"
 	"cmp"
 	"fmt"
 	"io"
@@ -53,23 +52,14 @@
 		c.counts = make(map[cause]int)
 		c.examples = make(map[cause]string)
 	}
-	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, maxLineBytes)
-	for lines.Scan() {
-		e := parse(lines.Text(), source)
-		if e == nil || e.Request() == "" {
-			continue
-		}
-		c.take(e)
-	}
-	if err := lines.Err(); err != nil {
-		return fmt.Errorf("history: %s: %w", source, err)
-	}
-	return nil
+	return readLines(r, source, c.take)
 }
 
-// take takes in a line about a request.
+// take takes in a line; those about no request count for nothing.
 func (c *Causes) take(e *Event) {
+	if e == nil || e.Request() == "" {
+		return
+	}
 	id := e.Request()
 	if e.Name != answeredEvent && e.Name != failedEvent {
 		c.begun[id] = append(c.begun[id], e)
@@ -94,23 +84,14 @@
 	switch {
 	case end.Name == failedEvent:
 		return failedFate + end.Value(reasonKey)
-	case duration(end, firstKey) > c.Late.First:
+	case end.duration(firstKey) > c.Late.First:
 		return lateFirst
-	case duration(end, pauseKey) > c.Late.Pause:
+	case end.duration(pauseKey) > c.Late.Pause:
 		return latePause
 	}
 	return ""
 }
 
-// duration returns the value of a key; 0 if it is none.
-func duration(e *Event, key string) time.Duration {
-	d, err := time.ParseDuration(e.Value(key))
-	if err != nil {
-		return 0
-	}
-	return d
-}
-
 // longWait is the time that a request waits for a place from which the wait is a
 // cause.
 const longWait = 100 * time.Millisecond
@@ -147,17 +128,16 @@
 
 // whySlow returns what a request waited for of which nothing went wrong.
 func whySlow(lines []*Event, end *Event) string {
-	arrived := end.Time.Add(-duration(end, tookKey))
 	for _, e := range lines {
 		if e.Name != placeEvent {
 			continue
 		}
-		waited := e.Time.Sub(arrived)
-		predicted := duration(e, predictedKey)
+		waited := e.Time.Sub(end.arrived())
+		predicted := e.duration(predictedKey)
 		switch {
 		case waited > longWait:
 			return "it waited for a place"
-		case predicted > 0 && duration(end, firstKey) > slowFactor*(waited+predicted):
+		case predicted > 0 && end.duration(firstKey) > slowFactor*(waited+predicted):
 			return "upstreams were slower than predicted"
 		}
 	}
--- a/internal/history/event.go
+++ b/internal/history/event.go
@@ -42,6 +42,19 @@
 	return ""
 }
 
+// duration returns the value of a key as a time; 0 if it is none.
+func (e *Event) duration(key string) time.Duration {
+	d, err := time.ParseDuration(e.Value(key))
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+// arrived returns when a request arrived, if this is the line on its end: that
+// says how long it took.
+func (e *Event) arrived() time.Time { return e.Time.Add(-e.duration(tookKey)) }
+
 // Request returns the ID of the request that the event is about, or nothing.
 func (e *Event) Request() string { return e.Value(requestKey) }
 
--- a/internal/history/log.go
+++ b/internal/history/log.go
@@ -29,21 +29,29 @@
 }
 
 // Read takes in the log of a process; source names it where its lines don't.
-func (l *Log) Read(r io.Reader, source string) error {
+func (l *Log) Read(r io.Reader, source string) error { return readLines(r, source, l.take) }
+
+// take takes in a line; e is nil if it is no event.
+func (l *Log) take(e *Event) {
+	if e == nil {
+		l.Skipped++
+		return
+	}
+	switch e.Request() {
+	case l.Request:
+		l.own = append(l.own, e)
+	case "":
+		l.others = append(l.others, e)
+	}
+}
+
+// readLines gives the events of a log to take, nil for a line that is none;
+// source names the process where its lines don't.
+func readLines(r io.Reader, source string, take func(e *Event)) error {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
-		e := parse(lines.Text(), source)
-		if e == nil {
-			l.Skipped++
-			continue
-		}
-		switch e.Request() {
-		case l.Request:
-			l.own = append(l.own, e)
-		case "":
-			l.others = append(l.others, e)
-		}
+		take(parse(lines.Text(), source))
 	}
 	if err := lines.Err(); err != nil {
 		return fmt.Errorf("history: %s: %w", source, err)
@@ -130,16 +138,11 @@
 	return nil
 }
 
-// startOf returns when the request arrived: the line on its end says how long
-// it took.
+// startOf returns when the request arrived.
 func startOf(own []*Event) time.Time {
 	start := own[0].Time
 	last := own[len(own)-1]
-	took, err := time.ParseDuration(last.Value(tookKey))
-	if err != nil {
-		return start
-	}
-	if arrived := last.Time.Add(-took); arrived.Before(start) {
+	if arrived := last.arrived(); arrived.Before(start) {
 		return arrived
 	}
 	return start
--- a/internal/history/print.go
+++ b/internal/history/print.go
@@ -101,7 +101,7 @@
 		if m.Request() != s.Request || m.Name != placeEvent {
 			continue
 		}
-		predicted := duration(m.Event, predictedKey)
+		predicted := m.duration(predictedKey)
 		if predicted == 0 {
 			return ""
 		}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"lovageport.example/internal/standin/endless"
 )
 
 // Harm is what a link does to what passes.
@@ -176,16 +178,8 @@
 // that is nil names none.
 type direction struct{ silent, endless func(Harm) bool }
 
-// pour writes the start of an answer whose head never ends, until the other end
-// closes the connection.
-func pour(to net.Conn) {
-	text := []byte("HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", pieceBytes))
-	for {
-		if _, err := to.Write(text); err != nil {
-			return
-		}
-	}
-}
+// endlessHead, again and again, is an answer whose head never ends.
+var endlessHead = "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", pieceBytes)
 
 // pump passes on what comes from one end until it ends, and the end with it.
 func (l *Link) pump(to, from net.Conn, d direction) {
@@ -194,7 +188,7 @@
 		n, err := from.Read(piece)
 		l.hold(d.silent)
 		if h, _ := l.harm(); n > 0 && d.endless != nil && d.endless(h) {
-			pour(to)
+			endless.Pour(to, "", endlessHead)
 			reset(from)
 			return
 		}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"lovageport.example/internal/standin/endless"
 	"lovageport.example/platform/platformtest"
 )
 
@@ -118,7 +119,8 @@
 	if s.stranger, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return err
 	}
-	s.running.Go(s.serveStranger)
+	stranger := endless.Server{Again: endlessHead}
+	s.running.Go(func() { stranger.Serve(s.stranger) })
 	for i, g := range s.gateways {
 		seeds := []string{s.stranger.Addr().String()}
 		for k := range min(seedPeers, len(s.gateways)-1) {
@@ -138,20 +140,6 @@
 	return nil
 }
 
-// serveStranger answers whoever connects with bytes that never end.
-func (s *site) serveStranger() {
-	for {
-		conn, err := s.stranger.Accept()
-		if err != nil {
-			return
-		}
-		s.running.Go(func() {
-			pour(conn)
-			conn.Close()
-		})
-	}
-}
-
 // close ends all that the site has started.
 func (s *site) close() {
 	for _, g := range s.gateways {
--- a/internal/transport/exchange/bound.go
+++ b/internal/transport/exchange/bound.go
@@ -62,8 +62,11 @@
 // readWhole reads a body to its end. It takes memory as the bytes come, not by
 // the length that is stated, and block by block: a buffer that grows by
 // doubling leaves as much garbage as it holds. The error is [ErrMalformed] if
-// there are more than max bytes.
+// there are more than max bytes, or are stated to be.
 func readWhole(from io.Reader, stated, max int64) ([]byte, error) {
+	if stated > max {
+		return nil, tooLong(max)
+	}
 	var blocks [][]byte
 	block := make([]byte, 0, firstBlock(stated))
 	for left := max; ; {
@@ -76,7 +79,7 @@
 		left -= int64(n)
 		switch {
 		case left < 0:
-			return nil, fmt.Errorf("%w: answer above %d bytes", ErrMalformed, max)
+			return nil, tooLong(max)
 		case err == io.EOF:
 			return join(blocks, block), nil
 		case err != nil:
@@ -85,6 +88,8 @@
 	}
 }
 
+func tooLong(max int64) error { return fmt.Errorf("%w: answer above %d bytes", ErrMalformed, max) }
+
 // firstBlock returns the size of the first block. One byte more than what is
 // stated lets the end be read without another block.
 func firstBlock(stated int64) int64 {
--- a/internal/transport/exchange/endless_test.go
+++ b/internal/transport/exchange/endless_test.go
@@ -14,12 +14,13 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"lovageport.example/internal/standin/endless"
 	"lovageport.example/pkg/verdict"
 )
 
-// endless names answers that never end: a start, and what then comes again and
+// endlessAnswers are answers that never end: a start, and what then comes again and
 // again until the connection is closed.
-var endless = []struct{ name, start, again string }{
+var endlessAnswers = []struct{ name, start, again string }{
 	{"status line", "HTTP/1.1 200 ", "x"},
 	{"header line", "HTTP/1.1 200 OK\r\nX: ", "x"},
 	{"headers", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
@@ -39,28 +40,15 @@
 	{"trailer line", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n0\r\nX: ", "y"},
 }
 
-// pour writes a text again and again until the connection is closed.
-func pour(conn net.Conn, start, again string) {
-	if _, err := io.WriteString(conn, start); err != nil {
-		return
-	}
-	block := []byte(strings.Repeat(again, 1+8<<10/len(again)))
-	for {
-		if _, err := conn.Write(block); err != nil {
-			return
-		}
-	}
-}
-
 // TestEndlessAnswers: bytes that never end are given up at a bound, and not
 // when the time of the request is up.
 func TestEndlessAnswers(t *testing.T) {
-	for _, x := range endless {
+	for _, x := range endlessAnswers {
 		t.Run(x.name, func(t *testing.T) {
 			closed := make(chan struct{})
 			p := newPeer(t, func(p *peer, conn net.Conn, reader *bufio.Reader) {
 				p.read(reader)
-				pour(conn, x.start, x.again)
+				endless.Pour(conn, x.start, x.again)
 				close(closed)
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -89,11 +77,11 @@
 		most      = exchanges << 20
 		largest   = 512 << 10
 	)
-	for _, x := range endless {
+	for _, x := range endlessAnswers {
 		t.Run(x.name, func(t *testing.T) {
 			p := newPeer(t, func(p *peer, conn net.Conn, reader *bufio.Reader) {
 				p.read(reader)
-				pour(conn, x.start, x.again)
+				endless.Pour(conn, x.start, x.again)
 			})
 			pool := newPool()
 			runtime.GC()
@@ -144,7 +132,7 @@
 // its bound.
 func FuzzHead(f *testing.F) {
 	f.Add([]byte(whole))
-	for _, x := range endless {
+	for _, x := range endlessAnswers {
 		f.Add([]byte(x.start + strings.Repeat(x.again, 100)))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/internal/transport/exchange/exchange.go
+++ b/internal/transport/exchange/exchange.go
@@ -186,9 +186,6 @@
 
 // ReadAll reads the whole body, of at most max bytes.
 func (a *Answer) ReadAll(ctx context.Context, max int64) ([]byte, error) {
-	if a.Length > max {
-		return nil, lost(ctx, fmt.Errorf("%w: answer above %d bytes", ErrMalformed, max))
-	}
 	body, err := readWhole(a, a.Length, max)
 	if err != nil {
 		return nil, lost(ctx, err)
--- a/internal/transport/peer/endless_test.go
+++ b/internal/transport/peer/endless_test.go
@@ -13,44 +13,31 @@
 	"storj.io/drpc/drpcwire"
 
 	"lovageport.example/internal/protocol/peering"
+	"lovageport.example/internal/standin/endless"
 )
 
-// endlessMessage returns the frames of a message that never ends: none of them
-// is the last.
-func endlessMessage(kind drpcwire.Kind) []byte {
-	return drpcwire.AppendFrame(nil, drpcwire.Frame{Data: make([]byte, 4<<10), ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: kind})
+// endlessMessage returns a frame of a message that never ends if it comes again
+// and again: none of them is the last.
+func endlessMessage(kind drpcwire.Kind) string {
+	return string(drpcwire.AppendFrame(nil, drpcwire.Frame{Data: make([]byte, 4<<10), ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: kind}))
 }
 
-// pour writes a text until the connection is closed, and returns how much it
-// could.
-func pour(conn net.Conn, text []byte) int {
-	total := 0
-	for {
-		n, err := conn.Write(text)
-		total += n
-		if err != nil {
-			return total
-		}
-	}
+// takeCall reads the beginning of a call.
+func takeCall(conn net.Conn) error {
+	_, err := io.ReadFull(conn, make([]byte, 16))
+	return err
 }
 
 // TestEndlessReply: a peer whose answer never ends is given up at a bound, and
 // not when the time of the call is up.
 func TestEndlessReply(t *testing.T) {
-	for name, text := range map[string][]byte{"message": endlessMessage(drpcwire.KindMessage), "no message": make([]byte, 4<<10)} {
+	for name, text := range map[string]string{"message": endlessMessage(drpcwire.KindMessage), "no message": string(make([]byte, 4<<10))} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			qt.Assert(t, err, qt.IsNil)
 			defer listener.Close()
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				_, _ = io.ReadFull(conn, make([]byte, 16))
-				pour(conn, text)
-			}()
+			server := endless.Server{Take: takeCall, Again: text}
+			go server.Serve(listener)
 			clients := &Clients{Timeout: 5 * time.Second}
 			defer clients.Close()
 			began := time.Now()
@@ -74,7 +61,7 @@
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	written := make(chan int, 1)
-	go func() { written <- pour(conn, endlessMessage(drpcwire.KindInvoke)) }()
+	go func() { written <- endless.Pour(conn, "", endlessMessage(drpcwire.KindInvoke)) }()
 	select {
 	case n := <-written:
 		t.Logf("cut off after %d bytes", n)
