End draining by the store's change that a peer's list overtook

Cause: a gateway that had seen an upstream drain (revision 114) fetched a peer's list of 115, in which it serves again. A peer's list does not end draining; the store's own change 115 then counted as known and was skipped, so that the upstream stayed draining at that gateway. Ruled out: letting a peer's list end draining (its source may be outdated). Change: the state keeps from which revision on an upstream was known to drain although a list shows it as serving, and applies a later change of it by the store even if the list has that revision already. The soak keeps the port of its endless peer until the gateways that call it have ended.

--- a/internal/gateway/removal_test.go
+++ b/internal/gateway/removal_test.go
@@ -65,7 +65,7 @@
 	}
 	change := func(revision int64, u *fleet.Upstream) func(*state) {
 		return func(s *state) {
-			c := platform.UpstreamChange{Instance: "e", Upstream: u}
+			c := platform.UpstreamChange{Instance: "e", Revision: revision, Upstream: u}
 			s.applyChanges(platform.UpstreamChanges{Changes: []platform.UpstreamChange{c}, Revision: revision}, 0, time.Minute)
 		}
 	}
@@ -87,6 +87,9 @@
 		{"draining, then serving by a peer's list", []func(*state){storeList(10, draining), peerList(11, registeredAt("e", 5))}, false},
 		{"draining by a change, then serving by a peer's list", []func(*state){change(11, draining), peerList(12, registeredAt("e", 5))}, false},
 		{"draining, then serving by the store", []func(*state){storeList(10, draining), change(11, registeredAt("e", 5))}, true},
+		{"draining, then serving by a peer's list and by the store", []func(*state){change(11, draining), peerList(12, registeredAt("e", 5)), change(12, registeredAt("e", 5))}, true},
+		{"draining, then serving by two lists of peers and by the store", []func(*state){change(11, draining), peerList(12, registeredAt("e", 5)), peerList(13, registeredAt("e", 5)), change(12, registeredAt("e", 5))}, true},
+		{"draining by a peer's list, then serving by another and by an earlier change", []func(*state){peerList(11, draining), peerList(12, registeredAt("e", 5)), change(10, registeredAt("e", 5))}, false},
 		{"draining, then restarted by a peer's list", []func(*state){storeList(10, draining), peerList(11, restarted)}, true},
 		{"unusable, then serving", []func(*state){storeList(10, registeredAt("e", 5)), change(11, unusable), change(12, registeredAt("e", 5))}, true},
 		{"unusable", []func(*state){storeList(10, registeredAt("e", 5)), change(11, unusable)}, false},
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -77,6 +77,9 @@
 	// removals holds, by instance, the last entries that were removed from the
 	// list.
 	removals map[string]removal
+	// keptDraining holds, by instance, the list revision at which the upstreams
+	// were known to drain that a later list of a peer shows as serving.
+	keptDraining map[string]int64
 	// leaving holds the upstreams that have announced their shutdown, with the
 	// time at which they were last listed.
 	leaving map[fleet.Incarnation]time.Duration
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -41,6 +41,8 @@
 	maps.DeleteFunc(all, func(_ string, u *fleet.Upstream) bool { return s.wasRemoved(u) })
 	if l.fromPeer {
 		s.preserveDraining(all)
+	} else {
+		s.keptDraining = nil
 	}
 	if len(all) > len(s.upstreams) {
 		s.listGrewAt = now
@@ -76,23 +78,31 @@
 
 // applyChanges applies changes of the list. The list is known to have been
 // current at the boot time at, unless that is 0. Changes that are already known
-// from a peer are skipped.
+// from a peer are skipped, except for those that end draining.
 func (s *state) applyChanges(c platform.UpstreamChanges, at, now time.Duration) {
 	s.recordListRestored(now)
 	s.listedAt = max(s.listedAt, at)
+	changes := c.Changes
 	if c.Revision <= s.listRevision {
-		return
+		changes = slices.DeleteFunc(slices.Clone(changes), func(c platform.UpstreamChange) bool { return !s.endsDraining(c) })
 	}
-	s.listRevision = c.Revision
-	if len(c.Changes) == 0 {
+	s.listRevision = max(s.listRevision, c.Revision)
+	if len(changes) == 0 {
 		return
 	}
-	for _, change := range c.Changes {
+	for _, change := range changes {
 		s.applyChange(change, now)
 	}
 	s.rebuildPools()
 }
 
+// endsDraining reports whether a change is newer than the one that made an
+// upstream drain. A peer's list that contains the change has not ended that.
+func (s *state) endsDraining(c platform.UpstreamChange) bool {
+	since, kept := s.keptDraining[c.Instance]
+	return kept && c.Revision > since
+}
+
 func (s *state) applyChange(c platform.UpstreamChange, now time.Duration) {
 	if c.Upstream != nil && s.wasRemoved(c.Upstream) {
 		return
@@ -106,6 +116,7 @@
 		return
 	}
 	delete(s.retained, c.Instance)
+	delete(s.keptDraining, c.Instance)
 	s.upstreams[c.Instance] = c.Upstream
 	if old != nil && old.Started != c.Upstream.Started {
 		s.health.ClearHoldOff(c.Instance)
@@ -133,15 +144,21 @@
 // preserveDraining keeps upstreams of a peer's list draining if they are known
 // to drain: only the store may return the same incarnation to service.
 func (s *state) preserveDraining(entries map[string]*fleet.Upstream) {
+	kept := make(map[string]int64)
 	for instance, u := range entries {
 		known := s.upstreams[instance]
-		if known == nil || known.State != fleet.Draining || known.Incarnation() != u.Incarnation() || known.Registered != u.Registered {
+		if u.State == fleet.Draining || known == nil || known.State != fleet.Draining || known.Incarnation() != u.Incarnation() || known.Registered != u.Registered {
 			continue
 		}
 		draining := *u
 		draining.State = fleet.Draining
 		entries[instance] = &draining
+		kept[instance] = s.listRevision
+		if since, already := s.keptDraining[instance]; already {
+			kept[instance] = since
+		}
 	}
+	s.keptDraining = kept
 }
 
 // pruneRemovals forgets removals that are older than removedRetention.
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -22,7 +22,8 @@
 	// endlessPeer is among the seeds in the gateways' settings and sends an
 	// endless response.
 	endlessPeer net.Listener
-	running     sync.WaitGroup
+	// processes tracks the gateways, and serving the endless peer.
+	processes, serving sync.WaitGroup
 
 	mu sync.Mutex
 	// versions holds the configurations that the store has acknowledged,
@@ -130,7 +131,7 @@
 		return err
 	}
 	server := endless.Server{Repeat: endlessHeaderBlock}
-	s.running.Go(func() { server.Serve(s.endlessPeer) })
+	s.serving.Go(func() { server.Serve(s.endlessPeer) })
 	for i, g := range s.gateways {
 		seeds := []string{s.endlessPeer.Addr().String()}
 		for k := range min(seedsPerGateway, len(s.gateways)-1) {
@@ -141,7 +142,7 @@
 		}
 	}
 	for _, g := range s.gateways {
-		s.running.Go(func() {
+		s.processes.Go(func() {
 			if err := g.run(); err != nil {
 				s.reportViolation("gateway processes can be started", err.Error())
 			}
@@ -155,10 +156,13 @@
 	for _, g := range s.gateways {
 		g.stop()
 	}
+	s.processes.Wait()
+	// The gateways call this port while they run, so it must not be reused
+	// before.
 	if s.endlessPeer != nil {
 		s.endlessPeer.Close()
 	}
-	s.running.Wait()
+	s.serving.Wait()
 	for _, g := range s.gateways {
 		g.callerProxy.Close()
 		g.storeProxy.Close()
