Soak: restore the store from copies, and run builds side by side

Gateways may start with the build of an earlier commit, made from the history of the repository, and be replaced by the other build in either direction. Seeds of earlier runs draw as before.

--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -37,7 +37,10 @@
 	// listens for health checks and for peers.
 	healthAddress, peerAddress string
 
-	binDir, settingsPath, logPath string
+	// binDir is the directory of the binary of the next process, otherBinDir
+	// that of the other build, if there is one. Guarded by mu.
+	binDir, otherBinDir   string
+	settingsPath, logPath string
 	// report records a violated guarantee.
 	report func(guarantee, detail string)
 
@@ -218,6 +221,14 @@
 // holds mu.
 func (g *gateway) hasLoggedLocked() bool { return g.logSize() > g.logSizeAtStart }
 
+// changeBuild stops the process, so that the next one is of the other build.
+func (g *gateway) changeBuild() {
+	g.mu.Lock()
+	g.binDir, g.otherBinDir = g.otherBinDir, g.binDir
+	g.mu.Unlock()
+	g.signal(syscall.SIGTERM)
+}
+
 // stop ends the process and prevents further starts.
 func (g *gateway) stop() {
 	g.mu.Lock()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"lovageport.example/internal/coordination/restoration"
 )
 
 // action is something that happens to the system at a time drawn beforehand:
@@ -122,17 +124,38 @@
 	return fmt.Sprintf("connections to %s: %+v for %v", s.system.upstreams[i].Instance, h, length), s.injectFor(s.system.upstreamProxies[i], h, length)
 }
 
+// drawRestoration draws a restoration of the store from a copy. It returns a
+// description and the function that performs it.
+func (s *scheduler) drawRestoration() (string, func()) {
+	age, away := s.drawDuration(0, 3*time.Second), s.drawDuration(0, time.Second)
+	rewrite := s.drawDuration(0, restoration.RewriteTime)
+	return fmt.Sprintf("restore the store, away for %v, from a copy %v old, written again after %v", away, age, rewrite),
+		func() { s.system.restoreStore(age, away, rewrite) }
+}
+
+// drawUpgrade draws a gateway whose process is replaced by one of the other build.
+// It returns a description and the function that performs it.
+func (s *scheduler) drawUpgrade() (string, func()) {
+	g := s.system.gateways[s.rng.IntN(len(s.system.gateways))]
+	return "change the build of " + g.name, g.changeBuild
+}
+
 // drawSchedule draws the actions of a run: planned maintenance and, unless
-// maintenanceOnly is set, faults.
-func (s *scheduler) drawSchedule(length time.Duration, maintenanceOnly bool) []action {
+// p.MaintenanceOnly is set, faults.
+func (s *scheduler) drawSchedule(p Config) []action {
 	const meanInterval = 700 * time.Millisecond
 	var out []action
-	for at := s.drawDuration(0, meanInterval); at < length; at += s.drawDuration(0, 2*meanInterval) {
+	for at := s.drawDuration(0, meanInterval); at < p.Duration; at += s.drawDuration(0, 2*meanInterval) {
 		var f action
 		f.at = at
-		if maintenanceOnly || s.rng.IntN(3) == 0 {
+		switch {
+		case p.EarlierBinDir != "" && s.rng.IntN(3) == 0:
+			f.description, f.run = s.drawUpgrade()
+		case p.Restorations && s.rng.IntN(6) == 0:
+			f.description, f.run = s.drawRestoration()
+		case p.MaintenanceOnly || s.rng.IntN(3) == 0:
 			f.description, f.run = s.drawMaintenance()
-		} else {
+		default:
 			f.description, f.run = s.drawFault()
 		}
 		out = append(out, f)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,6 +17,12 @@
 	// MaintenanceOnly leaves out all faults, so that only planned maintenance
 	// takes place.
 	MaintenanceOnly bool
+	// Restorations adds restorations of the store from a copy to the faults.
+	Restorations bool
+	// EarlierBinDir, if set, is the directory of the binaries of an earlier build,
+	// with which the gateways start. Each of them may change its build several
+	// times.
+	EarlierBinDir string
 	// Gateways is the number of gateway processes, Callers the number of
 	// callers of each one.
 	Gateways, Callers int
@@ -52,7 +58,7 @@
 // Run performs a run. It returns an error if the system cannot be started;
 // violated guarantees are in the report.
 func Run(p Config) (*Report, error) {
-	s, err := newSystem(p.Dir, p.BinDir, p.Gateways)
+	s, err := newSystem(p)
 	if err != nil {
 		s.close()
 		return nil, fmt.Errorf("soak: %w", err)
@@ -67,7 +73,7 @@
 		calling.Go(func() { c.run(ctx) })
 	}
 	d := &scheduler{rng: rand.New(rand.NewPCG(p.Seed, 1)), system: s}
-	actions := d.drawSchedule(p.Duration, p.MaintenanceOnly)
+	actions := d.drawSchedule(p)
 	d.runSchedule(actions, time.Now())
 	s.checkRecovery(p.Seed)
 	cancel()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -19,6 +20,8 @@
 	seedCount     = flag.Int("soak.seeds", 2, "number of runs; those with even seeds have planned maintenance only")
 	faultDuration = flag.Duration("soak.length", 8*time.Second, "time within which maintenance and faults start")
 	gateways      = flag.Int("soak.gateways", 4, "number of gateway processes")
+	restorations  = flag.Bool("soak.restore", false, "restore the store from copies in runs with odd seeds")
+	earlier       = flag.String("soak.earlier", "", "commit of the build that runs beside the present one")
 	callers       = flag.Int("soak.callers", 4, "number of callers of each gateway")
 )
 
@@ -39,11 +42,57 @@
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runAndCheck(t, Config{Seed: seed, MaintenanceOnly: seed%2 == 0, Gateways: *gateways, Callers: *callers, Duration: *faultDuration})
+			p := Config{Seed: seed, MaintenanceOnly: seed%2 == 0, Gateways: *gateways, Callers: *callers, Duration: *faultDuration}
+			p.Restorations = *restorations && !p.MaintenanceOnly
+			if *earlier != "" {
+				p.EarlierBinDir = buildCommit(t, *earlier)
+			}
+			runAndCheck(t, p)
 		})
 	}
 }
 
+// TestRestorations performs a run in which the store is restored from copies.
+func TestRestorations(t *testing.T) {
+	t.Parallel()
+	runAndCheck(t, Config{Seed: 3, Restorations: true, Gateways: 4, Callers: 4, Duration: 8 * time.Second})
+}
+
+// earlierBuilds are commits whose builds must work side by side with the present
+// one.
+var earlierBuilds = []struct {
+	commit, peers string
+}{
+	{"98b08ff", "exchanges News without what Update adds"},
+	{"436f3b6", "exchanges News of other fields, so that neither hears the other"},
+}
+
+// TestEarlierBuilds replaces processes of an earlier build by ones of the present
+// build and the other way round, in runs of planned maintenance alone and of faults.
+func TestEarlierBuilds(t *testing.T) {
+	for _, x := range earlierBuilds {
+		dir := buildCommit(t, x.commit)
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(x.commit, " ", seed), func(t *testing.T) {
+				t.Parallel()
+				runAndCheck(t, Config{Seed: seed, MaintenanceOnly: seed == 0, EarlierBinDir: dir, Gateways: 4, Callers: 4, Duration: 8 * time.Second})
+			})
+		}
+	}
+}
+
+// buildCommit returns a directory with the binaries of a commit. It skips the test
+// if the history of the repository does not reach that far.
+func buildCommit(t *testing.T, commit string) string {
+	dir, err := program.BuildCommit(t.TempDir(), commit)
+	if errors.Is(err, program.ErrNoCommit) {
+		fmt.Printf("%s skipped: %v\n", t.Name(), err)
+		t.SkipNow()
+	}
+	qt.Assert(t, err, qt.IsNil)
+	return dir
+}
+
 // regressions are runs that once violated a guarantee, each with the cause.
 var regressions = []struct {
 	cause  string
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -74,8 +74,9 @@
 
 // newSystem starts a store, upstreams and gateways. If it returns an error,
 // the caller still has to close the system.
-func newSystem(dir, binDir string, gateways int) (*system, error) {
+func newSystem(p Config) (*system, error) {
 	s := &system{store: platformtest.NewStore(), unavailable: make(map[int]bool)}
+	s.store.SetEra(1)
 	// Each zone has one engine for either half of the layers, a spare engine
 	// and two plain services.
 	for i, held := range []int{0, 8, -1, 0, 8, -1} {
@@ -94,11 +95,14 @@
 		}
 	}
 	s.configure()
-	for i := range gateways {
-		g, err := newGateway(fmt.Sprint("gateway", i), zones[i%len(zones)], dir, binDir, s.store.Address)
+	for i := range p.Gateways {
+		g, err := newGateway(fmt.Sprint("gateway", i), zones[i%len(zones)], p.Dir, p.BinDir, s.store.Address)
 		if err != nil {
 			return s, err
 		}
+		if p.EarlierBinDir != "" {
+			g.binDir, g.otherBinDir = p.EarlierBinDir, p.BinDir
+		}
 		g.report = s.reportViolation
 		s.gateways = append(s.gateways, g)
 	}
@@ -183,11 +187,40 @@
 	defer s.mu.Unlock()
 	number := 3*len(s.versions) + 1
 	v := configurationVersion{number: number, key: fmt.Sprint("key", number)}
-	s.store.Configure(platformtest.Configuration{Version: number, Keys: []string{stableKey, v.key}, StreamAttempts: 2})
+	s.putConfiguration(v)
 	v.at = time.Now()
 	s.versions = append(s.versions, v)
 }
 
+// putConfiguration writes a configuration. The caller holds mu.
+func (s *system) putConfiguration(v configurationVersion) {
+	s.store.Configure(platformtest.Configuration{Version: v.number, Keys: []string{stableKey, v.key}, StreamAttempts: 2})
+}
+
+// restoreStore restores the store from a copy of a given age. The store is away for
+// some time before, and what was lost is written again some time after.
+func (s *system) restoreStore(age, away, rewrite time.Duration) {
+	earlier := s.store.Copy()
+	time.Sleep(age)
+	s.store.SetDown(true)
+	time.Sleep(away)
+	s.store.Restore(earlier)
+	s.store.SetDown(false)
+	time.Sleep(rewrite)
+	s.writeAgain()
+}
+
+// writeAgain has the operator and the upstreams write what they wrote last.
+func (s *system) writeAgain() {
+	s.mu.Lock()
+	v := s.versions[len(s.versions)-1]
+	s.putConfiguration(v)
+	s.mu.Unlock()
+	for _, u := range s.upstreams {
+		u.WriteAgain()
+	}
+}
+
 // recentKeys returns the key of the newest configuration and that of the one
 // before it, which is empty if there is none.
 func (s *system) recentKeys() (newest, before string) {
