Share the retry allowance by requests, not equally, until counts are known

Up to 18 refusals came from one gateway. Ruled out: a larger share of the allowance for what is not known yet (exceeds the allowance if all gateways retry at once). Change: the part of a gateway is its share of the requests of all, each counted with one more than it has had.

--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -76,18 +76,25 @@
 // peers and processes are the sum of the counts reported by peers and the number
 // of processes, including this one.
 //
-// Until its recent retries are known to the peers, each process may use only an
-// equal part of the allowance that was left before them. If all processes retry
-// at once, unaware of each other, they use up the allowance but don't exceed it.
+// Until its recent retries are known to the peers, each process may use only a
+// part of the allowance that was left before them, in proportion to its requests.
+// If all processes retry at once, unaware of each other, they use up the allowance
+// but don't exceed it.
 func (w *Window) Allow(a Allowance, peers Counts, processes int, now time.Duration) bool {
 	own := w.Counts(a, now)
 	recent := w.recentRetries()
 	limit := knownShare * (a.Share*(own.Requests+peers.Requests) + a.Slack)
 	left := limit - (own.Retries - recent) - peers.Retries
-	share := left / knownShare / float64(max(1, processes))
-	if recent+1 > share {
+	if recent+1 > left/knownShare*requestShare(own, peers, processes) {
 		return false
 	}
 	w.advance(a, now).Retries++
 	return true
 }
+
+// requestShare returns the share of a process in the requests of all processes.
+// Each process counts one request more than it has had, so that one whose requests
+// are older than the window has a share too. The shares add up to 1.
+func requestShare(own, peers Counts, processes int) float64 {
+	return (own.Requests + 1) / (own.Requests + peers.Requests + float64(max(1, processes)))
+}
--- a/internal/coordination/retry/window_test.go
+++ b/internal/coordination/retry/window_test.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -20,6 +21,8 @@
 		{"six processes, bursts every 5 s", outage{processes: 6, perSecond: 13, exchangeInterval: 800 * time.Millisecond, slack: 196, burst: 60}},
 		{"many processes, bursts every 5 s", outage{processes: 77, perSecond: 4, exchangeInterval: 1400 * time.Millisecond, slack: 338, burst: 12}},
 		{"many processes, every request retried", outage{processes: 77, perSecond: 4, exchangeInterval: 1400 * time.Millisecond, slack: 338, retriesPerRequest: 3}},
+		{"many uneven processes, every request retried", outage{processes: 77, perSecond: 4, exchangeInterval: 1400 * time.Millisecond, slack: 338, retriesPerRequest: 3, uneven: true}},
+		{"many uneven processes, bursts every 5 s", outage{processes: 77, perSecond: 4, exchangeInterval: 1400 * time.Millisecond, slack: 338, burst: 12, uneven: true}},
 		{"hundreds of processes, bursts every 5 s", outage{processes: 330, perSecond: 4, exchangeInterval: 1400 * time.Millisecond, slack: 1400, burst: 12}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
@@ -29,6 +32,44 @@
 	}
 }
 
+// TestBusyProcessesMayRetryMore replays the loss of upstreams on which a tenth of
+// all streams run, while callers are spread unevenly over the processes: the
+// allowance of those with few callers must not be left unused. The retries are
+// fewer than the allowance of the window.
+func TestBusyProcessesMayRetryMore(t *testing.T) {
+	const processes, callers, lossAt = 69, 250, 30 * time.Second
+	allowance := Allowance{Share: 0.2, Slack: 322, Window: 10 * time.Second}
+	windows := make([]Window, processes)
+	load := make([]int, processes)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range callers {
+		load[rng.IntN(processes)]++
+	}
+	for now := time.Second; now < lossAt; now += 1500 * time.Millisecond {
+		for i := range windows {
+			for range load[i] {
+				windows[i].RecordRequest(allowance, now)
+			}
+		}
+	}
+	var all Counts
+	for i := range windows {
+		all = all.Add(windows[i].Counts(allowance, lossAt))
+	}
+	wanted, allowed := 0, 0
+	for i := range windows {
+		own := windows[i].Counts(allowance, lossAt)
+		peers := Counts{Requests: all.Requests - own.Requests}
+		for range 2 * load[i] {
+			wanted++
+			if windows[i].Allow(allowance, peers, processes, lossAt) {
+				allowed++
+			}
+		}
+	}
+	qt.Check(t, allowed, qt.Equals, wanted)
+}
+
 // outage describes a period in which requests fail.
 type outage struct {
 	processes, perSecond int
@@ -38,6 +79,9 @@
 	// retriesPerRequest is the number of retries attempted for each request, and
 	// burst the number that each process attempts at once every 5 s.
 	retriesPerRequest, burst int
+	// uneven gives process i between none and three times the requests of the
+	// mean.
+	uneven bool
 }
 
 // simulate returns how many retries were sent in a minute and how many the
@@ -64,8 +108,10 @@
 			wanted += o.burst
 		}
 		for i := range windows {
-			windows[i].RecordRequest(allowance, now)
-			requests = append(requests, now)
+			for range o.requestsOf(i) {
+				windows[i].RecordRequest(allowance, now)
+				requests = append(requests, now)
+			}
 			peers := Counts{Requests: all.Requests - reported[i].Requests, Retries: all.Retries - reported[i].Retries}
 			for range wanted {
 				if windows[i].Allow(allowance, peers, o.processes, now) {
@@ -84,6 +130,14 @@
 	return float64(len(retries)), allowance.Share*float64(len(requests)) + allowance.Slack*windowCount
 }
 
+// requestsOf returns how many requests a process gets at a time.
+func (o *outage) requestsOf(process int) int {
+	if !o.uneven {
+		return 1
+	}
+	return []int{0, 0, 1, 3}[process%4]
+}
+
 // countWithin counts the times in the 10 s that end at end. The times must be in
 // order.
 func countWithin(times []time.Duration, end time.Duration) float64 {
