Try the other object again as soon as the store has answered for one

Change: when a watcher regains the store, the others that failed last end their pause or their hanging read and read at once.

--- a/internal/gateway/restoration.go
+++ b/internal/gateway/restoration.go
@@ -50,10 +50,7 @@
 	g.Log.Warn("store restored from a copy", zap.Int64("era", era), zap.String("source", source))
 	g.tableWatcher.wakeUp()
 	g.upstreamWatcher.wakeUp()
-	select {
-	case g.registerAgain <- struct{}{}:
-	default:
-	}
+	notify(g.registerAgain)
 }
 
 // awaitRestoration waits until the store has been restored and then for a random
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -26,6 +26,9 @@
 	// wake interrupts a watch, which may have stalled without an error, or a
 	// sleep.
 	wake chan struct{}
+	// reachable ends a sleep and a read that hangs, since the store has answered
+	// another call.
+	reachable chan struct{}
 	// read reads the complete object and returns the revision to watch from.
 	read func(ctx context.Context) (revision.Revision, error)
 	// interval returns the pause between two watches, which lets changes that
@@ -65,32 +68,40 @@
 // step reads the object, or watches it from a revision other than the zero value,
 // which it returns if the object must be read next.
 func (w *watcher) step(ctx context.Context, at revision.Revision) (revision.Revision, error) {
-	if at.IsZero() {
+	call, signal := w.read, w.reachable
+	if !at.IsZero() {
+		call = func(ctx context.Context) (revision.Revision, error) { return w.watch(ctx, w.g.watchOptions(at)) }
+		signal = w.wake
+	}
+	next, interrupted, err := interruptible(ctx, signal, call)
+	switch {
+	case err != nil && interrupted:
 		return w.read(ctx)
+	case errors.Is(err, platform.ErrHistoryGone), errors.Is(err, platform.ErrRestored):
+		return revision.Revision{}, nil
 	}
-	watching, cancel := context.WithCancel(ctx)
+	return next, err
+}
+
+// interruptible runs a call that is cancelled when signal is received, and reports
+// whether that happened.
+func interruptible(ctx context.Context, signal <-chan struct{}, call func(context.Context) (revision.Revision, error)) (next revision.Revision, interrupted bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	woken := false
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		select {
-		case <-watching.Done():
-		case <-w.wake:
-			woken = true
+		case <-ctx.Done():
+		case <-signal:
+			interrupted = true
 			cancel()
 		}
 	}()
-	next, err := w.watch(watching, w.g.watchOptions(at))
+	next, err = call(ctx)
 	cancel()
 	<-ended
-	switch {
-	case err != nil && woken:
-		return w.read(ctx)
-	case errors.Is(err, platform.ErrHistoryGone), errors.Is(err, platform.ErrRestored):
-		return revision.Revision{}, nil
-	}
-	return next, err
+	return next, interrupted, err
 }
 
 // sleep waits for d or until the watcher is woken, and reports whether it was
@@ -103,13 +114,18 @@
 		return false
 	case <-w.wake:
 		return true
+	case <-w.reachable:
+		return true
 	}
 }
 
 // wakeUp makes the watcher read the object at once.
-func (w *watcher) wakeUp() {
+func (w *watcher) wakeUp() { notify(w.wake) }
+
+// notify sends to a channel with a buffer of one, unless that is full.
+func notify(c chan<- struct{}) {
 	select {
-	case w.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -129,12 +145,12 @@
 
 // newTableWatcher returns the watcher of the configuration.
 func (g *Gateway) newTableWatcher() *watcher {
-	return &watcher{g: g, name: tableName, wake: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable, interval: g.watchInterval}
+	return &watcher{g: g, name: tableName, wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable, interval: g.watchInterval}
 }
 
 // newUpstreamWatcher returns the watcher of the list of upstreams.
 func (g *Gateway) newUpstreamWatcher() *watcher {
-	return &watcher{g: g, name: listName, wake: make(chan struct{}, 1), read: g.readUpstreams, watch: g.watchUpstreams, interval: g.watchInterval}
+	return &watcher{g: g, name: listName, wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), read: g.readUpstreams, watch: g.watchUpstreams, interval: g.watchInterval}
 }
 
 // watchInterval returns the pause between two watches.
@@ -202,7 +218,23 @@
 	if name == tableName {
 		g.tableWatchFailed.Store(failed)
 	}
-	g.control.Send(func(s *state) { s.recordStoreResult(name, err) })
+	g.control.Send(func(s *state) {
+		regained := !failed && s.storeFailed[name]
+		s.recordStoreResult(name, err)
+		if regained {
+			g.notifyReachable(s)
+		}
+	})
+}
+
+// notifyReachable has the watchers that failed last try again at once: a call that
+// was sent while the store did not answer may hang until its timeout.
+func (g *Gateway) notifyReachable(s *state) {
+	for _, w := range []*watcher{g.tableWatcher, g.upstreamWatcher} {
+		if s.storeFailed[w.name] {
+			notify(w.reachable)
+		}
+	}
 }
 
 // recordStoreResult logs when the store fails or recovers.
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovageport.example/internal/logging"
+	"lovageport.example/internal/state/revision"
 	"lovageport.example/platform"
 )
 
@@ -42,3 +44,29 @@
 	w.wakeUp()
 	qt.Check(t, w.sleep(t.Context(), time.Hour), qt.IsTrue)
 }
+
+// TestHangingReadEndsWhenStoreIsReachable guards against one watcher waiting for the
+// timeout of a call that was sent before the store answered the other watcher.
+func TestHangingReadEndsWhenStoreIsReachable(t *testing.T) {
+	w := &watcher{wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1)}
+	reads := 0
+	w.read = func(ctx context.Context) (revision.Revision, error) {
+		reads++
+		if reads > 1 {
+			return revision.Revision{Number: 7}, nil
+		}
+		// A request that needs a fresh configuration does not end it: the next
+		// read might take as long.
+		w.wakeUp()
+		notify(w.reachable)
+		<-ctx.Done()
+		return revision.Revision{}, ctx.Err()
+	}
+	at, err := w.step(t.Context(), revision.Revision{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, at, qt.Equals, revision.Revision{Number: 7})
+	qt.Check(t, reads, qt.Equals, 2)
+	notify(w.reachable)
+	<-w.wake
+	qt.Check(t, w.sleep(t.Context(), time.Hour), qt.IsTrue)
+}
