Watch for the first configuration instead of polling for it

Cause: a list that contains no configuration was an error, so gateways that start before the operator has written one called the store five times each with growing pauses, and saw it up to 2.5 s late. Change: the list's revision is used to watch for the first configuration.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -29,7 +29,8 @@
 	// reachable ends a sleep and a read that hangs, since the store has answered
 	// another call.
 	reachable chan struct{}
-	// read reads the complete object and returns the revision to watch from.
+	// read reads the complete object and returns the revision to watch from,
+	// also if it fails with platform.ErrNotFound.
 	read func(ctx context.Context) (revision.Revision, error)
 	// interval returns the pause between two watches, which lets changes that
 	// come together arrive in one response.
@@ -46,7 +47,7 @@
 	for ctx.Err() == nil {
 		next, err := w.step(ctx, at)
 		w.g.recordStoreResult(w.name, err)
-		if err != nil {
+		if err != nil && !isMissing(next, err) {
 			if !w.g.watchOptions(at).AllowStale {
 				// Read the object anew, so that changes missed during the
 				// outage apply as soon as the store is back.
@@ -65,6 +66,12 @@
 	return nil
 }
 
+// isMissing reports whether a step has found that the object does not exist, and the
+// revision from which to watch for its creation.
+func isMissing(next revision.Revision, err error) bool {
+	return errors.Is(err, platform.ErrNotFound) && !next.IsZero()
+}
+
 // step reads the object, or watches it from a revision other than the zero value,
 // which it returns if the object must be read next.
 func (w *watcher) step(ctx context.Context, at revision.Revision) (revision.Revision, error) {
@@ -171,7 +178,7 @@
 	sent := g.Now()
 	table, at, err := g.store.Table(ctx)
 	if err != nil {
-		return revision.Revision{}, err
+		return at, err
 	}
 	if g.routing.Table() == nil {
 		g.consultPeers(ctx, table.Version)
@@ -196,6 +203,9 @@
 			g.applyTable("watch")
 		}
 	}
+	if g.routing.Table() == nil {
+		return changes.Revision, platform.ErrNotFound
+	}
 	if !w.AllowStale {
 		// A response that may lag does not confirm the present state.
 		g.confirmTable(sent)
