--- /dev/null
+++ b/internal/gateway/listsync.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/coordination/cluster"
+	"lovageport.example/internal/loop"
+	"lovageport.example/internal/protocol/peering"
+	"lovageport.example/internal/state/fleet"
+)
+
+// When the configuration and the list of upstreams are fetched from peers.
+const (
+	// staleAge is the age of the configuration or list above which a peer's
+	// fresher knowledge is fetched.
+	staleAge = 2200 * time.Millisecond
+	// minFreshnessGain is by how much the peer's knowledge must be fresher.
+	minFreshnessGain = 300 * time.Millisecond
+	// peerSyncInterval is the least time between two such calls.
+	peerSyncInterval = 150 * time.Millisecond
+)
+
+// buildLists returns the configuration, if it is newer than the one that the
+// peer has, and the list of upstreams.
+func (g *Gateway) buildLists(req *peering.ListsRequest) *peering.Lists {
+	out := &peering.Lists{Version: peering.Version, ListAge: -1}
+	if t := g.routing.Table(); t != nil {
+		out.InForce = t.Version
+		out.TableAge, _ = g.routing.Age(g.Now())
+		if t.Version > req.Table {
+			out.Table = t
+		}
+	}
+	g.control.Do(func(s *state) {
+		if s.listedAt == 0 {
+			return
+		}
+		out.ListAge = g.Now() - s.listedAt
+		out.ListRevision, out.ListEra = s.listRevision.Number, s.listRevision.Era
+		out.Upstreams = s.listForPeer()
+	})
+	return out
+}
+
+// syncWithPeers fetches the configuration and the list of upstreams from peers
+// that have them newer or fresher, until ctx is done.
+func (g *Gateway) syncWithPeers(ctx context.Context) error {
+	for loop.Sleep(ctx, peerSyncInterval) {
+		var source string
+		g.control.Do(func(s *state) { source = s.bestListSource(g, g.Now()) })
+		if source != "" {
+			g.fetchLists(ctx, source)
+		}
+		g.wakeStaleWatchers()
+	}
+	return nil
+}
+
+// wakeStaleWatchers wakes watchers whose knowledge neither the store nor a peer
+// has confirmed recently. During an outage of the store the watchers retry by
+// themselves.
+func (g *Gateway) wakeStaleWatchers() {
+	now := g.Now()
+	tableAge, known := g.routing.Age(now)
+	var wakeTable, wakeList bool
+	g.control.Do(func(s *state) {
+		wakeTable = known && tableAge > staleAge && !s.storeFailed[tableName]
+		wakeList = now-s.listedAt > staleAge && !s.storeFailed[listName]
+	})
+	if wakeTable {
+		g.tableWatcher.wakeUp()
+	}
+	if wakeList {
+		g.upstreamWatcher.wakeUp()
+	}
+}
+
+// bestListSource returns the address of a peer with newer or fresher knowledge
+// of the store, preferably of the own zone; empty if there is none.
+func (s *state) bestListSource(g *Gateway, now time.Duration) string {
+	tableAge, known := g.routing.Age(now)
+	age := max(tableAge, now-s.listedAt)
+	if !known {
+		age = now
+	}
+	best, bestRank := "", 0
+	alive := s.members.Alive(now)
+	first := int(s.random() * float64(len(alive)))
+	for i := range alive {
+		// Start at a random peer to spread the calls.
+		m := alive[(first+i)%len(alive)]
+		rank := s.listSourceRank(g, m, age, now)
+		if rank > bestRank {
+			best, bestRank = m.Address.Address, rank
+		}
+	}
+	return best
+}
+
+// listSourceRank ranks a peer by how useful its lists are here, given the age of
+// the own ones; 0 means of no use.
+func (s *state) listSourceRank(g *Gateway, m *cluster.Member, age, now time.Duration) int {
+	n := &m.News
+	if n.ListAge < 0 || n.Table == 0 {
+		return 0
+	}
+	at, known := s.peerRevision(n.Store.ListEra, n.ListRevision)
+	if !known || at.Era < s.listRevision.Era {
+		return 0
+	}
+	newer := at.After(s.listRevision) && n.ListDigest != s.listDigest || g.isNewerTable(n.Table)
+	fresher := age > staleAge && max(n.TableAge, n.ListAge)+now-m.LastHeard < age-minFreshnessGain
+	switch {
+	case !newer && !fresher:
+		return 0
+	case m.Zone == s.zone:
+		return 2
+	}
+	return 1
+}
+
+func (g *Gateway) fetchLists(ctx context.Context, address string) {
+	req := &peering.ListsRequest{Version: peering.Version}
+	if t := g.routing.Table(); t != nil {
+		req.Table = t.Version
+	}
+	sent := g.Now()
+	lists, err := g.peerClients.Lists(ctx, address, req)
+	if err != nil {
+		g.Log.Info("fetching lists from peer failed", zap.String("peer", address), zap.Error(err))
+		return
+	}
+	if lists.Table != nil && g.routing.Adopt(lists.Table) {
+		g.applyTable("peer")
+	}
+	if g.trustsAge(lists.ListEra) {
+		g.routing.Confirm(lists.InForce, sent-lists.TableAge)
+	}
+	g.Log.Info("lists fetched from peer", zap.String("peer", address), zap.Int64("configuration", lists.InForce), zap.Duration("configuration_age", lists.TableAge),
+		zap.Int64("revision", lists.ListRevision), zap.Duration("list_age", lists.ListAge))
+	if lists.ListAge < 0 {
+		return
+	}
+	l := upstreamList{upstreams: make(map[string]*fleet.Upstream, len(lists.Upstreams)), asOf: sent - lists.ListAge, fromPeer: true}
+	for _, u := range lists.Upstreams {
+		l.upstreams[u.Instance] = u
+	}
+	g.control.Do(func(s *state) {
+		known := false
+		if l.revision, known = s.peerRevision(lists.ListEra, lists.ListRevision); known {
+			s.replaceUpstreams(l, g.Now())
+		}
+	})
+}
--- a/internal/gateway/restoration.go
+++ b/internal/gateway/restoration.go
@@ -6,10 +6,8 @@
 
 	"go.uber.org/zap"
 
-	"lovageport.example/internal/coordination/restoration"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
-	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/revision"
 )
 
@@ -109,126 +107,6 @@
 	clear(s.changedSince)
 }
 
-// withholdReentering replaces upstreams in a list, read in an era of the store,
-// that were seen draining or removed in an earlier one. They stay draining until
-// they report anew or a list that is current after restoration.ReentryTime still
-// contains them. The list was current at the boot time asOf.
-func (s *state) withholdReentering(all map[string]*fleet.Upstream, era int64, asOf time.Duration) {
-	withheld := make(map[string]*fleet.Upstream)
-	if s.eras.Reentering(asOf) {
-		for instance, u := range all {
-			if u.State == fleet.Serving && s.reenters(u, era) {
-				withheld[instance] = u
-				all[instance] = drainingCopy(u)
-			}
-		}
-	}
-	s.withheld = withheld
-}
-
-// reenters reports whether an entry, as listed in an era of the store, shows an
-// upstream as serving that was last seen draining, removed or restarted in an
-// earlier era.
-func (s *state) reenters(u *fleet.Upstream, era int64) bool {
-	if _, changed := s.changedSince[u.Instance]; changed {
-		return false
-	}
-	if w := s.withheld[u.Instance]; w != nil && isSameEntry(w, u) {
-		return true
-	}
-	if era == s.listRevision.Era {
-		return false
-	}
-	r, removed := s.removals[u.Instance]
-	if removed && r.registered.Era < era && u.Registered <= r.registered.Number && u.Started <= r.started {
-		return true
-	}
-	known := s.upstreams[u.Instance]
-	if known == nil {
-		return false
-	}
-	return u.Started < known.Started || known.State == fleet.Draining && isSameEntry(known, u)
-}
-
-// forgetEarlierRemoval forgets that an entry was removed in an earlier era of the
-// store, once it is listed anew.
-func (s *state) forgetEarlierRemoval(instance string) {
-	if s.withheld[instance] == nil && s.removals[instance].registered.Era < s.listRevision.Era {
-		delete(s.removals, instance)
-	}
-}
-
-// isSameEntry reports whether two entries are states of one registration of one
-// incarnation.
-func isSameEntry(a, b *fleet.Upstream) bool {
-	return a.Incarnation() == b.Incarnation() && a.Registered == b.Registered
-}
-
-// drainingCopy returns u as draining.
-func drainingCopy(u *fleet.Upstream) *fleet.Upstream {
-	out := *u
-	out.State = fleet.Draining
-	return &out
-}
-
-// listedEntry returns an upstream of all as the store lists it.
-func (s *state) listedEntry(all map[string]*fleet.Upstream, instance string) *fleet.Upstream {
-	if w := s.withheld[instance]; w != nil {
-		return w
-	}
-	return all[instance]
-}
-
-// endWithholding records that the entry of an upstream has changed in the present
-// era of the store, so that what was known before no longer holds.
-func (s *state) endWithholding(instance string) {
-	delete(s.withheld, instance)
-	if s.eras.Reentering(s.listedAt) {
-		s.changedSince[instance] = struct{}{}
-	}
-}
-
-// mergeWithheld withholds the upstreams that a peer withholds, unless their
-// entries have changed since.
-func (s *state) mergeWithheld(n *peering.News) {
-	if n.Store.ListEra != s.listRevision.Era || !s.eras.Reentering(s.listedAt) {
-		return
-	}
-	changed := false
-	for _, i := range n.Store.Withheld {
-		u := s.upstreams[i.Instance]
-		_, heard := s.changedSince[i.Instance]
-		if u == nil || heard || u.State != fleet.Serving || u.Incarnation() != i {
-			continue
-		}
-		changed = true
-		s.withheld[i.Instance] = u
-		s.upstreams[i.Instance] = drainingCopy(u)
-	}
-	if changed {
-		s.rebuildPools()
-	}
-}
-
-// expireWithheld returns the withheld upstreams to service that are still listed
-// after restoration.ReentryTime.
-func (s *state) expireWithheld() {
-	if s.eras.Reentering(s.listedAt) {
-		return
-	}
-	clear(s.changedSince)
-	if len(s.withheld) == 0 {
-		return
-	}
-	for instance, u := range s.withheld {
-		s.log.Info("upstream in service again", zap.String("upstream", instance), zap.Duration("after", restoration.ReentryTime))
-		s.upstreams[instance] = u
-		delete(s.removals, instance)
-	}
-	clear(s.withheld)
-	s.rebuildPools()
-}
-
 // storeNews returns what this gateway tells peers about the store.
 func (s *state) storeNews(now time.Duration) peering.StoreNews {
 	out := peering.StoreNews{Era: s.eras.Era(), EraAge: s.eras.Age(now), ListEra: s.listRevision.Era}
