Tell a store that counts its eras from 0 from one that states none

Cause: the header's value was used as it is, and 0 stood for no header. Had the store begun with 0, its first restoration would have counted as the first era known, so that nothing seen before would have been kept.

--- a/internal/state/revision/revision.go
+++ b/internal/state/revision/revision.go
@@ -13,8 +13,8 @@
 // Revision identifies a state of the store. The zero value is before all
 // others.
 type Revision struct {
-	// Era counts the restorations of the store; 0 if the store does not report
-	// it.
+	// Era counts the restorations of the store, from 1 for the lowest that it may
+	// report; 0 if it reports none.
 	Era int64
 	// Number is the number of the last change in the era.
 	Number int64
