--- /dev/null
+++ b/internal/protocol/peering/news_test.go
@@ -0,0 +1,38 @@
+package peering
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"lovageport.example/internal/state/fleet"
+)
+
+// newsElements is the number of elements of encoded News. Builds that do not know
+// Update decode exactly so many.
+const newsElements = 21
+
+// TestNewsOfEarlierBuilds guards against a field of News that earlier builds cannot
+// decode, and against the loss of what Update carries beside it.
+func TestNewsOfEarlierBuilds(t *testing.T) {
+	news := &News{Version: Version, Address: Address{Gateway: "g", Address: "g:1"}}
+	news.Store = StoreNews{Era: 2, ListEra: 2, Withheld: []fleet.Incarnation{{Instance: "e", Started: 1}}}
+	encoded, err := cbor.Marshal(news)
+	qt.Assert(t, err, qt.IsNil)
+	var elements []any
+	qt.Assert(t, cbor.Unmarshal(encoded, &elements), qt.IsNil)
+	qt.Check(t, elements, qt.HasLen, newsElements)
+
+	encoded, err = cbor.Marshal(&Update{News: news, Store: news.Store})
+	qt.Assert(t, err, qt.IsNil)
+	var update Update
+	qt.Assert(t, cbor.Unmarshal(encoded, &update), qt.IsNil)
+	qt.Check(t, update.Store, qt.DeepEquals, news.Store)
+	qt.Check(t, update.Check(), qt.IsNil)
+	// A later build may add fields.
+	encoded, err = cbor.Marshal(map[string]any{"News": news, "Store": news.Store, "Later": 1})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, cbor.Unmarshal(encoded, &update), qt.IsNil)
+	qt.Check(t, (&Update{}).Check(), qt.IsNotNil)
+}
