--- a/internal/gateway/registration.go
+++ b/internal/gateway/registration.go
@@ -15,8 +15,8 @@
 const registerRetryDelay = time.Second
 
 // register registers this gateway in the store and learns of others there, again
-// after each restoration of the store. Neither is needed to work with peers that are already known, so an outage of
-// the store does not delay the gateway's start.
+// after each restoration of the store. Neither is needed to work with peers that
+// are already known, so an outage of the store does not delay the gateway's start.
 func (g *Gateway) register(ctx context.Context) error {
 	entry := platform.GatewayRegistration{Name: g.Settings.Name, Zone: g.Settings.Zone, Address: g.Settings.Listen.Peers}
 	for {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -44,7 +44,7 @@
 	withheld map[string]*fleet.Upstream
 	// changedSince holds the instances whose entries have changed since the
 	// store was restored.
-	changedSince map[string]struct{}
+	changedSince map[string]bool
 	// listDigest is the sum of entryHashes, the hashes of the listed upstreams.
 	listDigest  uint64
 	entryHashes map[string]uint64
@@ -151,7 +151,7 @@
 	s.retained = make(map[string]time.Duration)
 	s.removals = make(map[string]removal)
 	s.withheld = make(map[string]*fleet.Upstream)
-	s.changedSince = make(map[string]struct{})
+	s.changedSince = make(map[string]bool)
 	s.retryWindows = make(map[string]*retry.Window)
 	s.dispatchRates = make(map[string]*admission.RateEstimator)
 	s.storeFailed = make(map[string]bool)
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -164,12 +164,10 @@
 	kept := make(map[string]revision.Revision)
 	for instance, u := range entries {
 		known := s.upstreams[instance]
-		if u.State == fleet.Draining || known == nil || known.State != fleet.Draining || known.Incarnation() != u.Incarnation() || known.Registered != u.Registered {
+		if u.State == fleet.Draining || known == nil || known.State != fleet.Draining || !isSameEntry(known, u) {
 			continue
 		}
-		draining := *u
-		draining.State = fleet.Draining
-		entries[instance] = &draining
+		entries[instance] = drainingCopy(u)
 		kept[instance] = s.listRevision
 		if since, already := s.keptDraining[instance]; already {
 			kept[instance] = since
--- a/internal/gateway/withheld.go
+++ b/internal/gateway/withheld.go
@@ -31,7 +31,7 @@
 // upstream as serving that was last seen draining, removed or restarted in an
 // earlier era.
 func (s *state) reenters(u *fleet.Upstream, era int64) bool {
-	if _, changed := s.changedSince[u.Instance]; changed {
+	if s.changedSince[u.Instance] {
 		return false
 	}
 	if w := s.withheld[u.Instance]; w != nil && isSameEntry(w, u) {
@@ -48,6 +48,7 @@
 	if known == nil {
 		return false
 	}
+	// An upstream that has been restarted does not return to its earlier start.
 	return u.Started < known.Started || known.State == fleet.Draining && isSameEntry(known, u)
 }
 
@@ -85,7 +86,7 @@
 func (s *state) endWithholding(instance string) {
 	delete(s.withheld, instance)
 	if s.eras.Reentering(s.listedAt) {
-		s.changedSince[instance] = struct{}{}
+		s.changedSince[instance] = true
 	}
 }
 
@@ -98,8 +99,7 @@
 	changed := false
 	for _, i := range n.Store.Withheld {
 		u := s.upstreams[i.Instance]
-		_, heard := s.changedSince[i.Instance]
-		if u == nil || heard || u.State != fleet.Serving || u.Incarnation() != i {
+		if u == nil || s.changedSince[i.Instance] || u.State != fleet.Serving || u.Incarnation() != i {
 			continue
 		}
 		changed = true
