--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -55,6 +55,7 @@
 	Shards func(ctx context.Context, request *peering.ShardRequest) (*peering.ShardReply, error)
 	// News exchanges state updates with another gateway, and Lists returns the
 	// configuration and upstream list of this one. These calls carry no secret.
+	// News may return nil if the process is ending.
 	News  func(ctx context.Context, request *peering.News) (*peering.News, error)
 	Lists func(ctx context.Context, request *peering.ListsRequest) (*peering.Lists, error)
 }
@@ -114,7 +115,7 @@
 func (h *Handler) update(ctx context.Context, in *peering.Update) (*peering.Update, error) {
 	in.News.Store = in.Store
 	out, err := h.news(ctx, in.News)
-	if err != nil {
+	if err != nil || out == nil {
 		return nil, err
 	}
 	return &peering.Update{News: out, Store: out.Store}, nil
--- a/internal/transport/peer/update_test.go
+++ b/internal/transport/peer/update_test.go
@@ -62,3 +62,12 @@
 		<-ended
 	}
 }
+
+// TestUpdateWhileEnding guards against a panic when a peer calls a process whose
+// control loop has ended, so that it has no news to answer with.
+func TestUpdateWhileEnding(t *testing.T) {
+	h := &Handler{News: func(context.Context, *peering.News) (*peering.News, error) { return nil, nil }}
+	out, err := h.update(t.Context(), &peering.Update{News: &peering.News{}})
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, out, qt.IsNil)
+}
