--- a/internal/gateway/listsync.go
+++ b/internal/gateway/listsync.go
@@ -122,6 +122,8 @@
 	return 1
 }
 
+// fetchLists takes over the configuration and the list of upstreams of a peer if
+// they are newer.
 func (g *Gateway) fetchLists(ctx context.Context, address string) {
 	req := &peering.ListsRequest{Version: peering.Version}
 	if t := g.routing.Table(); t != nil {
@@ -136,22 +138,20 @@
 	if lists.Table != nil && g.routing.Adopt(lists.Table) {
 		g.applyTable("peer")
 	}
-	if g.trustsAge(lists.ListEra) {
-		g.routing.Confirm(lists.InForce, sent-lists.TableAge)
-	}
 	g.Log.Info("lists fetched from peer", zap.String("peer", address), zap.Int64("configuration", lists.InForce), zap.Duration("configuration_age", lists.TableAge),
 		zap.Int64("revision", lists.ListRevision), zap.Duration("list_age", lists.ListAge))
-	if lists.ListAge < 0 {
-		return
-	}
 	l := upstreamList{upstreams: make(map[string]*fleet.Upstream, len(lists.Upstreams)), asOf: sent - lists.ListAge, fromPeer: true}
 	for _, u := range lists.Upstreams {
 		l.upstreams[u.Instance] = u
 	}
+	trusted := false
 	g.control.Do(func(s *state) {
-		known := false
-		if l.revision, known = s.peerRevision(lists.ListEra, lists.ListRevision); known {
+		l.revision, trusted = s.peerRevision(lists.ListEra, lists.ListRevision)
+		if trusted && lists.ListAge >= 0 {
 			s.replaceUpstreams(l, g.Now())
 		}
 	})
+	if trusted {
+		g.routing.Confirm(lists.InForce, sent-lists.TableAge)
+	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -83,33 +83,33 @@
 		g.Log.Debug("peer not reached", zap.String("peer", address), zap.Error(err))
 		return
 	}
-	g.receiveNews(reply)
+	trusted := g.receiveNews(reply)
 	g.closePeersTried()
 	// The ages are as of when the reply was created. Counting them from when
 	// the call was sent, which was earlier, never makes them look too fresh.
-	if g.trustsAge(reply.Store.Era) {
+	if trusted {
 		g.routing.Confirm(reply.Table, sent-reply.TableAge)
 	}
 	g.control.Send(func(s *state) { s.confirmListAge(reply, sent) })
 }
 
-// trustsAge reports whether a peer that states an era of the store knows how old
-// its configuration is. A build that states none does not notice that the store
-// was restored.
-func (g *Gateway) trustsAge(era int64) bool {
-	trusted := era > 0
-	if !trusted {
-		g.control.Do(func(s *state) { trusted = !s.eras.Restored() })
+// receiveNews merges a peer's news into the state. It reports whether the ages that
+// the peer states count.
+func (g *Gateway) receiveNews(n *peering.News) bool {
+	var restored, trusted bool
+	g.control.Do(func(s *state) {
+		now := g.Now()
+		restored = s.eras.ObservePeer(n.Store.Era, n.Store.EraAge, now)
+		trusted = s.trustsPeer(n.Store.Era)
+		s.mergeNews(n, now)
+	})
+	g.store.RecordEra(n.Store.Era)
+	if restored {
+		g.startEra(n.Store.Era, n.Address.Address)
 	}
 	return trusted
 }
 
-// receiveNews merges a peer's news into the state.
-func (g *Gateway) receiveNews(n *peering.News) {
-	g.observePeerEra(n)
-	g.control.Do(func(s *state) { s.mergeNews(n, g.Now()) })
-}
-
 // isNewerTable reports whether a version is newer than that of the table in
 // force.
 func (g *Gateway) isNewerTable(version int64) bool {
--- a/internal/gateway/removal_test.go
+++ b/internal/gateway/removal_test.go
@@ -23,21 +23,21 @@
 	return u
 }
 
+// applyList applies a list that is current at a boot time, by a store that reports no
+// era.
+func applyList(s *state, number int64, at time.Duration, us ...*fleet.Upstream) {
+	l := listSource{s, at}
+	l.list(0, number, us...)
+}
+
 // TestRetainedEntryExpiresAfterSecondOutage guards against an entry that is
 // retained after an outage, and again after a second one, staying forever:
 // peers would take it for listed.
 func TestRetainedEntryExpiresAfterSecondOutage(t *testing.T) {
 	s := newState(t)
-	list := func(revision int64, at time.Duration, us ...*fleet.Upstream) {
-		l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: numbered(revision), asOf: at}
-		for _, u := range us {
-			l.upstreams[u.Instance] = u
-		}
-		s.replaceUpstreams(l, at)
-	}
-	list(10, 10*time.Second, registeredAt("e", 5))
+	applyList(s, 10, 10*time.Second, registeredAt("e", 5))
 	s.storeFailed[listName] = true
-	list(11, 20*time.Second)
+	applyList(s, 11, 20*time.Second)
 	// The second time a watch finds the store available, without changes.
 	s.applyChanges(platform.UpstreamChanges{Revision: numbered(11)}, 0, 21*time.Second)
 	s.storeFailed[listName] = false
@@ -52,18 +52,11 @@
 // outage, and is listed again, being dropped when the retention ends.
 func TestEntryListedAgainIsKept(t *testing.T) {
 	s := newState(t)
-	list := func(number int64, at time.Duration, us ...*fleet.Upstream) {
-		l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: numbered(number), asOf: at}
-		for _, u := range us {
-			l.upstreams[u.Instance] = u
-		}
-		s.replaceUpstreams(l, at)
-	}
-	list(10, 10*time.Second, registeredAt("e", 5))
+	applyList(s, 10, 10*time.Second, registeredAt("e", 5))
 	s.storeFailed[listName] = true
-	list(11, 20*time.Second)
+	applyList(s, 11, 20*time.Second)
 	s.storeFailed[listName] = false
-	list(12, 21*time.Second, registeredAt("e", 12))
+	applyList(s, 12, 21*time.Second, registeredAt("e", 12))
 	s.expireRetained(30 * time.Second)
 	qt.Check(t, s.upstreams, qt.HasLen, 1)
 }
--- a/internal/gateway/restoration.go
+++ b/internal/gateway/restoration.go
@@ -31,16 +31,6 @@
 	}
 }
 
-// observePeerEra records the era of the store that a peer has stated.
-func (g *Gateway) observePeerEra(n *peering.News) {
-	restored := false
-	g.control.Do(func(s *state) { restored = s.eras.ObservePeer(n.Store.Era, n.Store.EraAge, g.Now()) })
-	g.store.RecordEra(n.Store.Era)
-	if restored {
-		g.startEra(n.Store.Era, n.Address.Address)
-	}
-}
-
 // startEra reads the store anew and registers again after a restoration of the
 // store, of which source has told.
 func (g *Gateway) startEra(era int64, source string) {
@@ -118,14 +108,18 @@
 	return out
 }
 
-// peerRevision returns the revision of a peer's list. A peer that states no era
-// does not know of any, so its word counts only as long as the store is not known
-// to have been restored.
+// trustsPeer reports whether what a peer says of the store counts that states an
+// era. A build that states none does not notice that the store was restored, so its
+// word counts only as long as no restoration is known.
+func (s *state) trustsPeer(era int64) bool { return era > 0 || !s.eras.Restored() }
+
+// peerRevision returns the revision of a peer's list. It returns false if the list
+// does not count.
 func (s *state) peerRevision(era, number int64) (revision.Revision, bool) {
+	if !s.trustsPeer(era) {
+		return revision.Revision{}, false
+	}
 	if era == 0 {
-		if s.eras.Restored() {
-			return revision.Revision{}, false
-		}
 		era = s.listRevision.Era
 	}
 	return revision.Revision{Era: era, Number: number}, true
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -202,8 +202,10 @@
 // count.
 func (s *state) newestRegistrations() map[string]int64 {
 	newest := make(map[string]int64, len(s.upstreams))
-	for _, u := range s.listForPeer() {
-		newest[u.Address] = max(newest[u.Address], u.Registered)
+	for instance, u := range s.upstreams {
+		if _, retained := s.retained[instance]; !retained {
+			newest[u.Address] = max(newest[u.Address], u.Registered)
+		}
 	}
 	return newest
 }
