--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,20 +60,20 @@
 
 // earlierBuilds are commits whose builds must work side by side with the present
 // one.
-var earlierBuilds = []struct {
-	commit, peers string
-}{
-	{"98b08ff", "exchanges News without what Update adds"},
-	{"436f3b6", "exchanges News of other fields, so that neither hears the other"},
+var earlierBuilds = []string{
+	// Exchanges News without what Update adds.
+	"98b08ff",
+	// Exchanges News of other fields, so that neither hears the other.
+	"436f3b6",
 }
 
 // TestEarlierBuilds replaces processes of an earlier build by ones of the present
 // build and the other way round, in runs of planned maintenance alone and of faults.
 func TestEarlierBuilds(t *testing.T) {
-	for _, x := range earlierBuilds {
-		dir := buildCommit(t, x.commit)
+	for _, commit := range earlierBuilds {
+		dir := buildCommit(t, commit)
 		for seed := range uint64(2) {
-			t.Run(fmt.Sprint(x.commit, " ", seed), func(t *testing.T) {
+			t.Run(fmt.Sprint(commit, " ", seed), func(t *testing.T) {
 				t.Parallel()
 				runAndCheck(t, Config{Seed: seed, MaintenanceOnly: seed == 0, EarlierBinDir: dir, Gateways: 4, Callers: 4, Duration: 8 * time.Second})
 			})
