Keep warnings in the log when other lines exceed its limit

The record of streams that were cut does not hold the lines that ended them: a process drops all lines above 300 a second alike, and a fault that ends many requests at once comes with more. Warnings now have a limit of their own, 100 a second, and a part of the queue. TestWarningsAreNotDisplaced fails without it.

--- a/internal/logging/nonblocking.go
+++ b/internal/logging/nonblocking.go
@@ -11,9 +11,13 @@
 const (
 	// maxPendingLines is how many lines may wait to be written.
 	maxPendingLines = 1024
+	// reservedLines is the part of maxPendingLines that only warnings may use.
+	reservedLines = 256
 	// maxLinesPerSecond is how many lines are accepted in each second of the wall
-	// clock, in a single burst or spread out.
-	maxLinesPerSecond = 300
+	// clock, in a single burst or spread out, and maxWarningsPerSecond how many
+	// warnings are accepted besides.
+	maxLinesPerSecond    = 300
+	maxWarningsPerSecond = 100
 	// batchBytes is the size at which a batch of lines is written.
 	batchBytes = 16 << 10
 )
@@ -25,9 +29,23 @@
 	out     io.Writer
 	pending chan []byte
 	dropped atomic.Int64
+	// lines and warnings count the accepted lines.
+	lines, warnings rateCounter
+}
+
+// rateCounter counts what is accepted in the current second.
+type rateCounter struct {
 	// second is the current second in Unix time; accepted counts its lines.
-	second   atomic.Int64
-	accepted atomic.Int64
+	second, accepted atomic.Int64
+}
+
+// allow reports whether another line is within a limit per second.
+func (c *rateCounter) allow(limit int64) bool {
+	now := time.Now().Unix()
+	if c.second.Swap(now) != now {
+		c.accepted.Store(0)
+	}
+	return c.accepted.Add(1) <= limit
 }
 
 // NewNonBlockingWriter returns a NonBlockingWriter that writes to out while Run is
@@ -38,7 +56,24 @@
 
 // Write queues a copy of one line, or drops it. It never fails.
 func (w *NonBlockingWriter) Write(line []byte) (int, error) {
-	if !w.allow() {
+	return w.queue(line, w.lines.allow(maxLinesPerSecond) && len(w.pending) < maxPendingLines-reservedLines)
+}
+
+// Warnings returns a writer whose lines have a limit and a part of the queue of
+// their own, so that other lines don't displace them.
+func (w *NonBlockingWriter) Warnings() io.Writer { return (*warningWriter)(w) }
+
+// warningWriter is a NonBlockingWriter for warnings.
+type warningWriter NonBlockingWriter
+
+// Write queues a copy of one line, or drops it. It never fails.
+func (w *warningWriter) Write(line []byte) (int, error) {
+	return (*NonBlockingWriter)(w).queue(line, w.warnings.allow(maxWarningsPerSecond))
+}
+
+// queue queues a copy of a line if it is allowed and there is room.
+func (w *NonBlockingWriter) queue(line []byte, allowed bool) (int, error) {
+	if !allowed {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
@@ -50,15 +85,6 @@
 	return len(line), nil
 }
 
-// allow reports whether the rate limit admits another line.
-func (w *NonBlockingWriter) allow() bool {
-	now := time.Now().Unix()
-	if w.second.Swap(now) != now {
-		w.accepted.Store(0)
-	}
-	return w.accepted.Add(1) <= maxLinesPerSecond
-}
-
 // Sync does nothing, because Run writes the lines.
 func (w *NonBlockingWriter) Sync() error { return nil }
 
--- a/internal/logging/nonblocking_test.go
+++ b/internal/logging/nonblocking_test.go
@@ -56,3 +56,37 @@
 	// wall clock admitted lines.
 	c.Assert(written <= 3*maxLinesPerSecond, qt.IsTrue, qt.Commentf("%d lines written", written))
 }
+
+// TestWarningsAreNotDisplaced guards against losing the line that explains a
+// failure to the many lines of a busy second.
+func TestWarningsAreNotDisplaced(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	w := NewNonBlockingWriter(&out)
+	log, err := New(w, "info")
+	c.Assert(err, qt.IsNil)
+	for range 5 * maxPendingLines {
+		log.Info("line")
+	}
+	log.Warn("cause")
+	log.Debug("too detailed")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.Assert(w.Run(ctx), qt.IsNil)
+	c.Check(strings.Count(out.String(), "event=cause"), qt.Equals, 1)
+	c.Check(strings.Contains(out.String(), "detailed"), qt.IsFalse)
+}
+
+// TestWarningsAreLimited checks that warnings alone cannot fill the log.
+func TestWarningsAreLimited(t *testing.T) {
+	c := qt.New(t)
+	w := NewNonBlockingWriter(&bytes.Buffer{})
+	log, err := New(w, "info")
+	c.Assert(err, qt.IsNil)
+	const lines = 5000
+	for range lines {
+		log.Warn("cause")
+	}
+	// The lines were logged in less than two seconds.
+	c.Check(w.Dropped() >= lines-3*maxWarningsPerSecond, qt.IsTrue, qt.Commentf("%d dropped", w.Dropped()))
+}
