Log why a stream was cut and whether this process stood still

The hypotheses on streams that end without their end could not be told apart: the log named a reason, but neither whether the upstream had sent data that was not read, nor whether this process ran at all, nor how far the control loop was behind. 'stream cut' is a warning now, 'stream silent' says what was unread and for how long this process stood still, and the timer of the queue shows both the process and the control loop falling behind.

--- a/internal/coordination/selfcheck/selfcheck.go
+++ b/internal/coordination/selfcheck/selfcheck.go
@@ -13,10 +13,10 @@
 
 const (
 	// Interval is the time between two calls of [Monitor.Tick].
-	Interval = 20 * time.Millisecond
+	Interval = 25 * time.Millisecond
 	// Threshold is the shortest time without a tick that counts as a standstill.
 	// It is below the shortest timeout by which an upstream is judged, 60 ms, and
-	// above two intervals.
+	// not below two intervals.
 	Threshold = 50 * time.Millisecond
 	// memory is how long standstills are remembered. It exceeds any timeout by
 	// which an upstream is judged.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/admission"
+	"lovageport.example/internal/coordination/selfcheck"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/pkg/declaration"
@@ -23,8 +24,9 @@
 	// queued.
 	callQueueTimeout = 250 * time.Millisecond
 	// dispatchInterval is how often the queue is dispatched, besides on the
-	// changes that may let a request in.
-	dispatchInterval = 25 * time.Millisecond
+	// changes that may let a request in. The same timer shows whether this
+	// process runs.
+	dispatchInterval = selfcheck.Interval
 	// minRetryAfter and maxRetryAfter bound the delay after which a refused
 	// caller is told to retry.
 	minRetryAfter = 200 * time.Millisecond
@@ -70,8 +72,13 @@
 
 // dispatchQueued periodically dispatches the queue until ctx is done.
 func (g *Gateway) dispatchQueued(ctx context.Context) error {
-	for loop.Sleep(ctx, dispatchInterval) {
+	for due := g.Now() + dispatchInterval; loop.Sleep(ctx, dispatchInterval); due = g.Now() + dispatchInterval {
+		g.recordTick(due)
+		sent := g.Now()
 		g.control.Send(func(s *state) {
+			if behind := g.Now() - sent; behind >= loggedPause {
+				g.Log.Warn("control loop behind", zap.Duration("by", behind))
+			}
 			s.expireRetained(g.Now())
 			s.expireWithheld()
 			s.dispatch(g.Now())
@@ -80,6 +87,24 @@
 	return nil
 }
 
+// loggedPause is the shortest time that is logged for which this process stood
+// still, or its control loop was behind.
+const loggedPause = 200 * time.Millisecond
+
+// recordTick records that a timer due at a boot time has fired.
+func (g *Gateway) recordTick(due time.Duration) {
+	now := g.Now()
+	g.pauses.Tick(due, now)
+	pause := now - due + dispatchInterval
+	if pause < selfcheck.Threshold {
+		return
+	}
+	g.metrics.pauses.Observe(pause.Seconds())
+	if pause >= loggedPause {
+		g.Log.Warn("process stood still", zap.Duration("for", pause), zap.Int64("in_flight", g.inFlight.Load()))
+	}
+}
+
 // admit assigns a target to a request, queues it, or refuses it.
 func (s *state) admit(w *waiter, now time.Duration) {
 	q := w.q
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"lovageport.example/internal/clock"
 	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/coordination/selfcheck"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/setting"
 	"lovageport.example/internal/state/routing"
@@ -86,6 +87,8 @@
 	// has asked for no requests for some time. Until then the checks for
 	// notices skip the control loop.
 	noticeReceived atomic.Bool
+	// pauses records when this process stood still.
+	pauses selfcheck.Monitor
 	// zoneIsolated reports whether gateways of other zones were heard and no
 	// longer are.
 	zoneIsolated atomic.Bool
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -81,10 +81,24 @@
 		return
 	}
 	s.g.metrics.refusals.WithLabelValues(string(e.Reason), e.Run.String()).Inc()
+	s.logCut(e)
 	s.g.logOutcome(s.request, s.status, e)
 	panic(http.ErrAbortHandler)
 }
 
+// logCut logs and counts a stream that ends without its end, unless its caller
+// has gone.
+func (s *generation) logCut(e *verdict.Error) {
+	if e.Reason == verdict.CallerGone {
+		return
+	}
+	now := s.g.Now()
+	s.g.metrics.cutStreams.WithLabelValues(string(e.Reason)).Inc()
+	s.g.Log.Warn("stream cut", zap.String("request", s.ID), zap.String("reason", string(e.Reason)), zap.Int("attempts", s.attempts),
+		zap.String("upstream", e.Upstream), zap.String("last_event", s.lastEventID), zap.Duration("last_event_age", now-s.lastEvent),
+		zap.Duration("stood_still", s.g.pauses.Longest(s.lastEvent, now)), zap.Int64("configuration", s.tableVersion), zap.Int64("configuration_now", s.g.routing.Table().Version), zap.Error(e))
+}
+
 // attempt runs the generation on one chain.
 func (s *generation) attempt(ctx context.Context) error {
 	to, err := s.g.acquireTarget(ctx, s.request)
@@ -100,6 +114,7 @@
 		return detector.attribute(err)
 	}
 	defer resp.Close()
+	detector.setResponse(resp)
 	if resp.head.Status != http.StatusOK {
 		return s.relayResponse(ctx, to, resp)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,7 +25,12 @@
 	lostStages *prometheus.CounterVec
 	// notices counts the responses in which upstreams announce that they leave
 	// or ask for no requests.
-	notices      *prometheus.CounterVec
+	notices *prometheus.CounterVec
+	// cutStreams counts the streams that ended after their header without their
+	// end, by reason.
+	cutStreams *prometheus.CounterVec
+	// pauses is how long this process stood still at a time.
+	pauses       prometheus.Histogram
 	tableVersion prometheus.Gauge
 	// storeRestorations counts how often the store was restored from a copy.
 	storeRestorations prometheus.Counter
@@ -66,6 +71,13 @@
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_upstream_notices_total", Help: "Answers whose upstream says that it leaves, or wants no requests for a while.",
 		}, []string{"notice"}),
+		cutStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_cut_streams_total", Help: "Streams that ended after their header without their end, by reason.",
+		}, []string{"reason"}),
+		pauses: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "lovageport_gateway_pause_seconds", Help: "Times that this process stood still.",
+			Buckets: prometheus.ExponentialBuckets(0.05, 2, 8),
+		}),
 		tableVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "lovageport_gateway_configuration_version", Help: "Version of the configuration in force.",
 		}),
@@ -84,7 +96,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -37,6 +37,9 @@
 	// target is where the stream runs; its first stage never changes. Guarded
 	// by mu.
 	target target
+	// response is the response of the attempt; nil before its header has arrived.
+	// Guarded by mu.
+	response *response
 	// timer runs until the detector is stopped. started reports whether an
 	// event has arrived, and checks counts the checks since the last event.
 	// Guarded by mu.
@@ -59,6 +62,17 @@
 	return d
 }
 
+// setResponse sets the response of the attempt.
+func (d *stallDetector) setResponse(resp *response) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.response = resp
+}
+
+// hasUnread reports whether the response has data that was not read yet. The
+// caller holds mu.
+func (d *stallDetector) hasUnread() bool { return d.response != nil && d.response.HasUnread() }
+
 // nextDelay returns the delay before the next check.
 func (d *stallDetector) nextDelay() time.Duration {
 	s := health.ProbeSchedule{Objective: d.q.route.Objective, MaxPause: d.q.route.MaxPause, EventInterval: d.meanInterval}
@@ -145,7 +159,8 @@
 	now := d.g.Now()
 	d.g.Log.Info("stream silent", zap.String("request", d.q.ID), zap.String("upstream", to.upstream.Instance),
 		zap.String("at_fault", faulty), zap.Int("questions", d.checks+1),
-		zap.Duration("last_event_age", now-max(d.lastEventAt, d.q.arrived)), zap.Duration("since_start", now-d.q.arrived))
+		zap.Duration("last_event_age", now-max(d.lastEventAt, d.q.arrived)), zap.Duration("since_start", now-d.q.arrived),
+		zap.Bool("unread", d.hasUnread()), zap.Duration("stood_still", d.g.pauses.Longest(max(d.lastEventAt, d.q.arrived), now)))
 	select {
 	case d.fault <- faulty:
 	default:
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -211,8 +211,7 @@
 	}
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, recvErr := peek(fd)
 		quiet = recvErr == syscall.EAGAIN
 		return true
 	})
