Guard what a request's attempts have shown by a lock

The control loop reads the upstreams that a request ran on, its first stage and its attempts only between two attempts; looking for the next target while an attempt still runs would race. These fields are behind a lock now and are read as one copy. No behaviour changes.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -244,8 +244,8 @@
 	if pool == nil {
 		return target{}, verdict.Refuse(verdict.NoUpstream, "no upstream of %s is in service", q.service)
 	}
-	if q.attempts >= maxAttempts {
-		return target{}, verdict.Refuse(verdict.RetryLimit, "given up after %d attempts", q.attempts)
+	if n := q.history().attempts; n >= maxAttempts {
+		return target{}, verdict.Refuse(verdict.RetryLimit, "given up after %d attempts", n)
 	}
 	if err := s.checkQuarantine(q, now); err != nil {
 		return target{}, err
@@ -263,9 +263,8 @@
 	if err := s.chargeRetry(q, now); err != nil {
 		return target{}, err
 	}
-	q.attempts++
 	s.reserve(q, to, now)
-	s.log.Info("place given", zap.String("request", q.ID), zap.Int("attempt", q.attempts), zap.String("upstream", to.upstream.Instance),
+	s.log.Info("place given", zap.String("request", q.ID), zap.Int("attempt", q.countAttempt()), zap.String("upstream", to.upstream.Instance),
 		zap.Stringer("chain", to), zap.Int("stages", len(to.chain)), zap.Int("zone_changes", zoneChanges(s.zone, to)), zap.Float64("fill", math.Round(to.utilization*1000)/1000), zap.Duration("predicted_first", to.predictedFirst),
 		zap.Float64("tokens", q.tokens), zap.Duration("list_age", now-s.listedAt), zap.Int("peers", s.alivePeers))
 	return to, nil
@@ -275,8 +274,8 @@
 // error if the allowance is used up.
 func (s *state) chargeRetry(q *request, now time.Duration) error {
 	w := s.retryWindow(q.service)
-	if !q.sent {
-		if q.attempts == 0 {
+	if h := q.history(); !h.sent {
+		if h.attempts == 0 {
 			w.RecordRequest(s.retryAllowance, now)
 		}
 		return nil
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,15 +52,13 @@
 		return nil, g.recordFailure(q, to, protocolError("answer to another request"), relay.ResponseHead{Status: head.Status})
 	case head.NotRun:
 		resp.Close()
-		q.sent = true
+		q.recordRefusal()
 		return nil, g.recordFailure(q, to, &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamBusy, Message: "upstream refused"}, head)
 	case head.ContentEncoded, head.Status/100 == 2 && !head.FromUpstream:
 		resp.Close()
 		return nil, g.recordFailure(q, to, protocolError("answer is not the upstream's own"), head)
 	}
-	q.sent = true
-	q.recordRun(to.upstream.Instance)
-	q.firstStage = to.upstream.Instance
+	q.recordResponse(to.upstream.Instance)
 	return resp, nil
 }
 
@@ -101,7 +99,6 @@
 func (g *Gateway) recordFailure(q *request, to target, err error, head relay.ResponseHead) error {
 	e := verdict.Of(err)
 	if e.Run != verdict.NotRun {
-		q.sent = true
 		q.recordRun(to.upstream.Instance)
 	}
 	if e.Reason == verdict.CallerGone {
@@ -112,7 +109,7 @@
 	}
 	g.control.Do(func(s *state) { s.attributeFailure(q, to, e, head, g.Now()) })
 	g.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
-	g.Log.Info("attempt failed", zap.String("request", q.ID), zap.Int("attempt", q.attempts),
+	g.Log.Info("attempt failed", zap.String("request", q.ID), zap.Int("attempt", q.history().attempts),
 		zap.String("upstream", to.upstream.Instance), zap.String("at_fault", e.Upstream), zap.Int("status", head.Status),
 		zap.String("reason", string(e.Reason)), zap.Stringer("verdict", e.Run), zap.Duration("took", g.Now()-q.arrived), zap.Error(e))
 	return e
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -92,11 +92,11 @@
 	if e.Reason == verdict.CallerGone {
 		return
 	}
-	now := s.g.Now()
+	now, h := s.g.Now(), s.history()
 	s.g.metrics.cutStreams.WithLabelValues(string(e.Reason)).Inc()
-	s.g.Log.Warn("stream cut", zap.String("request", s.ID), zap.String("reason", string(e.Reason)), zap.Int("attempts", s.attempts),
-		zap.String("upstream", e.Upstream), zap.String("last_event", s.lastEventID), zap.Duration("last_event_age", now-s.lastEvent),
-		zap.Duration("stood_still", s.g.pauses.Longest(s.lastEvent, now)), zap.Int64("configuration", s.tableVersion), zap.Int64("configuration_now", s.g.routing.Table().Version), zap.Error(e))
+	s.g.Log.Warn("stream cut", zap.String("request", s.ID), zap.String("reason", string(e.Reason)), zap.Int("attempts", h.attempts),
+		zap.String("upstream", e.Upstream), zap.String("last_event", s.lastEventID), zap.Duration("last_event_age", now-h.lastEvent),
+		zap.Duration("stood_still", s.g.pauses.Longest(h.lastEvent, now)), zap.Int64("configuration", s.tableVersion), zap.Int64("configuration_now", s.g.routing.Table().Version), zap.Error(e))
 }
 
 // attempt runs the generation on one chain.
@@ -216,7 +216,7 @@
 	if ctx.Err() != nil {
 		return e
 	}
-	s.g.Log.Info("stream broke", zap.String("request", s.ID), zap.Int("attempt", s.attempts), zap.String("upstream", to.upstream.Instance),
+	s.g.Log.Info("stream broke", zap.String("request", s.ID), zap.Int("attempt", s.history().attempts), zap.String("upstream", to.upstream.Instance),
 		zap.String("last_event", s.lastEventID), zap.Error(err))
 	if errors.Is(err, http1.ErrMalformed) {
 		e.Reason = verdict.UpstreamProtocol
--- a/internal/gateway/invocation.go
+++ b/internal/gateway/invocation.go
@@ -73,7 +73,7 @@
 		return nil, nil, err
 	}
 	defer g.control.Send(func(s *state) { s.release(q, to) })
-	if q.route.Kind == routing.Idempotent && len(q.ranOn)+1 < q.route.MaxUpstreams {
+	if q.route.Kind == routing.Idempotent && q.upstreamsRun()+1 < q.route.MaxUpstreams {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, callAttemptTimeout)
 		defer cancel()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"lovageport.example/internal/protocol/relay"
@@ -32,23 +34,29 @@
 	tableVersion int64
 	tableAge     time.Duration
 
+	// excluded holds the upstreams that failed the request. It is accessed only
+	// from the control loop.
+	excluded map[string]bool
+	// queueDeadline is the boot time until which the request may be queued;
+	// after that its caller has probably gone.
+	queueDeadline time.Duration
+	// firstEvent is the time from arrival until the first byte of the response
+	// was passed on, and longestPause the longest time between two events.
+	firstEvent, longestPause time.Duration
+
+	// mu guards the fields below: while an attempt runs, the control loop may
+	// look for the next one.
+	mu sync.Mutex
 	// sent reports whether an attempt has reached an upstream.
 	sent bool
 	// ranOn holds the upstreams, first stages in the case of chains, that may
 	// have run the request.
 	ranOn map[string]bool
-	// excluded holds the upstreams that failed the request.
-	excluded map[string]bool
 	// firstStage is the first stage of the last attempt, which the next one
 	// prefers.
 	firstStage string
-	// queueDeadline is the boot time until which the request may be queued;
-	// after that its caller has probably gone.
-	queueDeadline time.Duration
-	// firstEvent is the time from arrival until the first byte of the response
-	// was passed on, and longestPause the longest time between two events.
-	firstEvent, longestPause time.Duration
-	lastEvent                time.Duration
+	// lastEvent is the boot time of the last event; 0 if there was none.
+	lastEvent time.Duration
 	// attempts counts the targets that were assigned.
 	attempts int
 }
@@ -60,16 +68,62 @@
 	q.excluded[instance] = true
 }
 
+// recordRun records that an upstream may have run the request.
 func (q *request) recordRun(instance string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sent = true
 	if q.ranOn == nil {
 		q.ranOn = make(map[string]bool)
 	}
 	q.ranOn[instance] = true
 }
 
+// recordResponse records that an upstream has begun to answer.
+func (q *request) recordResponse(instance string) {
+	q.recordRun(instance)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.firstStage = instance
+}
+
+// recordRefusal records that an upstream has received the request and not run
+// it.
+func (q *request) recordRefusal() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sent = true
+}
+
+// countAttempt counts a target that is assigned, and returns its number.
+func (q *request) countAttempt() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.attempts++
+	return q.attempts
+}
+
+// history is what the attempts of a request have shown.
+type history struct {
+	sent       bool
+	ranOn      map[string]bool
+	firstStage string
+	lastEvent  time.Duration
+	attempts   int
+}
+
+// history returns what the attempts have shown so far.
+func (q *request) history() history {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return history{sent: q.sent, ranOn: maps.Clone(q.ranOn), firstStage: q.firstStage, lastEvent: q.lastEvent, attempts: q.attempts}
+}
+
 // recordEvent records that a part of the response is passed on. It returns the
 // time since the previous part.
 func (q *request) recordEvent(now time.Duration) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	if q.lastEvent == 0 {
 		q.firstEvent = now - q.arrived
 		q.lastEvent = now
@@ -82,7 +136,14 @@
 }
 
 // mayHaveRun reports whether an upstream may have run the request.
-func (q *request) mayHaveRun() bool { return len(q.ranOn) > 0 }
+func (q *request) mayHaveRun() bool { return q.upstreamsRun() > 0 }
+
+// upstreamsRun returns the number of upstreams that may have run the request.
+func (q *request) upstreamsRun() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.ranOn)
+}
 
 // mayRetry reports whether another attempt is allowed after one that failed. If
 // so it extends the queue deadline.
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -95,22 +95,20 @@
 	}
 }
 
-// chainQuery returns the search for the chain of a request's next attempt. It
-// must not be called during an attempt.
+// chainQuery returns the search for the chain of a request's next attempt.
 func (s *state) chainQuery(p *servicePool, q *request, excluded map[string]bool, now time.Duration) *pathfinding.Query {
 	query := s.stageQuery(p, q, excluded, now)
-	query.PreferFirst = q.firstStage
-	query.Urgent = q.lastEvent > 0
+	h := q.history()
+	query.PreferFirst = h.firstStage
+	query.Urgent = h.lastEvent > 0
 	if s.atUpstreamLimit(q) {
 		mayCall := query.MayBeFirst
-		query.MayBeFirst = func(u *fleet.Upstream) bool { return q.ranOn[u.Instance] && mayCall(u) }
+		query.MayBeFirst = func(u *fleet.Upstream) bool { return h.ranOn[u.Instance] && mayCall(u) }
 	}
 	return query
 }
 
-// stageQuery returns the search for stages of a request. It may be called
-// during an attempt, since it reads no field that the attempt modifies outside
-// of the control loop.
+// stageQuery returns the search for stages of a request.
 func (s *state) stageQuery(p *servicePool, q *request, excluded map[string]bool, now time.Duration) *pathfinding.Query {
 	return &pathfinding.Query{
 		Zone:         s.zone,
@@ -141,7 +139,7 @@
 // now failed to answer in time, count, since they may still run it.
 func (s *state) atUpstreamLimit(q *request) bool {
 	ran := 0
-	for instance := range q.ranOn {
+	for instance := range q.history().ranOn {
 		if s.upstreams[instance] != nil && !s.health.ConfirmedDown(instance) {
 			ran++
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -286,7 +286,7 @@
 		zap.Duration("took", g.Now()-q.arrived),
 		zap.Duration("first_event", q.firstEvent),
 		zap.Duration("longest_pause", q.longestPause),
-		zap.Int("attempts", q.attempts),
+		zap.Int("attempts", q.history().attempts),
 		zap.Int64("configuration", q.tableVersion),
 		zap.Duration("configuration_age", q.tableAge),
 	}
