Give a silent stream up only once another attempt has its target

Cause: the stall detector cancelled an attempt as soon as it suspected a stage, and only then asked for another target. If the retry allowance was used up, the route allowed no other upstream, or no chain had room, the stream ended, although a suspected engine is only silent and may continue. On a small core that takes in a large configuration many suspicions come at one moment, since the answers to the detector's own checks are read late.

The class of fault: silence is taken for proof, and what runs is given up before what is to follow is certain.

Change: the detector searches the next target while the attempt runs (handover), in the queue like any other request, and cancels it once the target is assigned. An event that arrives meanwhile ends the search; the target and the retry are taken back. A stage that refuses connections has ended, and its attempt is cancelled at once as before. An attempt whose response is awaited counts among the upstreams that may have run the request. A stream that must not be sent twice is not given up for silence at all.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -196,6 +196,12 @@
 	return rec != nil && (rec.unreachable || rec.stalled)
 }
 
+// Refuses reports whether an upstream refuses connections: its process has ended.
+func (t *Tracker) Refuses(instance string) bool {
+	rec := t.records[instance]
+	return rec != nil && rec.unreachable
+}
+
 // ConfirmedDown reports whether an upstream is known to have ended or to be
 // partitioned: it refuses connections, or has stalled and failed a probe. One
 // that has only stalled may still be working.
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -92,6 +92,12 @@
 	return true
 }
 
+// Return takes back a retry that was allowed and not sent.
+func (w *Window) Return(a Allowance, now time.Duration) {
+	newest := w.advance(a, now)
+	newest.Retries = max(0, newest.Retries-1)
+}
+
 // requestShare returns the share of a process in the requests of all processes.
 // Each process counts one request more than it has had, so that one whose requests
 // are older than the window has a share too. The shares add up to 1.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -220,12 +220,21 @@
 	select {
 	case r := <-w.reply:
 		if r.err == nil {
-			s.release(w.q, r.target)
+			s.returnTarget(w.q, r.target)
 		}
 	default:
 	}
 }
 
+// returnTarget takes back a target to which nothing was sent.
+func (s *state) returnTarget(q *request, to target) {
+	s.release(q, to)
+	q.discountAttempt()
+	if to.retry {
+		s.retryWindow(q.service).Return(s.retryAllowance, s.now())
+	}
+}
+
 // bootTime converts a boot time for packages that take a time of day.
 func bootTime(boot time.Duration) time.Time { return time.Unix(0, int64(boot)) }
 
@@ -260,7 +269,7 @@
 	if err != nil {
 		return target{}, err
 	}
-	if err := s.chargeRetry(q, now); err != nil {
+	if to.retry, err = s.chargeRetry(q, now); err != nil {
 		return target{}, err
 	}
 	s.reserve(q, to, now)
@@ -270,18 +279,18 @@
 	return to, nil
 }
 
-// chargeRetry counts an attempt against the retry allowance. It returns an
-// error if the allowance is used up.
-func (s *state) chargeRetry(q *request, now time.Duration) error {
+// chargeRetry counts an attempt against the retry allowance and reports whether
+// it is a retry. It returns an error if the allowance is used up.
+func (s *state) chargeRetry(q *request, now time.Duration) (bool, error) {
 	w := s.retryWindow(q.service)
 	if h := q.history(); !h.sent {
 		if h.attempts == 0 {
 			w.RecordRequest(s.retryAllowance, now)
 		}
-		return nil
+		return false, nil
 	}
 	if !w.Allow(s.effectiveAllowance(), s.peerRetryCounts(q.service), s.gatewayCount(), now) {
-		return verdict.RefuseUntil(repairRetryAfter, verdict.RetryBudget, "too many retries are under way")
+		return false, verdict.RefuseUntil(repairRetryAfter, verdict.RetryBudget, "too many retries are under way")
 	}
-	return nil
+	return true, nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,6 +39,8 @@
 		Priority:    q.rank,
 		ResumeAfter: resumeAfter,
 	}
+	q.beginSend(to.upstream.Instance)
+	defer q.endSend()
 	resp, err := g.exchange(ctx, call)
 	if err != nil {
 		return nil, g.recordFailure(q, to, err, relay.ResponseHead{})
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -31,12 +31,16 @@
 	failureBody []byte
 	// lastEventID is the ID of the last event that the caller has received.
 	lastEventID string
+	// successor is the target of the next attempt, which was assigned before the
+	// last attempt was given up; nil if there is none.
+	successor *target
 }
 
 // generate forwards a generation. If its route allows that, a stream that
 // breaks is resumed on other upstreams within the same response.
 func (g *Gateway) generate(ctx context.Context, w http.ResponseWriter, q *request) {
 	s := &generation{request: q, g: g, out: w, status: http.StatusOK, lastEventID: q.ResumeAfter}
+	defer s.returnSuccessor()
 	for {
 		err := s.attempt(ctx)
 		if err == nil {
@@ -101,7 +105,7 @@
 
 // attempt runs the generation on one chain.
 func (s *generation) attempt(ctx context.Context) error {
-	to, err := s.g.acquireTarget(ctx, s.request)
+	to, err := s.nextTarget(ctx)
 	if err != nil {
 		return err
 	}
@@ -121,9 +125,30 @@
 	return detector.attribute(s.copyEvents(ctx, to, resp, detector))
 }
 
+// nextTarget returns the target of the next attempt.
+func (s *generation) nextTarget(ctx context.Context) (target, error) {
+	if s.successor == nil {
+		return s.g.acquireTarget(ctx, s.request)
+	}
+	to := *s.successor
+	s.successor = nil
+	return to, nil
+}
+
+// returnSuccessor takes back the target of a next attempt that is not made.
+func (s *generation) returnSuccessor() {
+	if s.successor == nil {
+		return
+	}
+	to := *s.successor
+	s.g.control.Send(func(st *state) { st.returnTarget(s.request, to) })
+}
+
 // releaseTarget stops the stall detector of an attempt and releases its target.
+// The next attempt gets the target that the detector has found, if any.
 func (s *generation) releaseTarget(detector *stallDetector) {
-	to := detector.stop()
+	to, successor := detector.stop()
+	s.successor = successor
 	s.g.control.Send(func(st *state) { st.release(s.request, to) })
 }
 
--- /dev/null
+++ b/internal/gateway/handover_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/loop"
+	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/routing"
+)
+
+// handoverGateway returns a gateway with the engines e1 and e2, whose control
+// loop runs until the test ends, and a handover of a request that runs on e1.
+func handoverGateway(t *testing.T) (*Gateway, *handover) {
+	s := newState(t)
+	s.retryAllowance = retry.Allowance{Slack: 100, Window: 10 * time.Second}
+	upstreams := map[string]*fleet.Upstream{}
+	for _, name := range []string{"e1", "e2"} {
+		u := engine(name, 10)
+		u.Address, u.Slots = name, 192
+		upstreams[name] = u
+	}
+	s.replaceUpstreams(upstreamList{upstreams: upstreams, revision: numbered(2), asOf: time.Second}, time.Second)
+	g := &Gateway{Log: s.log, Now: s.now, control: loop.New[state]()}
+	g.control.State = *s
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go g.control.Run(ctx)
+	q := &request{service: "llm", tokens: usualTokens, deadline: time.Hour, route: &routing.Route{Kind: routing.Stream, Resumable: true, MaxUpstreams: 2}}
+	q.countAttempt()
+	q.beginSend("e1")
+	q.exclude("e1")
+	return g, &handover{g: g, q: q}
+}
+
+// TestUnusedSuccessorIsReturned guards against a retry that is counted although
+// its stream continued meanwhile and nothing was sent.
+func TestUnusedSuccessorIsReturned(t *testing.T) {
+	c := qt.New(t)
+	g, h := handoverGateway(t)
+	ctx, ok := h.begin()
+	c.Assert(ok, qt.IsTrue)
+	h.drop()
+	_, err := h.find(ctx)
+	c.Check(err, qt.Equals, errAttemptContinues)
+	g.control.Do(func(s *state) {
+		c.Check(s.retryWindow("llm").Counts(s.retryAllowance, g.Now()).Retries, qt.Equals, 0.0)
+		c.Check(s.loadOf("e2").requests, qt.Equals, 0)
+	})
+	c.Check(h.q.history().attempts, qt.Equals, 1)
+}
+
+// TestSuccessorCountsRunningAttempt guards against a successor on one upstream
+// too many: the attempt that waits for its response may run as well.
+func TestSuccessorCountsRunningAttempt(t *testing.T) {
+	c := qt.New(t)
+	_, h := handoverGateway(t)
+	h.q.route.MaxUpstreams = 1
+	ctx, ok := h.begin()
+	c.Assert(ok, qt.IsTrue)
+	_, err := h.find(ctx)
+	c.Check(err, qt.ErrorMatches, ".*as many upstreams as it may.*")
+}
+
+// TestNoSuccessorAfterEnd checks that no search begins or goes on after the end
+// of the attempt, for one that must not be sent twice, or beside another search.
+func TestNoSuccessorAfterEnd(t *testing.T) {
+	c := qt.New(t)
+	_, h := handoverGateway(t)
+	ctx, ok := h.begin()
+	c.Assert(ok, qt.IsTrue)
+	_, second := h.begin()
+	c.Check(second, qt.IsFalse)
+	to, err := h.find(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Check(to.upstream.Instance, qt.Equals, "e2")
+	h.stop()
+	_, ok = h.begin()
+	c.Check(ok, qt.IsFalse)
+	_, h = handoverGateway(t)
+	h.q.route.Resumable = false
+	_, ok = h.begin()
+	c.Check(ok, qt.IsFalse)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,9 @@
 	// cutStreams counts the streams that ended after their header without their
 	// end, by reason.
 	cutStreams *prometheus.CounterVec
+	// keptStreams counts how often a silent attempt was kept because no other one
+	// could follow, by reason.
+	keptStreams *prometheus.CounterVec
 	// pauses is how long this process stood still at a time.
 	pauses       prometheus.Histogram
 	tableVersion prometheus.Gauge
@@ -74,6 +77,9 @@
 		cutStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_cut_streams_total", Help: "Streams that ended after their header without their end, by reason.",
 		}, []string{"reason"}),
+		keptStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_kept_streams_total", Help: "Silent attempts that were kept because no other could follow, by reason.",
+		}, []string{"reason"}),
 		pauses: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lovageport_gateway_pause_seconds", Help: "Times that this process stood still.",
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 8),
@@ -96,7 +102,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,6 +49,9 @@
 	mu sync.Mutex
 	// sent reports whether an attempt has reached an upstream.
 	sent bool
+	// sentTo is the upstream whose response an attempt waits for; empty if there
+	// is none.
+	sentTo string
 	// ranOn holds the upstreams, first stages in the case of chains, that may
 	// have run the request.
 	ranOn map[string]bool
@@ -95,6 +98,21 @@
 	q.sent = true
 }
 
+// beginSend records that an attempt is sent to an upstream, which may run the
+// request until its response, or its failure, tells.
+func (q *request) beginSend(instance string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sentTo = instance
+}
+
+// endSend records that the outcome of an attempt that was sent is recorded.
+func (q *request) endSend() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sentTo = ""
+}
+
 // countAttempt counts a target that is assigned, and returns its number.
 func (q *request) countAttempt() int {
 	q.mu.Lock()
@@ -103,7 +121,15 @@
 	return q.attempts
 }
 
-// history is what the attempts of a request have shown.
+// discountAttempt takes back an attempt for which nothing was sent.
+func (q *request) discountAttempt() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.attempts--
+}
+
+// history is what the attempts of a request have shown. An attempt whose response
+// is awaited counts as sent, and its upstream as one that may have run it.
 type history struct {
 	sent       bool
 	ranOn      map[string]bool
@@ -116,7 +142,16 @@
 func (q *request) history() history {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return history{sent: q.sent, ranOn: maps.Clone(q.ranOn), firstStage: q.firstStage, lastEvent: q.lastEvent, attempts: q.attempts}
+	h := history{sent: q.sent, ranOn: maps.Clone(q.ranOn), firstStage: q.firstStage, lastEvent: q.lastEvent, attempts: q.attempts}
+	if q.sentTo == "" {
+		return h
+	}
+	h.sent = true
+	if h.ranOn == nil {
+		h.ranOn = make(map[string]bool)
+	}
+	h.ranOn[q.sentTo] = true
+	return h
 }
 
 // recordEvent records that a part of the response is passed on. It returns the
@@ -169,6 +204,8 @@
 	utilization float64
 	// predictedFirst is the expected time until the first event; 0 if unknown.
 	predictedFirst time.Duration
+	// retry reports whether the attempt was counted against the retry allowance.
+	retry bool
 	// activity is that of each stage, shared by all streams.
 	activity []*stageActivity
 }
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -26,12 +26,14 @@
 
 // stallDetector monitors a stream and checks its stages when no event arrives.
 // It cancels the attempt only if a stage is found at fault, since an engine may
-// be slow for other reasons.
+// be slow for other reasons, and, unless the stage has ended, only once the next
+// attempt has its target, since a silent stage may still continue.
 type stallDetector struct {
-	g      *Gateway
-	q      *request
-	cancel context.CancelFunc
-	fault  chan string
+	g        *Gateway
+	q        *request
+	cancel   context.CancelFunc
+	fault    chan string
+	handover handover
 
 	mu sync.Mutex
 	// target is where the stream runs; its first stage never changes. Guarded
@@ -49,13 +51,16 @@
 	// replaced reports whether a stage was replaced since the last event.
 	// Guarded by mu.
 	replaced bool
+	// successor is the target of the next attempt, for which this one was
+	// cancelled; nil if there is none. Guarded by mu.
+	successor *target
 	// lastEventAt is when the last event arrived, and meanInterval the moving
 	// average of the time between events; 0 if unknown. Guarded by mu.
 	lastEventAt, meanInterval time.Duration
 }
 
 func newStallDetector(g *Gateway, q *request, to target, cancel context.CancelFunc) *stallDetector {
-	d := &stallDetector{g: g, q: q, cancel: cancel, fault: make(chan string, 1), target: to}
+	d := &stallDetector{g: g, q: q, cancel: cancel, fault: make(chan string, 1), target: to, handover: handover{g: g, q: q}}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.timer = time.AfterFunc(d.nextDelay(), d.check)
@@ -96,6 +101,7 @@
 		d.meanInterval += time.Duration(intervalWeight * float64(now-d.lastEventAt-d.meanInterval))
 	}
 	d.started, d.lastEventAt, d.replaced = true, now, false
+	d.handover.drop()
 	d.schedule(0)
 }
 
@@ -107,13 +113,15 @@
 	}
 }
 
-// stop stops the detector and returns the stream's last target.
-func (d *stallDetector) stop() target {
+// stop stops the detector. It returns the stream's last target and that of the
+// next attempt, if one was found.
+func (d *stallDetector) stop() (last target, successor *target) {
+	d.handover.stop()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.stopped = true
 	d.timer.Stop()
-	return d.target
+	return d.target, d.successor
 }
 
 // firstStageReportAfter is the number of fruitless checks after which the first
@@ -126,19 +134,26 @@
 const maxChecksAfterReplacement = 5
 
 // check checks the stages of the stream. A stage that is found at fault is
-// replaced, or the attempt ends.
+// replaced, or the attempt is given up.
 func (d *stallDetector) check() {
 	d.mu.Lock()
 	to, askFirst, lastEventAt := d.target, d.checks >= firstStageReportAfter, d.lastEventAt
 	d.mu.Unlock()
-	i := d.g.findStalledStage(d.q, to, askFirst)
+	i, ended := d.g.findStalledStage(d.q, to, askFirst)
 	if i > 0 && d.replaceStage(to, i) {
 		return
 	}
+	d.giveUp(to, i, ended, lastEventAt)
+}
+
+// giveUp ends the attempt because of stage i, or because of no progress since a
+// stage was replaced, unless an event has arrived since lastEventAt and restarted
+// the detection. If the stage has not ended, the attempt continues until the next
+// one has its target.
+func (d *stallDetector) giveUp(to target, i int, ended bool, lastEventAt time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.lastEventAt != lastEventAt {
-		// An event has arrived meanwhile and restarted the detection.
 		return
 	}
 	if i < 0 && d.replaced && d.checks >= maxChecksAfterReplacement {
@@ -150,7 +165,43 @@
 		d.schedule(d.checks + 1)
 		return
 	}
-	d.abort(to, i)
+	if ended {
+		d.abort(to, i)
+		return
+	}
+	d.handOver(to, i, lastEventAt)
+}
+
+// handOver ends the attempt because of stage i once the next attempt has its
+// target. The caller holds mu, which is released meanwhile.
+func (d *stallDetector) handOver(to target, i int, lastEventAt time.Duration) {
+	ctx, ok := d.handover.begin()
+	if !ok {
+		d.schedule(d.checks + 1)
+		return
+	}
+	d.mu.Unlock()
+	next, err := d.handover.find(ctx)
+	d.mu.Lock()
+	switch {
+	case err == errAttemptContinues:
+		// An event or the end of the attempt has ended the search.
+	case err != nil:
+		d.logKept(to, i, err)
+		d.schedule(d.checks + 1)
+	case d.lastEventAt != lastEventAt:
+		d.g.control.Send(func(s *state) { s.returnTarget(d.q, next) })
+	default:
+		d.successor = &next
+		d.abort(to, i)
+	}
+}
+
+// logKept logs that the attempt continues, because no other one may follow it.
+func (d *stallDetector) logKept(to target, i int, err error) {
+	d.g.metrics.keptStreams.WithLabelValues(string(verdict.Of(err).Reason)).Inc()
+	d.g.Log.Info("silent stream kept", zap.String("request", d.q.ID), zap.String("upstream", to.upstream.Instance),
+		zap.String("at_fault", to.chain[i].Upstream.Instance), zap.Duration("last_event_age", d.g.Now()-max(d.lastEventAt, d.q.arrived)), zap.Error(err))
 }
 
 // abort ends the attempt because of stage i. The caller holds mu.
@@ -184,15 +235,19 @@
 }
 
 // findStalledStage returns the index of the stage that a generation waits for,
-// or a negative number if none is found at fault. Stages that streams have
-// passed recently are taken to be well; the others are checked concurrently. If
-// askFirst is set, the first stage is then asked which stage it waits for.
-func (g *Gateway) findStalledStage(q *request, to target, askFirst bool) int {
+// or a negative number if none is found at fault, and whether the stage is known
+// to have ended. Stages that streams have passed recently are taken to be well;
+// the others are checked concurrently. If askFirst is set, the first stage is then
+// asked which stage it waits for.
+func (g *Gateway) findStalledStage(q *request, to target, askFirst bool) (i int, ended bool) {
 	var suspects []int
-	i := -1
-	g.control.Do(func(s *state) { suspects, i = s.suspectStages(to, g.Now()) })
+	i = -1
+	g.control.Do(func(s *state) {
+		suspects, i = s.suspectStages(to, g.Now())
+		ended = i >= 0 && s.health.Refuses(to.chain[i].Upstream.Instance)
+	})
 	if i < 0 {
-		i = g.checkStages(to, suspects)
+		i, ended = g.checkStages(to, suspects)
 	}
 	if i < 0 && askFirst {
 		i = g.askFirstStage(q, to)
@@ -200,7 +255,7 @@
 	if i >= 0 {
 		g.control.Do(func(s *state) { s.attributeStall(q, to, i, g.Now()) })
 	}
-	return i
+	return i, ended
 }
 
 // suspectStages returns the stages that no stream has passed recently, and the
@@ -229,8 +284,9 @@
 
 // checkStages checks stages concurrently. It returns the first that refuses
 // connections as soon as it is known, otherwise the first in the chain that
-// does not answer in time; negative if all answer.
-func (g *Gateway) checkStages(to target, suspects []int) int {
+// does not answer in time; negative if all answer. It reports whether the stage
+// refuses connections.
+func (g *Gateway) checkStages(to target, suspects []int) (stage int, refuses bool) {
 	replies := make(chan stageReply, len(suspects))
 	for _, i := range suspects {
 		go func() {
@@ -243,7 +299,7 @@
 		r := <-replies
 		switch verdict.Of(r.err).Reason {
 		case verdict.UpstreamRefused:
-			return r.stage
+			return r.stage, true
 		case verdict.UpstreamBusy:
 			// The stage was not called, since it has asked for no calls.
 		default:
@@ -255,7 +311,7 @@
 			to.activity[r.stage].recordReport(g.Now())
 		}
 	}
-	return silent
+	return silent, false
 }
 
 // askFirstStage returns the stage that, by the report of the first stage, a
