Find no upstream at fault for what this process did not read

Streams were given up, and engines excluded, although the engines had sent what was awaited: the process stood still (processor quota, suspension), or it had stopped reading because the caller took its events slowly, and reports and probes ran into their timeouts meanwhile.

Change: a stream whose socket holds unread data is not checked. A timeout of a report or a probe within which this process stood still, as package selfcheck tells, finds no fault. A refused connection counts as before.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -61,14 +61,11 @@
 func (g *Gateway) probeUpstream(ctx context.Context, u probeTarget) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	began := g.Now()
 	call := &relay.Call{Upstream: u.Upstream, Method: http.MethodGet, URI: u.healthPath, Host: u.Address, Timeout: probeTimeout}
 	resp, err := g.exchange(ctx, call)
 	if err != nil {
-		g.Log.Debug("probe failed", zap.String("upstream", u.Instance), zap.Error(err))
-		g.control.Do(func(s *state) {
-			s.health.RecordProbeFailure(u.Instance)
-			s.eject(u.Upstream, probeFault(err), g.Now())
-		})
+		g.recordFailedProbe(u.Upstream, err, began)
 		return
 	}
 	defer resp.Close()
@@ -84,6 +81,22 @@
 	})
 }
 
+// recordFailedProbe records the failure of a probe that began at a boot time. If
+// this process has stood still since, a timeout shows nothing: the probe remains
+// without result.
+func (g *Gateway) recordFailedProbe(u *fleet.Upstream, err error, began time.Duration) {
+	fault := probeFault(err)
+	unknown := fault == health.Silent && g.pauses.Stalled(began, g.Now())
+	g.Log.Debug("probe failed", zap.String("upstream", u.Instance), zap.Bool("stood_still", unknown), zap.Error(err))
+	if unknown {
+		return
+	}
+	g.control.Do(func(s *state) {
+		s.health.RecordProbeFailure(u.Instance)
+		s.eject(u, fault, g.Now())
+	})
+}
+
 // probeFault returns the fault that a failed probe shows. Even an upstream that
 // is well may not answer in time, since a probe may have to wait for a slot
 // like a request.
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -137,6 +137,12 @@
 // replaced, or the attempt is given up.
 func (d *stallDetector) check() {
 	d.mu.Lock()
+	if d.hasUnread() {
+		// The upstream continues; this process has not read it yet.
+		d.schedule(d.checks)
+		d.mu.Unlock()
+		return
+	}
 	to, askFirst, lastEventAt := d.target, d.checks >= firstStageReportAfter, d.lastEventAt
 	d.mu.Unlock()
 	i, ended := d.g.findStalledStage(d.q, to, askFirst)
@@ -285,8 +291,10 @@
 // checkStages checks stages concurrently. It returns the first that refuses
 // connections as soon as it is known, otherwise the first in the chain that
 // does not answer in time; negative if all answer. It reports whether the stage
-// refuses connections.
+// refuses connections. A stage whose answer may have arrived while this process
+// stood still is not found at fault.
 func (g *Gateway) checkStages(to target, suspects []int) (stage int, refuses bool) {
+	began := g.Now()
 	replies := make(chan stageReply, len(suspects))
 	for _, i := range suspects {
 		go func() {
@@ -311,6 +319,9 @@
 			to.activity[r.stage].recordReport(g.Now())
 		}
 	}
+	if g.pauses.Stalled(began, g.Now()) {
+		return -1, false
+	}
 	return silent, false
 }
 
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"strconv"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
+	"lovageport.example/internal/transport/http1"
 )
 
 // TestSecondAbortDoesNotBlock guards against blocking when an attempt is
@@ -119,3 +122,39 @@
 	quiet, _ := s.suspectStages(to, time.Minute+time.Second+health.StageQuietLimit(10, 0))
 	qt.Check(t, quiet, qt.HasLen, 1)
 }
+
+// TestStandstillIsNoFaultOfUpstream guards against blaming upstreams for reports
+// and probes that timed out while this process itself did not run.
+func TestStandstillIsNoFaultOfUpstream(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		stood bool
+		fault int
+	}{
+		{"this process ran", false, 0},
+		{"this process stood still", true, -1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			g, _ := handoverGateway(t)
+			start := time.Now()
+			g.Now = func() time.Duration { return time.Minute + time.Since(start) }
+			g.Settings = testSettings()
+			g.connPool = &http1.Pool{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}}
+			if x.stood {
+				// No tick follows this one.
+				g.pauses.Tick(g.Now(), g.Now())
+			}
+			var to target
+			g.control.Do(func(s *state) { to = s.chainTarget([]relay.Stage{{Upstream: s.upstreams["e1"]}}, 0) })
+			i, refuses := g.checkStages(to, []int{0})
+			c.Check(i, qt.Equals, x.fault)
+			c.Check(refuses, qt.IsFalse)
+			g.probeUpstream(t.Context(), probeTarget{Upstream: to.upstream})
+			g.control.Do(func(s *state) { c.Check(s.health.Excluded("e1", g.Now()), qt.Equals, !x.stood) })
+		})
+	}
+}
