Take only a refused connection for the end of an upstream

A stream ran on more upstreams than its route allows: upstreams known to have ended do not count, and one to which no connection could be opened in time counted as ended. The same holds if the caller left, or the stall detector cancelled the attempt, while the connection was opened: the upstream was excluded as ended.

Cause: the HTTP client returned upstream_refused for every failure to open a connection. Only ECONNREFUSED shows that nothing listens; a timeout may be the network's or this process's own.

Change: other failures are upstream_silent, not run, and a fault without answer (stalled), which a probe confirms or ends; caller_gone if the context was cancelled.

TestUnansweredConnectIsNoRefusal fails before (upstream_refused in all cases); all tests of http1 and gateway pass with the race detector.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -188,6 +188,9 @@
 	switch {
 	case e.Reason == verdict.UpstreamRefused:
 		return health.Unreachable, true
+	case e.Reason == verdict.UpstreamSilent && e.Run == verdict.NotRun:
+		// No connection could be opened.
+		return health.Stalled, true
 	case head.WrongInstance:
 		return health.Misplaced, true
 	case head.NotRun:
--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"lovageport.example/internal/transport/httpclient"
@@ -62,7 +63,7 @@
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	conn, err := p.take(ctx, r.Address, time.Now())
 	if err != nil {
-		return nil, &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamRefused, Err: err}
+		return nil, dialError(ctx, err)
 	}
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(aLongTimeAgo) })
 	fail := func(err error) error {
@@ -157,6 +158,20 @@
 	return nil, fmt.Errorf("%w: no final answer", ErrMalformed)
 }
 
+// dialError returns the verdict on an upstream to which no connection could be
+// opened. Only one that refuses the connection is known to have ended: if no
+// answer comes, the network or this process may be at fault.
+func dialError(ctx context.Context, err error) *verdict.Error {
+	out := &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamSilent, Err: err}
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		out.Reason = verdict.UpstreamRefused
+	case errors.Is(ctx.Err(), context.Canceled):
+		out.Reason = verdict.CallerGone
+	}
+	return out
+}
+
 // exchangeError returns the verdict on an exchange that failed after the
 // request may have been sent.
 func exchangeError(ctx context.Context, err error) *verdict.Error {
--- a/internal/transport/http1/client_test.go
+++ b/internal/transport/http1/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -323,3 +324,31 @@
 	qt.Assert(t, send(), qt.IsNil, qt.Commentf("request right after the previous one"))
 	qt.Check(t, s.accepted.Load(), qt.Equals, int32(4))
 }
+
+// TestUnansweredConnectIsNoRefusal guards against taking an upstream that cannot
+// be reached, or a caller that has gone, for an upstream that has ended.
+func TestUnansweredConnectIsNoRefusal(t *testing.T) {
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	late, cancel := context.WithDeadline(context.Background(), time.Unix(0, 0))
+	defer cancel()
+	for _, x := range []struct {
+		name   string
+		ctx    context.Context
+		err    error
+		reason verdict.Reason
+	}{
+		{"refused", context.Background(), &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}, verdict.UpstreamRefused},
+		{"no answer", context.Background(), &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, verdict.UpstreamSilent},
+		{"no route", context.Background(), &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.EHOSTUNREACH)}, verdict.UpstreamSilent},
+		{"deadline", late, late.Err(), verdict.UpstreamSilent},
+		{"caller gone", gone, gone.Err(), verdict.CallerGone},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			p := &Pool{Dial: func(context.Context, string, string) (net.Conn, error) { return nil, x.err }}
+			_, err := p.Do(x.ctx, &Request{Address: "e"})
+			qt.Check(t, verdict.Of(err).Reason, qt.Equals, x.reason)
+			qt.Check(t, verdict.Of(err).Run, qt.Equals, verdict.NotRun)
+		})
+	}
+}
