Believe an answer only if it is shown to be the call's own

Callers were told "not run, try again" for bookings that had run, or the booking ran at a second upstream, when an upstream wrote a refusal without request ID on a connection kept after a good answer. The ID was compared only if the answer had one.

An answer with an ID now has to state that of the call. One without an ID is believed only on a connection that has carried no other call; otherwise the request may have run and the upstream is probed. A request without ID therefore gets a new connection. The check is in exchange, so an answer that states a request's ID is no longer taken for that to a probe, report or order. Notices (hold-off, leaving) are still taken before the check.

Ruled out: an answer with another request's ID (was caught before), and a message that has arrived when the connection is taken (the pool closes it). The same refusal written once more to the second attempt at the same upstream, with the same ID, cannot be told by its ID; it reaches nobody, since a refusal is closed unread and its connection with it: TestRefusalWrittenAgainToSameRequest passes before and after. Cannot be told: a message without ID on a new connection, between request and answer.

TestStrayMessageIsNoAnswer, 12 bookings a case, before: of the cases written before the answer, "refusal without ID" ran 5 twice and refused 3 that had run, "wrong instance without ID" 3 and 3, "leaving without ID" 1 and 1, "failure without ID" passed on 6 foreign 500s, "success without ID" failed too; the others passed. After: all pass, with the race detector too. TestRequestWithoutIDGetsOwnConnection fails without Fresh; 10 of 10 pass with it.

Not measured: whether upstreams of the users' platform echo the ID in all their refusals; the log line "response of another call" shows those that do not.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,6 +28,8 @@
 	}
 	call := &relay.Call{
 		Upstream:    to.upstream,
+		Request:     q.ID,
+		Fresh:       q.ID == "",
 		Chain:       to.chain,
 		Method:      q.http.Method,
 		URI:         q.http.RequestURI,
@@ -45,12 +47,9 @@
 	}
 	head := resp.head
 	switch {
-	case head.Request != "" && head.Request != q.ID:
-		// Whatever the header says, such as that nothing ran, is about the
-		// other request.
-		resp.Close()
-		return nil, g.recordFailure(q, to, protocolError("answer to another request"), relay.ResponseHead{Status: head.Status})
 	case head.NotRun:
+		// Closed unread, the connection is not kept: written once more, the
+		// refusal would state the ID of the next attempt too.
 		resp.Close()
 		q.recordRefusal()
 		return nil, g.recordFailure(q, to, &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamBusy, Message: "upstream refused"}, head)
@@ -62,6 +61,14 @@
 	return resp, nil
 }
 
+// isForeign reports whether the response may be one to another call than c. It
+// is c's own if it states the ID of c; a response without ID is only if nothing
+// before it on its connection was another call's. A call without ID shares its
+// connections with calls that have one, whose responses state theirs.
+func (r *response) isForeign(c *relay.Call) bool {
+	return r.head.Request != c.Request && (r.head.Request != "" || r.Reused)
+}
+
 func protocolError(message string) *verdict.Error {
 	return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamProtocol, Message: message}
 }
@@ -72,7 +79,9 @@
 	return &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamBusy, Message: "upstream wants no calls"}
 }
 
-// exchange sends a call and reads the header of the response.
+// exchange sends a call and reads the header of the response. It fails if the
+// response may be another call's: whatever its header says, such as that nothing
+// ran, is then about that call.
 func (g *Gateway) exchange(ctx context.Context, c *relay.Call) (*response, error) {
 	if !g.mayCall(c.Upstream) {
 		return nil, heldOffError()
@@ -84,6 +93,7 @@
 		Host:    c.Host,
 		Header:  platform.EncodeCallHeader(c),
 		Body:    c.Body,
+		Fresh:   c.Fresh,
 	})
 	if err != nil {
 		return nil, err
@@ -91,6 +101,12 @@
 	resp := &response{Response: received, head: platform.DecodeResponse(received.Status, received.Header)}
 	received.SetKeepAlive(resp.head.IdleTimeout)
 	g.recordNotices(c.Upstream, resp.head)
+	if resp.isForeign(c) {
+		resp.Close()
+		g.Log.Info("response of another call", zap.String("upstream", c.Upstream.Instance), zap.String("request", c.Request),
+			zap.String("stated", resp.head.Request), zap.Int("status", resp.head.Status), zap.Bool("reused", resp.Reused))
+		return nil, protocolError("answer to another request")
+	}
 	return resp, nil
 }
 
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -42,6 +42,12 @@
 	// Upstream receives the call. A response of another instance at its address
 	// is a failure.
 	Upstream *fleet.Upstream
+	// Request is the ID of the caller's request, which Header holds too and the
+	// response states; empty for a call of the gateway's own and for a request
+	// without ID.
+	Request string
+	// Fresh requires a connection that has carried no other call.
+	Fresh bool
 	// Chain is the stages of a generation, the first of which is Upstream's;
 	// nil for a plain service.
 	Chain []Stage
--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -21,6 +21,9 @@
 	Method, URI, Host string
 	Header            http.Header
 	Body              []byte
+	// Fresh requires a connection that has carried no other request, for a
+	// request whose response has nothing else that shows whose it is.
+	Fresh bool
 }
 
 // Response is the response to a [Request]. It must be closed, also if its body
@@ -33,6 +36,9 @@
 	// CloseDelimited reports whether the body has neither a length nor chunks and
 	// so ends with the connection.
 	CloseDelimited bool
+	// Reused reports whether the connection has carried other requests before,
+	// so that the response may be one to an earlier request.
+	Reused bool
 
 	body    io.Reader
 	pool    *Pool
@@ -60,7 +66,7 @@
 // [verdict.Error], with the verdict not-run if no connection could be opened. The
 // end of ctx aborts the exchange, including the reading of the body.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	conn, err := p.take(ctx, r.Address, time.Now())
+	conn, err := p.take(ctx, r, time.Now())
 	if err != nil {
 		return nil, &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamRefused, Err: err}
 	}
@@ -85,6 +91,7 @@
 		Header:         response.Header,
 		ContentLength:  response.ContentLength,
 		CloseDelimited: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		Reused:         conn.reused,
 		body:           response.Body,
 		pool:           p,
 		address:        r.Address,
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -70,12 +70,15 @@
 	idleFor   time.Duration
 	// idleUntil is the time from which the connection must not be reused.
 	idleUntil time.Time
+	// reused reports whether the connection has carried an exchange before.
+	reused bool
 }
 
-// take returns an idle connection that can be reused, or a new one.
-func (p *Pool) take(ctx context.Context, address string, now time.Time) (*connection, error) {
-	for {
-		c, maxIdle := p.pop(address, now)
+// take returns a connection for a request: an idle one that can be reused, or a
+// new one.
+func (p *Pool) take(ctx context.Context, r *Request, now time.Time) (*connection, error) {
+	for !r.Fresh {
+		c, maxIdle := p.pop(r.Address, now)
 		if c == nil {
 			break
 		}
@@ -85,7 +88,7 @@
 		}
 		c.Close()
 	}
-	conn, err := p.Dial(ctx, "tcp", address)
+	conn, err := p.Dial(ctx, "tcp", r.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -135,6 +138,7 @@
 	if keep <= 0 {
 		keep = defaultIdle
 	}
+	c.reused = true
 	c.idleSince = now
 	c.idleUntil = now.Add(keep - idleMargin)
 	p.mu.Lock()
