Answer requests that have arrived before the process ends

Callers saw connections that were closed or reset without an answer although their request had reached the process well before its end.

http.Server.Shutdown closes every connection whose request it has not read, even if one is in the kernel's buffer, and drops a request that it reads after Shutdown has begun (net/http, conn.serve). A process that stands still while the notice period of its drain ends finds the timer expired when it goes on and closes all kept connections before it reads them.

Package drain ends connections instead. The goroutine that reads a connection decides: it ends it only if it is without a request for 250 ms and the kernel holds nothing for it. Connections that wait to be accepted are accepted first. "drain completed", "drain timed out" and "stopped" say how many requests and connections were left, so that the log tells how a process ended.

Ruled out by reading: a second SIGTERM or a SIGHUP cut nothing (only a second SIGINT does); a process that ends after its drain has no connection left whose unread bytes could reset an answer.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/loop"
+	"lovageport.example/internal/transport/drain"
 )
 
 // Timeouts of the graceful shutdown.
@@ -23,8 +23,8 @@
 
 // drainOnRequest performs the graceful shutdown once Drain is closed: the
 // health check fails first, then new connections are refused, then requests in
-// flight are completed.
-func (g *Gateway) drainOnRequest(ctx context.Context, callers *http.Server) error {
+// flight and those that have arrived are completed.
+func (g *Gateway) drainOnRequest(ctx context.Context, callers *drain.Listener) error {
 	select {
 	case <-ctx.Done():
 		return nil
@@ -39,8 +39,12 @@
 	left := g.Settings.Bounds.Grace.Duration - drainMargin - time.Since(start)
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		g.Log.Warn("drain timed out", zap.Int64("in_flight", g.inFlight.Load()), zap.Error(err))
+	err := callers.Drain(ctx)
+	outcome := []zap.Field{zap.Duration("took", time.Since(start)), zap.Int64("in_flight", g.inFlight.Load()), zap.Int("connections", callers.Open())}
+	if err != nil {
+		g.Log.Warn("drain timed out", append(outcome, zap.Error(err))...)
+	} else {
+		g.Log.Info("drain completed", outcome...)
 	}
 	g.unregister()
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"lovageport.example/internal/setting"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/internal/transport/dial"
+	"lovageport.example/internal/transport/drain"
 	"lovageport.example/internal/transport/http1"
 	"lovageport.example/internal/transport/peer"
 	"lovageport.example/platform"
@@ -161,12 +162,16 @@
 	loop.AddActor(&group, ctx, func(ctx context.Context) error {
 		return peer.Serve(ctx, peerListener, g.peerHandler(), func(err error) { g.Log.Debug("peer connection ended", zap.Error(err)) })
 	})
-	callers := &http.Server{Handler: g.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callerListener, err := g.Listen(ctx, "tcp", g.Settings.Listen.Callers)
+	if err != nil {
+		return fmt.Errorf("gateway: %w", err)
+	}
+	callers := drain.NewListener(callerListener)
+	g.addServer(&group, callers, &http.Server{Handler: g.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: drain.Track})
 	servers := []struct {
 		address string
 		server  *http.Server
 	}{
-		{g.Settings.Listen.Callers, callers},
 		{g.Settings.Listen.Health, &http.Server{Handler: g.healthHandler(), ReadHeaderTimeout: headerTimeout}},
 		{g.Settings.Listen.Metrics, &http.Server{Handler: g.metrics.handler(), ReadHeaderTimeout: headerTimeout}},
 	}
@@ -174,23 +179,21 @@
 		if s.address == "" {
 			continue
 		}
-		if err := g.addServer(&group, ctx, s.address, s.server); err != nil {
-			return err
+		listener, err := g.Listen(ctx, "tcp", s.address)
+		if err != nil {
+			return fmt.Errorf("gateway: %w", err)
 		}
+		g.addServer(&group, listener, s.server)
 	}
 	loop.AddActor(&group, ctx, func(ctx context.Context) error { return g.drainOnRequest(ctx, callers) })
 	g.Log.Info("started", zap.String("zone", g.Settings.Zone), zap.String("version", g.Version))
 	err = group.Run()
-	g.Log.Info("stopped", zap.Error(err))
+	g.Log.Info("stopped", zap.Bool("drained", g.draining.Load()), zap.Int64("in_flight", g.inFlight.Load()), zap.Int("connections", callers.Open()), zap.Error(err))
 	return err
 }
 
-// addServer opens a listener and adds its server to the group.
-func (g *Gateway) addServer(group *run.Group, ctx context.Context, address string, server *http.Server) error {
-	listener, err := g.Listen(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("gateway: %w", err)
-	}
+// addServer adds a server to the group.
+func (g *Gateway) addServer(group *run.Group, listener net.Listener, server *http.Server) {
 	stopped := make(chan struct{})
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -204,7 +207,6 @@
 		close(stopped)
 		server.Close()
 	})
-	return nil
 }
 
 // applyReloads applies reloaded settings until ctx is done.
--- /dev/null
+++ b/internal/soak/drain_test.go
@@ -0,0 +1,109 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lovageport.example/platform/platformtest"
+)
+
+// drainNotice is how long a gateway serves as before after it was told to stop.
+const drainNotice = 2500 * time.Millisecond
+
+// keptConn is a caller's connection to a gateway on which it has had an answer.
+type keptConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+// openKeptConn opens a connection to a gateway, past its proxy. The id is that of
+// the first request.
+func openKeptConn(g *gateway, id string) (*keptConn, error) {
+	conn, err := net.Dial("tcp", g.callerProxy.target)
+	if err != nil {
+		return nil, err
+	}
+	k := &keptConn{Conn: conn, reader: bufio.NewReader(conn)}
+	if err := k.send(id); err != nil {
+		return nil, err
+	}
+	return k, k.awaitAnswer()
+}
+
+// send sends a call of a plain service.
+func (k *keptConn) send(id string) error {
+	r, err := http.NewRequest(http.MethodGet, "/"+readKind+"/"+id, nil)
+	if err != nil {
+		return err
+	}
+	platformtest.SetCall(r, id, stableKey, callTimeout, 0)
+	return r.Write(k)
+}
+
+// awaitAnswer reads a whole answer of any status.
+func (k *keptConn) awaitAnswer() error {
+	if err := k.SetReadDeadline(time.Now().Add(2 * callTimeout)); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(k.reader, nil)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// startOne starts a system with one gateway and kept connections to it.
+func startOne(t *testing.T, conns int) (*gateway, []*keptConn) {
+	s, err := newSystem(Config{Gateways: 1, Dir: t.TempDir(), BinDir: binDir})
+	t.Cleanup(func() {
+		s.close()
+		for _, v := range s.violations {
+			t.Errorf("guarantee violated: %s: %s", v.Guarantee, v.Detail)
+		}
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.awaitReady(startTimeout), qt.IsTrue)
+	var kept []*keptConn
+	for i := range conns {
+		k, err := openKeptConn(s.gateways[0], fmt.Sprint("open", i))
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { k.Close() })
+		kept = append(kept, k)
+	}
+	return s.gateways[0], kept
+}
+
+// TestArrivedRequestsAreAnsweredBeforeTheEnd guards against the loss of requests on
+// kept connections that had reached a process which stood still while the notice
+// period of its drain ended.
+func TestArrivedRequestsAreAnsweredBeforeTheEnd(t *testing.T) {
+	t.Parallel()
+	g, kept := startOne(t, 64)
+	process := g.process.Command.Process
+	g.signal(syscall.SIGTERM)
+	time.Sleep(drainNotice - 500*time.Millisecond)
+	qt.Assert(t, process.Signal(syscall.SIGSTOP), qt.IsNil)
+	for i, k := range kept {
+		qt.Assert(t, k.send(fmt.Sprint("still", i)), qt.IsNil)
+	}
+	time.Sleep(time.Second)
+	qt.Assert(t, process.Signal(syscall.SIGCONT), qt.IsNil)
+	lost := 0
+	for _, k := range kept {
+		if err := k.awaitAnswer(); err != nil {
+			lost++
+			t.Logf("lost: %v", err)
+		}
+	}
+	qt.Check(t, lost, qt.Equals, 0, qt.Commentf("of %d requests", len(kept)))
+}
--- /dev/null
+++ b/internal/transport/drain/conn.go
@@ -0,0 +1,142 @@
+package drain
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// conn is a connection that a drain may end while it is quiet.
+type conn struct {
+	net.Conn
+	listener *Listener
+
+	mu sync.Mutex
+	// busy is set from the first byte of a request until the server waits for
+	// the next request, quietSince is when that wait began.
+	busy       bool
+	quietSince time.Time
+	// deadline is the read deadline that the server has set.
+	deadline time.Time
+}
+
+// Read implements [io.Reader]. It returns [io.EOF] if a drain ends the connection.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.recordRequest()
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.wasInterrupted() {
+			return n, err
+		}
+		if c.mayEnd() {
+			return 0, io.EOF
+		}
+	}
+}
+
+func (c *conn) recordRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+}
+
+func (c *conn) recordQuiet() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy, c.quietSince = false, time.Now()
+}
+
+// isQuiet reports whether the connection has had no request for quietPeriod. The
+// caller holds mu.
+func (c *conn) isQuiet() bool { return !c.busy && time.Since(c.quietSince) >= quietPeriod }
+
+// endIfQuiet interrupts the read of a quiet connection, which then ends unless a
+// request has arrived.
+func (c *conn) endIfQuiet() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isQuiet() {
+		// If this fails the connection has ended.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// wasInterrupted reports whether a drain rather than the server's deadline has
+// ended a read, and restores the deadline.
+func (c *conn) wasInterrupted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.deadline.IsZero() && !c.deadline.After(time.Now()) {
+		return false
+	}
+	return c.Conn.SetReadDeadline(c.deadline) == nil
+}
+
+// mayEnd reports whether the connection is quiet and nothing has arrived on it.
+func (c *conn) mayEnd() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isQuiet() && !readable(c.Conn)
+}
+
+// SetReadDeadline implements [net.Conn].
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline implements [net.Conn].
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// CloseWrite closes the connection for writing, if its kind allows that. The
+// server uses it so that an answer is not lost to a reset.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
+// Close implements [net.Conn].
+func (c *conn) Close() error {
+	defer c.listener.remove(c)
+	return c.Conn.Close()
+}
+
+// readable reports whether a connection has data or has been closed by its peer,
+// or whether a listener has connections to accept. It reports false for what is no
+// socket of the kernel.
+func readable(socket any) bool {
+	s, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	if err := raw.Control(func(fd uintptr) {
+		n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	}); err != nil {
+		return false
+	}
+	return n > 0
+}
