Continue with another attempt after giving up one whose error response was read

If the stall detector gave an attempt up while the body of a response that is no stream was read, the error was taken for a caller that had gone, and the request ended although another target was assigned to it. All tests of internal/gateway pass.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -123,7 +123,7 @@
 	defer resp.Close()
 	detector.setResponse(resp)
 	if resp.head.Status != http.StatusOK {
-		return s.relayResponse(ctx, to, resp)
+		return detector.attribute(s.relayResponse(ctx, to, resp))
 	}
 	return detector.attribute(s.copyEvents(ctx, to, resp, detector))
 }
