Look whether a silent stream continues before each step of giving it up

Unread data was looked for at the start of a check alone. The check, the replacement of a stage and the search for a successor take up to 1.5 s, and meanwhile the engine was recorded as stalled, told to peers, and the attempt ended although data had arrived. If the attempt ended between the search and its result, the target stayed reserved until the end of the process. A call without an answer for 200 ms ejected its upstream also if this process stood still.

Change: the detector looks before it records the fault, before it gives the attempt up, and when the successor is found, which it returns in these cases.

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -9,8 +12,10 @@
 
 	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/loop"
+	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
+	"lovageport.example/internal/transport/http1"
 )
 
 // handoverGateway returns a gateway with the engines e1 and e2, whose control
@@ -86,3 +91,66 @@
 	_, ok = h.begin()
 	c.Check(ok, qt.IsFalse)
 }
+
+// unreadResponse returns a response whose body has data that was not read.
+func unreadResponse(t *testing.T) *response {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		// The first read takes the header alone.
+		time.Sleep(20 * time.Millisecond)
+		io.WriteString(conn, "5\r\nevent\r\n")
+		<-t.Context().Done()
+	}()
+	p := &http1.Pool{Dial: (&net.Dialer{}).DialContext}
+	received, err := p.Do(t.Context(), &http1.Request{Address: listener.Addr().String(), Method: http.MethodGet, URI: "/", Host: "e"})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(received.Close)
+	for end := time.Now().Add(5 * time.Second); !received.HasUnread(); time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+	}
+	return &response{Response: received}
+}
+
+// TestSuccessorIsReturnedIfAttemptContinues guards against ending an attempt that
+// has continued while its successor was searched, and against a target that is
+// reserved for ever because the attempt had ended.
+func TestSuccessorIsReturnedIfAttemptContinues(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		change func(t *testing.T, d *stallDetector)
+		used   bool
+	}{
+		{"silent", func(*testing.T, *stallDetector) {}, true},
+		{"ended", func(_ *testing.T, d *stallDetector) { d.stopped = true }, false},
+		{"event", func(_ *testing.T, d *stallDetector) { d.lastEventAt = time.Second }, false},
+		{"data to read", func(t *testing.T, d *stallDetector) { d.response = unreadResponse(t) }, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			g, h := handoverGateway(t)
+			ctx, ok := h.begin()
+			c.Assert(ok, qt.IsTrue)
+			next, err := h.find(ctx)
+			c.Assert(err, qt.IsNil)
+			ended := false
+			e1 := engine("e1", 10)
+			to := target{upstream: e1, chain: []relay.Stage{{Upstream: e1}}}
+			d := &stallDetector{g: g, q: h.q, target: to, cancel: func() { ended = true }, fault: make(chan string, 1), timer: time.NewTimer(time.Hour)}
+			x.change(t, d)
+			d.mu.Lock()
+			d.accept(next, to, 0, 0)
+			d.mu.Unlock()
+			c.Check(ended, qt.Equals, x.used)
+			c.Check(d.successor != nil, qt.Equals, x.used)
+			g.control.Do(func(s *state) { c.Check(s.loadOf("e2").requests == 1, qt.Equals, x.used) })
+		})
+	}
+}
--- a/internal/gateway/invocation.go
+++ b/internal/gateway/invocation.go
@@ -81,7 +81,7 @@
 	began := g.Now()
 	resp, err := g.send(ctx, q, to, "")
 	if err != nil {
-		return nil, nil, g.recordSlowResponse(to, err)
+		return nil, nil, g.recordSlowResponse(to, err, began)
 	}
 	defer resp.Close()
 	body, err := resp.ReadAll(ctx, maxResponseBytes)
@@ -102,10 +102,11 @@
 	return nil, nil, err
 }
 
-// recordSlowResponse ejects an upstream that did not answer a call in time, and
-// returns err.
-func (g *Gateway) recordSlowResponse(to target, err error) error {
-	if verdict.Of(err).Reason == verdict.UpstreamSilent {
+// recordSlowResponse ejects an upstream that did not answer in time a call that
+// began at a boot time, and returns err. If this process has stood still
+// meanwhile, the answer may have arrived.
+func (g *Gateway) recordSlowResponse(to target, err error, began time.Duration) error {
+	if verdict.Of(err).Reason == verdict.UpstreamSilent && !g.pauses.Stalled(began, g.Now()) {
 		g.control.Send(func(s *state) { s.eject(to.upstream, health.Silent, g.Now()) })
 	}
 	return err
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -137,29 +137,57 @@
 // replaced, or the attempt is given up.
 func (d *stallDetector) check() {
 	d.mu.Lock()
-	if d.hasUnread() {
-		// The upstream continues; this process has not read it yet.
-		d.schedule(d.checks)
-		d.mu.Unlock()
-		return
-	}
 	to, askFirst, lastEventAt := d.target, d.checks >= firstStageReportAfter, d.lastEventAt
+	continues := d.continues(lastEventAt)
 	d.mu.Unlock()
+	if continues {
+		return
+	}
 	i, ended := d.g.findStalledStage(d.q, to, askFirst)
+	if i >= 0 && !d.attributeStall(to, i, lastEventAt) {
+		return
+	}
 	if i > 0 && d.replaceStage(to, i) {
 		return
 	}
 	d.giveUp(to, i, ended, lastEventAt)
 }
 
+// continues reports whether the stream continues: an event has arrived since
+// lastEventAt, which has restarted the detection, or data has arrived that this
+// process has not read yet, for which it schedules another check. The caller holds
+// mu.
+func (d *stallDetector) continues(lastEventAt time.Duration) bool {
+	if d.lastEventAt != lastEventAt {
+		return true
+	}
+	if !d.hasUnread() {
+		return false
+	}
+	d.schedule(d.checks)
+	return true
+}
+
+// attributeStall records that stage i is at fault, unless the stream continues,
+// and reports whether it did.
+func (d *stallDetector) attributeStall(to target, i int, lastEventAt time.Duration) bool {
+	d.mu.Lock()
+	continues := d.continues(lastEventAt)
+	d.mu.Unlock()
+	if continues {
+		return false
+	}
+	d.g.control.Do(func(s *state) { s.attributeStall(d.q, to, i, d.g.Now()) })
+	return true
+}
+
 // giveUp ends the attempt because of stage i, or because of no progress since a
-// stage was replaced, unless an event has arrived since lastEventAt and restarted
-// the detection. If the stage has not ended, the attempt continues until the next
+// stage was replaced, unless the stream continues. If the stage has not ended, the attempt continues until the next
 // one has its target.
 func (d *stallDetector) giveUp(to target, i int, ended bool, lastEventAt time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.lastEventAt != lastEventAt {
+	if d.continues(lastEventAt) {
 		return
 	}
 	if i < 0 && d.replaced && d.checks >= maxChecksAfterReplacement {
@@ -195,14 +223,23 @@
 	case err != nil:
 		d.logKept(to, i, err)
 		d.schedule(d.checks + 1)
-	case d.lastEventAt != lastEventAt:
-		d.g.control.Send(func(s *state) { s.returnTarget(d.q, next) })
 	default:
-		d.successor = &next
-		d.abort(to, i)
+		d.accept(next, to, i, lastEventAt)
 	}
 }
 
+// accept ends the attempt because of stage i, so that the next one gets its
+// target, or returns the target if the attempt has ended or continues. The caller
+// holds mu.
+func (d *stallDetector) accept(next, to target, i int, lastEventAt time.Duration) {
+	if d.stopped || d.continues(lastEventAt) {
+		d.g.control.Send(func(s *state) { s.returnTarget(d.q, next) })
+		return
+	}
+	d.successor = &next
+	d.abort(to, i)
+}
+
 // logKept logs that the attempt continues, because no other one may follow it.
 func (d *stallDetector) logKept(to target, i int, err error) {
 	d.g.metrics.keptStreams.WithLabelValues(string(verdict.Of(err).Reason)).Inc()
@@ -258,9 +295,6 @@
 	if i < 0 && askFirst {
 		i = g.askFirstStage(q, to)
 	}
-	if i >= 0 {
-		g.control.Do(func(s *state) { s.attributeStall(q, to, i, g.Now()) })
-	}
 	return i, ended
 }
 
