--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -182,8 +182,8 @@
 }
 
 // giveUp ends the attempt because of stage i, or because of no progress since a
-// stage was replaced, unless the stream continues. If the stage has not ended, the attempt continues until the next
-// one has its target.
+// stage was replaced, unless the stream continues. If the stage has not ended, the
+// attempt continues until the next one has its target.
 func (d *stallDetector) giveUp(to target, i int, ended bool, lastEventAt time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
