Hand no running attempt over to an upstream that has failed it

Callers saw a quiet stream end without its end when no other engines were left: once the suspected engine had passed a probe, the search for a successor fell back to upstreams that had failed the request, found the same chain, and the running attempt was cancelled for it.

Change: the search of a handover does not fall back. TestNoHandoverToFailedUpstream fails without it. With it internal/gateway passes and four tests of silent streams of platform pass 6 times, all with the race detector.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -40,6 +40,7 @@
 	h.cancel = cancel
 	h.searches.Add(1)
 	h.q.setQueueDeadline(h.g.Now())
+	h.q.setHandingOver(true)
 	return ctx, true
 }
 
@@ -48,6 +49,7 @@
 func (h *handover) find(ctx context.Context) (target, error) {
 	defer h.searches.Done()
 	to, err := h.g.acquireTarget(ctx, h.q)
+	h.q.setHandingOver(false)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	unneeded := ctx.Err() != nil
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -154,3 +154,19 @@
 		})
 	}
 }
+
+// TestNoHandoverToFailedUpstream guards against giving a running attempt up in
+// favour of one on the very upstream that is suspected.
+func TestNoHandoverToFailedUpstream(t *testing.T) {
+	c := qt.New(t)
+	g, h := handoverGateway(t)
+	g.control.Do(func(*state) { h.q.exclude("e2") })
+	ctx, ok := h.begin()
+	c.Assert(ok, qt.IsTrue)
+	time.AfterFunc(50*time.Millisecond, h.drop)
+	_, err := h.find(ctx)
+	c.Check(err, qt.Equals, errAttemptContinues)
+	// Once it has failed, another attempt may be made there.
+	_, err = g.acquireTarget(t.Context(), h.q)
+	c.Check(err, qt.IsNil)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,6 +52,8 @@
 	// sentTo is the upstream whose response an attempt waits for; empty if there
 	// is none.
 	sentTo string
+	// handingOver reports whether a running attempt looks for its successor.
+	handingOver bool
 	// ranOn holds the upstreams, first stages in the case of chains, that may
 	// have run the request.
 	ranOn map[string]bool
@@ -106,6 +108,20 @@
 	q.sentTo = instance
 }
 
+// setHandingOver records whether a running attempt looks for its successor.
+func (q *request) setHandingOver(is bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.handingOver = is
+}
+
+// isHandingOver reports whether a running attempt looks for its successor.
+func (q *request) isHandingOver() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.handingOver
+}
+
 // endSend records that the outcome of an attempt that was sent is recorded.
 func (q *request) endSend() {
 	q.mu.Lock()
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -50,10 +50,11 @@
 }
 
 // selectChain selects the chain of a generation. Upstreams that failed the
-// request are avoided if others cover their layers.
+// request are avoided if others cover their layers. An attempt that runs is not given
+// up in favour of one on such upstreams.
 func (s *state) selectChain(p *servicePool, q *request, now time.Duration) (target, error) {
 	found, ok := p.layers.Find(s.chainQuery(p, q, q.excluded, now))
-	if !ok && len(q.excluded) > 0 && !s.atUpstreamLimit(q) {
+	if !ok && len(q.excluded) > 0 && !q.isHandingOver() && !s.atUpstreamLimit(q) {
 		found, ok = p.layers.Find(s.chainQuery(p, q, nil, now))
 	}
 	if !ok {
