Check a stage as soon as it has been quiet for long enough

Callers of a stream that had lost a stage waited 20 ms longer than needed for the stage to be replaced.

Cause: a stream with a longest pause of 200 ms is first checked after 100 ms. A stage that few streams pass is suspected after 120 ms without an event, so that the first check found nothing to ask and the next one followed after the fixed interval of 40 ms, at 140 ms. Load only used up what the schedule had left.

A check that finds no stage quiet for long enough is now followed by one at the moment when the first stage will have been.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -113,6 +114,16 @@
 	}
 }
 
+// scheduleNext schedules the check that follows one without a finding. If none of
+// the stages was quiet for long enough, it follows at the boot time quietAt at the
+// latest, when the first one will have been.
+func (d *stallDetector) scheduleNext(quietAt time.Duration) {
+	d.schedule(d.checks + 1)
+	if left := quietAt - d.g.Now(); !d.stopped && left < d.nextDelay() {
+		d.timer.Reset(left)
+	}
+}
+
 // stop stops the detector. It returns the stream's last target and that of the
 // next attempt, if one was found.
 func (d *stallDetector) stop() (last target, successor *target) {
@@ -143,14 +154,14 @@
 	if continues {
 		return
 	}
-	i, ended := d.g.findStalledStage(d.q, to, askFirst)
-	if i >= 0 && !d.attributeStall(to, i, lastEventAt) {
+	f := d.g.findStalledStage(d.q, to, askFirst)
+	if f.stage >= 0 && !d.attributeStall(to, f.stage, lastEventAt) {
 		return
 	}
-	if i > 0 && d.replaceStage(to, i) {
+	if f.stage > 0 && d.replaceStage(to, f.stage) {
 		return
 	}
-	d.giveUp(to, i, ended, lastEventAt)
+	d.giveUp(to, f, lastEventAt)
 }
 
 // continues reports whether the stream continues: an event has arrived since
@@ -181,25 +192,26 @@
 	return true
 }
 
-// giveUp ends the attempt because of stage i, or because of no progress since a
-// stage was replaced, unless the stream continues. If the stage has not ended, the
-// attempt continues until the next one has its target.
-func (d *stallDetector) giveUp(to target, i int, ended bool, lastEventAt time.Duration) {
+// giveUp ends the attempt because of the stage that was found at fault, or because
+// of no progress since a stage was replaced, unless the stream continues. If the
+// stage has not ended, the attempt continues until the next one has its target.
+func (d *stallDetector) giveUp(to target, f finding, lastEventAt time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.continues(lastEventAt) {
 		return
 	}
+	i := f.stage
 	if i < 0 && d.replaced && d.checks >= maxChecksAfterReplacement {
 		// The first engine has accepted the new chain, but the stream does not
 		// continue.
 		i = 0
 	}
 	if i < 0 {
-		d.schedule(d.checks + 1)
+		d.scheduleNext(f.quietAt)
 		return
 	}
-	if ended {
+	if f.ended {
 		d.abort(to, i)
 		return
 	}
@@ -277,25 +289,54 @@
 	}
 }
 
-// findStalledStage returns the index of the stage that a generation waits for,
-// or a negative number if none is found at fault, and whether the stage is known
-// to have ended. Stages that streams have passed recently are taken to be well;
-// the others are checked concurrently. If askFirst is set, the first stage is then
-// asked which stage it waits for.
-func (g *Gateway) findStalledStage(q *request, to target, askFirst bool) (i int, ended bool) {
+// finding is the result of a search for the stage that a generation waits for.
+type finding struct {
+	// stage is the index of the stage; negative if none is found at fault.
+	stage int
+	// ended reports whether the stage is known to have ended.
+	ended bool
+	// quietAt is, if no stage was quiet for long enough, the boot time at which
+	// the first one will have been; otherwise neverQuiet.
+	quietAt time.Duration
+}
+
+// neverQuiet is later than any boot time.
+const neverQuiet = time.Duration(math.MaxInt64)
+
+// findStalledStage finds the stage that a generation waits for. Stages that
+// streams have passed recently are taken to be well; the others are checked
+// concurrently. If askFirst is set, the first stage is then asked which stage it
+// waits for.
+func (g *Gateway) findStalledStage(q *request, to target, askFirst bool) finding {
 	var suspects []int
-	i = -1
+	f := finding{stage: -1, quietAt: neverQuiet}
 	g.control.Do(func(s *state) {
-		suspects, i = s.suspectStages(to, g.Now())
-		ended = i >= 0 && s.health.Refuses(to.chain[i].Upstream.Instance)
+		now := g.Now()
+		suspects, f.stage = s.suspectStages(to, now)
+		f.ended = f.stage >= 0 && s.health.Refuses(to.chain[f.stage].Upstream.Instance)
+		if len(suspects) == 0 {
+			f.quietAt = s.nextQuietStage(to, now)
+		}
 	})
-	if i < 0 {
-		i, ended = g.checkStages(to, suspects)
+	if f.stage < 0 {
+		f.stage, f.ended = g.checkStages(to, suspects)
 	}
-	if i < 0 && askFirst {
-		i = g.askFirstStage(q, to)
+	if f.stage < 0 && askFirst {
+		f.stage = g.askFirstStage(q, to)
+	}
+	return f
+}
+
+// nextQuietStage returns the boot time at which the first stage of a target, none
+// of which is quiet for long enough to be checked, will have been if no stream
+// passes it before.
+func (s *state) nextQuietStage(to target, now time.Duration) time.Duration {
+	at := neverQuiet
+	for i, stage := range to.chain {
+		quietTime, reports := to.activity[i].quiet(now)
+		at = min(at, now-quietTime+health.StageQuietLimit(s.loadOf(stage.Upstream.Instance).requests, reports))
 	}
-	return i, ended
+	return at
 }
 
 // suspectStages returns the stages that no stream has passed recently, and the
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -99,6 +99,28 @@
 	qt.Check(t, lost, qt.Equals, 0, qt.Commentf("a known fault needs no further check"))
 }
 
+// TestQuietStageIsCheckedWhenItsLimitPasses guards against a stage that is not
+// checked before the next interval although its quiet limit has passed.
+func TestQuietStageIsCheckedWhenItsLimitPasses(t *testing.T) {
+	const now = time.Minute
+	s := newState(t)
+	to := s.chainTarget([]relay.Stage{{Upstream: engine("e", 10)}, {Upstream: engine("f", 10)}}, 0)
+	for _, x := range []struct {
+		name         string
+		quiet, other time.Duration
+		want         time.Duration
+	}{
+		{"first", 100 * time.Millisecond, 30 * time.Millisecond, now + health.StageQuietLimit(1, 0) - 100*time.Millisecond},
+		{"second", 10 * time.Millisecond, 30 * time.Millisecond, now + health.StageQuietLimit(1, 0) - 30*time.Millisecond},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			to.activity[0].recordEvent(now - x.quiet)
+			to.activity[1].recordEvent(now - x.other)
+			qt.Check(t, s.nextQuietStage(to, now), qt.Equals, x.want)
+		})
+	}
+}
+
 // TestAnsweringStagesAreCheckedLessOften guards against frequent checks of a
 // stage that answers them although no event passes for a second, as behind a
 // slow engine. After an event the checks are as frequent as before.
