Do not end when a peer reports a fault before the first configuration

All streams and requests of a VM ended at once when its process did.

Cause: a process that has the list of upstreams but no configuration yet, and probes the lost upstreams of its zone, looked up the service of an upstream that a peer reports as faulty in the configuration it does not have. The panic is in a function of the control loop and ends the process with status 2. The list and the configuration are read independently, so that the list alone is known after each start, for longer if only the configuration can't be read or while peers are consulted after a restoration of the store.

Probes now wait for the configuration, and those asked for meanwhile follow.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -43,6 +43,10 @@
 	g.control.Do(func(s *state) {
 		now := g.Now()
 		s.setProbeSharing(s.buildSummary(g, now), now)
+		if s.table == nil {
+			// The configuration says how to probe.
+			return
+		}
 		for _, instance := range s.health.DueProbes(now) {
 			u := s.upstreams[instance]
 			if u == nil {
