Keep the newer of two configurations that arrive out of order

A VM could route by an older configuration until the next change, although its callers were checked against the newer one.

Cause: the configuration comes by the store's watch, by reads and from peers. Each source adopts it (routing.Store keeps the newest) and then hands the table to the control loop. Between the two steps another source may do both with a newer table, and the older one, handed over last, replaced it in the control state.

The control state keeps the table of the higher version.

--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -18,7 +18,8 @@
 	c := qt.New(t)
 	s := newState(t)
 	table := s.table
-	s.setTable(nil)
+	s.table = nil
+	s.rebuildPools()
 	g := &Gateway{Log: s.log, Now: func() time.Duration { return time.Minute }, control: loop.New[state]()}
 	s.now, s.listedAt = g.Now, time.Minute
 	g.control.State = *s
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -158,7 +158,12 @@
 	s.storeMissing = make(map[string]bool)
 }
 
+// setTable replaces the configuration, unless t is older: its sources reach the
+// control loop in any order.
 func (s *state) setTable(t *routing.Table) {
+	if s.table != nil && t.Version < s.table.Version {
+		return
+	}
 	s.table = t
 	s.rebuildPools()
 }
