Log panics with the request or the function that they are about

Callers saw a connection that ended without an answer. If a panic was the cause, no line of the log said so: that of a request's handler went to standard error in the format of net/http, without the request's ID, and that of the control loop was a trace of which the last lines do not name the function.

A panic of a handler is now an error with the ID, the value and the stack, and is counted. The control loop logs the value and the stack of a panic, and the log is written out before the process ends, for at most 200 ms. What the HTTP servers themselves log is a line of key=value pairs as well.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,6 +128,7 @@
 	g.tableWatcher = g.newTableWatcher()
 	g.upstreamWatcher = g.newUpstreamWatcher()
 	g.control = loop.New[state]()
+	g.control.OnPanic = g.logLoopPanic
 	g.control.State.init(g)
 }
 
@@ -195,6 +196,8 @@
 // addServer adds a server to the group.
 func (g *Gateway) addServer(group *run.Group, listener net.Listener, server *http.Server) {
 	stopped := make(chan struct{})
+	// The level is valid.
+	server.ErrorLog, _ = zap.NewStdLogAt(g.Log, zap.WarnLevel)
 	group.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("gateway: %w", err)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,8 @@
 	// keptStreams counts how often a silent attempt was kept because no other one
 	// could follow, by reason.
 	keptStreams *prometheus.CounterVec
+	// panics counts requests whose handler panicked.
+	panics prometheus.Counter
 	// pauses is how long this process stood still at a time.
 	pauses       prometheus.Histogram
 	tableVersion prometheus.Gauge
@@ -80,6 +82,9 @@
 		keptStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_kept_streams_total", Help: "Silent attempts that were kept because no other could follow, by reason.",
 		}, []string{"reason"}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lovageport_gateway_handler_panics_total", Help: "Requests whose handler panicked.",
+		}),
 		pauses: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lovageport_gateway_pause_seconds", Help: "Times that this process stood still.",
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 8),
@@ -102,7 +107,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.panics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -75,8 +75,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.inFlight.Add(1)
 		defer g.inFlight.Add(-1)
-		q, err := g.accept(w, r)
-		if err != nil {
+		q := &request{Request: platform.DecodeRequest(r.Header), http: r, arrived: g.Now()}
+		defer g.logPanic(&q.Request)
+		if err := g.accept(w, q); err != nil {
 			g.refuse(w, q, err)
 			return
 		}
@@ -91,28 +92,27 @@
 }
 
 // accept authorizes a request and reads its body.
-func (g *Gateway) accept(w http.ResponseWriter, r *http.Request) (*request, error) {
-	q := &request{Request: platform.DecodeRequest(r.Header), http: r, arrived: g.Now()}
+func (g *Gateway) accept(w http.ResponseWriter, q *request) error {
 	t := g.routing.Table()
 	if t == nil {
-		return q, verdict.RefuseUntil(repairRetryAfter, verdict.NotReady, "no configuration is known yet")
+		return verdict.RefuseUntil(repairRetryAfter, verdict.NotReady, "no configuration is known yet")
 	}
 	err := g.authorize(q, t, q.arrived)
-	if err != nil && verdict.Of(err).Reason == verdict.NotReady && g.refreshTable(r.Context()) {
+	if err != nil && verdict.Of(err).Reason == verdict.NotReady && g.refreshTable(q.http.Context()) {
 		t = g.routing.Table()
 		err = g.authorize(q, t, g.Now())
 	}
 	if err != nil {
-		return q, err
+		return err
 	}
 	q.service = q.route.Backend(q.ID)
 	q.deadline = q.arrived + requestTimeout(q)
 	q.setQueueDeadline(q.arrived)
 	if err := readBody(w, q, t.Limits.MaxBodyBytes); err != nil {
-		return q, err
+		return err
 	}
 	q.tokens = expectedTokens(&q.Request, t.Services[q.service])
-	return q, nil
+	return nil
 }
 
 // Timing of the wait for a fresh configuration.
--- a/internal/logging/nonblocking.go
+++ b/internal/logging/nonblocking.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	out     io.Writer
 	pending chan []byte
 	dropped atomic.Int64
+	// queued and written count the lines that were queued and those of them that
+	// were written.
+	queued, written atomic.Int64
 	// lines and warnings count the accepted lines.
 	lines, warnings rateCounter
 }
@@ -71,6 +75,9 @@
 	return (*NonBlockingWriter)(w).queue(line, w.warnings.allow(maxWarningsPerSecond))
 }
 
+// Sync is [NonBlockingWriter.Sync].
+func (w *warningWriter) Sync() error { return (*NonBlockingWriter)(w).Sync() }
+
 // queue queues a copy of a line if it is allowed and there is room.
 func (w *NonBlockingWriter) queue(line []byte, allowed bool) (int, error) {
 	if !allowed {
@@ -79,14 +86,34 @@
 	}
 	select {
 	case w.pending <- append([]byte(nil), line...):
+		w.queued.Add(1)
 	default:
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
-// Sync does nothing, because Run writes the lines.
-func (w *NonBlockingWriter) Sync() error { return nil }
+// ErrNotSynced is returned by Sync if the queued lines were not written in time.
+var ErrNotSynced = errors.New("logging: queued lines not written in time")
+
+const (
+	// syncTimeout bounds [NonBlockingWriter.Sync].
+	syncTimeout = 200 * time.Millisecond
+	// syncPollInterval is how often it looks whether the lines are written.
+	syncPollInterval = time.Millisecond
+)
+
+// Sync waits until the lines that are queued have been written. It returns
+// ErrNotSynced if that takes too long.
+func (w *NonBlockingWriter) Sync() error {
+	queued := w.queued.Load()
+	for end := time.Now().Add(syncTimeout); w.written.Load() < queued; time.Sleep(syncPollInterval) {
+		if time.Now().After(end) {
+			return ErrNotSynced
+		}
+	}
+	return nil
+}
 
 // Dropped returns how many lines were dropped.
 func (w *NonBlockingWriter) Dropped() int64 { return w.dropped.Load() }
@@ -109,10 +136,13 @@
 // write writes a line together with queued lines. It ignores errors: the process
 // must go on serving, and there is no other place to report them.
 func (w *NonBlockingWriter) write(line []byte) {
+	lines := int64(1)
+	defer func() { w.written.Add(lines) }()
 	for len(line) < batchBytes {
 		select {
 		case next := <-w.pending:
 			line = append(line, next...)
+			lines++
 		default:
 			_, _ = w.out.Write(line)
 			return
--- a/internal/logging/nonblocking_test.go
+++ b/internal/logging/nonblocking_test.go
@@ -90,3 +90,23 @@
 	// The lines were logged in less than two seconds.
 	c.Check(w.Dropped() >= lines-3*maxWarningsPerSecond, qt.IsTrue, qt.Commentf("%d dropped", w.Dropped()))
 }
+
+// TestSyncWritesQueuedLines checks that the lines before Sync are written when it
+// returns, so that the last line of a process that ends is not lost, and that Sync
+// gives up if the output blocks.
+func TestSyncWritesQueuedLines(t *testing.T) {
+	c := qt.New(t)
+	out := &blockedWriter{release: make(chan struct{})}
+	w := NewNonBlockingWriter(out)
+	log, err := New(w, "info")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = w.Run(t.Context()) }()
+	log.Info("first")
+	log.Error("last")
+	c.Assert(w.Sync(), qt.Equals, ErrNotSynced)
+	close(out.release)
+	c.Assert(log.Sync(), qt.IsNil)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	c.Assert(strings.Count(out.text.String(), "\n"), qt.Equals, 2)
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -2,7 +2,10 @@
 // functions on it one at a time.
 package loop
 
-import "context"
+import (
+	"context"
+	"runtime/debug"
+)
 
 // queueSize is how many functions may be queued before callers block.
 const queueSize = 1024
@@ -14,6 +17,9 @@
 	State S
 	// AfterEach is called in the loop after each function; it may be nil.
 	AfterEach func(*S)
+	// OnPanic is called with the value and the stack of a panic in a function that
+	// the loop runs, before the panic goes on and ends the process; it may be nil.
+	OnPanic func(value any, stack []byte)
 
 	queue chan func(*S)
 	done  chan struct{}
@@ -27,6 +33,7 @@
 // Run runs queued functions until ctx is done.
 func (l *Loop[S]) Run(ctx context.Context) error {
 	defer close(l.done)
+	defer l.reportPanic()
 	for {
 		select {
 		case <-ctx.Done():
@@ -40,6 +47,19 @@
 	}
 }
 
+// reportPanic calls OnPanic if a function has panicked, and panics again: the state
+// may be inconsistent.
+func (l *Loop[S]) reportPanic() {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if l.OnPanic != nil {
+		l.OnPanic(value, debug.Stack())
+	}
+	panic(value)
+}
+
 // Do runs f on the state and waits for it to return. It returns false if the loop
 // ends before that is known; f may then have run or not.
 func (l *Loop[S]) Do(f func(*S)) bool {
