--- a/internal/coordination/placement/latency_test.go
+++ b/internal/coordination/placement/latency_test.go
@@ -90,6 +90,13 @@
 	again[0].Slots++
 	c.Check(cache.Get(e, again, []string{"wien"}), qt.DeepEquals, first)
 	c.Check(cache.upstreams[0], qt.Equals, upstreams[0])
+	decodedAgain := *e
+	c.Check(cache.Get(&decodedAgain, again, []string{"wien"}), qt.DeepEquals, first)
+	c.Check(cache.upstreams[0], qt.Equals, upstreams[0], qt.Commentf("planned anew for an equal configuration"))
+	faster := *e
+	faster.Step /= 2
+	c.Check(cache.Get(&faster, upstreams, []string{"wien"}), qt.DeepEquals, Plan(&faster, upstreams, []string{"wien"}))
+	c.Check(cache.engine, qt.Equals, &faster)
 	c.Check(cache.Get(e, upstreams, []string{"graz"}), qt.DeepEquals, Plan(e, upstreams, []string{"graz"}))
 	placed := applyPlan(upstreams, Plan(e, upstreams, allZones))
 	c.Check(cache.Get(e, placed, allZones), qt.DeepEquals, Plan(e, placed, allZones))
