Let a request run to its end on the service it was accepted for

A stream whose engine crashed after a configuration had removed its service, or had changed the number of layers of its model, was cut: the next attempt looked for its service in the pools of the new table, found none and ended after the queue's time limit. With an engine description taken away, the attempt went to a single engine that holds half of the layers. A stream whose engine went on was not cut by any change, nor was one whose route, key, account, attempts, priority, timeout or pause changed: these are kept with the request.

A request now keeps the description of its service by which it was accepted, and poolOf finds the pool by that description. A pool that the table does not name any more is built when the first request asks for it, follows the list of upstreams as the others do, and is dropped after the last deadline of these requests. Layers are placed by the present table alone.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -249,7 +249,7 @@
 // assign returns the target of a request's next attempt and counts it as load,
 // if one is available.
 func (s *state) assign(q *request, now time.Duration) (target, error) {
-	pool := s.pools[q.service]
+	pool := s.poolOf(q)
 	if pool == nil {
 		return target{}, verdict.Refuse(verdict.NoUpstream, "no upstream of %s is in service", q.service)
 	}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -243,7 +243,7 @@
 // because the upstreams have asked for no requests, or nil if the request may
 // wait.
 func (s *state) holdOffRefusal(q *request, now time.Duration) *verdict.Error {
-	p := s.pools[q.service]
+	p := s.poolOf(q)
 	if p == nil {
 		return nil
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -49,7 +49,7 @@
 				continue
 			}
 			p := probeTarget{Upstream: u}
-			if service := s.table.Services[u.Service]; service != nil {
+			if service := s.serviceNamed(u.Service); service != nil {
 				p.healthPath = service.HealthPath
 			}
 			due = append(due, p)
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -80,7 +80,7 @@
 // capacity, or if a complete other chain is likely to continue the stream
 // sooner.
 func (s *state) findReplacement(q *request, to target, i int, now time.Duration) (target, []relay.Stage) {
-	pool := s.pools[q.service]
+	pool := s.poolOf(q)
 	if pool == nil || pool.layers == nil {
 		return to, nil
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -20,6 +20,9 @@
 	http    *http.Request
 	route   *routing.Route
 	service string
+	// accepted is the service as the table by which the request was accepted
+	// describes it; nil if that does not.
+	accepted *routing.Service
 	// account is empty for requests without key.
 	account string
 	// rank is the priority; 0 is the most urgent.
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -185,35 +185,31 @@
 // reserveStages adds stages of a generation to the load of their upstreams;
 // before is the zone that their activations come from.
 func (s *state) reserveStages(q *request, stages []relay.Stage, before string, now time.Duration) {
-	var layers *pathfinding.LayerMap
-	if pool := s.pools[q.service]; pool != nil {
-		layers = pool.layers
-	}
+	pool := s.poolOf(q)
 	for _, stage := range stages {
 		if before != stage.Upstream.Zone {
-			s.recordTransfer(q, before, stage.Upstream.Zone, now)
+			s.recordTransfer(q, pool, before, stage.Upstream.Zone, now)
 		}
 		before = stage.Upstream.Zone
 		l := s.loadOf(stage.Upstream.Instance)
 		l.requests++
 		l.tokenLayers += q.tokens * float64(stage.Layers.Len())
 		l.prefillRate.Add(float64(q.PromptTokens*stage.Layers.Len()), now)
-		if layers != nil {
+		if pool != nil && pool.layers != nil {
 			// The other gateways of the zone are expected to send as much.
-			reading := layers.PrefillTime(stage.Upstream, q.PromptTokens, stage.Layers.Len())
+			reading := pool.layers.PrefillTime(stage.Upstream, q.PromptTokens, stage.Layers.Len())
 			l.prefillBacklog.Add(reading*time.Duration(s.zonePeers.Len()+1), now)
 		}
 	}
 }
 
 // recordTransfer records that a prompt is sent from one zone to another.
-func (s *state) recordTransfer(q *request, from, to string, now time.Duration) {
-	service := s.table.Services[q.service]
-	if service == nil || service.Engine == nil {
+func (s *state) recordTransfer(q *request, p *servicePool, from, to string, now time.Duration) {
+	if p == nil || p.service.Engine == nil {
 		return
 	}
 	key := linkKey{q.service, pathfinding.LinkName(from, to)}
-	s.linkLimiter(key).Record(s.linkInfo(service, key), float64(q.PromptTokens), now)
+	s.linkLimiter(key).Record(s.linkInfo(p.service, key), float64(q.PromptTokens), now)
 }
 
 func (s *state) callCost(u *fleet.Upstream, now time.Duration) float64 {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -106,12 +106,13 @@
 		return q, err
 	}
 	q.service = q.route.Backend(q.ID)
+	q.accepted = t.Services[q.service]
 	q.deadline = q.arrived + requestTimeout(q)
 	q.setQueueDeadline(q.arrived)
 	if err := readBody(w, q, t.Limits.MaxBodyBytes); err != nil {
 		return q, err
 	}
-	q.tokens = expectedTokens(&q.Request, t.Services[q.service])
+	q.tokens = expectedTokens(&q.Request, q.accepted)
 	return q, nil
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -49,6 +47,9 @@
 	listDigest  uint64
 	entryHashes map[string]uint64
 	pools       map[string]*servicePool
+	// formerPools are those of services that running requests were accepted for,
+	// and that the table no longer describes alike.
+	formerPools []*formerPool
 	loads       map[string]*upstreamLoad
 	// linkLimiters limit what this gateway sends over links between zones, by
 	// service and link name.
@@ -104,15 +105,6 @@
 	storeFailed, storeMissing map[string]bool
 }
 
-// servicePool holds the upstreams of one service.
-type servicePool struct {
-	service *routing.Service
-	// members are the upstreams that serve, ordered by instance.
-	members []*fleet.Upstream
-	// layers is nil unless the service has an engine.
-	layers *pathfinding.LayerMap
-}
-
 // linkKey identifies a link between two zones, which all engines of a service
 // share.
 type linkKey struct{ service, name string }
@@ -158,58 +150,6 @@
 	s.storeMissing = make(map[string]bool)
 }
 
-func (s *state) setTable(t *routing.Table) {
-	s.table = t
-	s.rebuildPools()
-}
-
-// rebuildPools recomputes the pools from the list of upstreams.
-func (s *state) rebuildPools() {
-	s.pools = make(map[string]*servicePool)
-	s.pruneLeaving(s.now())
-	s.pruneRemovals(s.now())
-	if s.table == nil {
-		return
-	}
-	newest := s.newestRegistrations()
-	for _, instance := range slices.Sorted(maps.Keys(s.upstreams)) {
-		u := s.upstreams[instance]
-		service := s.table.Services[u.Service]
-		if service == nil || u.State != fleet.Serving || s.isLeaving(u) || u.Registered < newest[u.Address] {
-			continue
-		}
-		p := s.pools[u.Service]
-		if p == nil {
-			p = &servicePool{service: service}
-			s.pools[u.Service] = p
-		}
-		p.members = append(p.members, u)
-	}
-	for _, p := range s.pools {
-		if p.service.Engine != nil {
-			p.layers = pathfinding.NewLayerMap(p.service.Engine, p.members)
-		}
-	}
-	s.logCoverage(s.now())
-	live := func(instance string) bool { return s.upstreams[instance] != nil }
-	s.health.Retain(live)
-	maps.DeleteFunc(s.loads, func(instance string, l *upstreamLoad) bool { return l.requests == 0 && !live(instance) })
-}
-
-// newestRegistrations returns the newest registration at each address. An
-// address has one upstream, and the entry of one that crashed there expires
-// late. Retained upstreams, which may be of an earlier era of the store, don't
-// count.
-func (s *state) newestRegistrations() map[string]int64 {
-	newest := make(map[string]int64, len(s.upstreams))
-	for instance, u := range s.upstreams {
-		if _, retained := s.retained[instance]; !retained {
-			newest[u.Address] = max(newest[u.Address], u.Registered)
-		}
-	}
-	return newest
-}
-
 func (s *state) loadOf(instance string) *upstreamLoad {
 	l := s.loads[instance]
 	if l == nil {
--- a/internal/state/routing/table.go
+++ b/internal/state/routing/table.go
@@ -95,6 +95,19 @@
 	Engine *fleet.Engine
 }
 
+// RunsLike reports whether a request that was accepted for one of the services may
+// run as one of the other: both are plain, or have a model of as many layers. Either
+// may be nil, for a service that a table does not describe.
+func (s *Service) RunsLike(other *Service) bool {
+	if s == nil || other == nil {
+		return s == other
+	}
+	if s.Engine == nil || other.Engine == nil {
+		return s.Engine == other.Engine
+	}
+	return s.Engine.Layers == other.Engine.Layers
+}
+
 // Account is a client account and its API keys.
 type Account struct {
 	Name string
