Read the configuration anew when its changes exceed a response

A watch whose changes are larger than the limit of a response, 4 MB, failed as if the store had failed: some twelve versions of a configuration of 1,400 routes are enough, and a gateway that does not read for its zone pauses up to 1.5 s between watches. It counted the store as lost, and asked again from the same revision, for a larger answer each time, until a peer brought the configuration. Such a watch is now answered as one whose history is gone: the object is read.

--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -84,7 +84,7 @@
 	switch {
 	case err != nil && interrupted:
 		return w.read(ctx)
-	case errors.Is(err, platform.ErrHistoryGone), errors.Is(err, platform.ErrRestored):
+	case errors.Is(err, platform.ErrHistoryGone), errors.Is(err, platform.ErrRestored), errors.Is(err, platform.ErrTooManyChanges):
 		return revision.Revision{}, nil
 	}
 	return next, err
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovageport.example/internal/logging"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/revision"
 	"lovageport.example/platform"
 )
@@ -70,3 +72,19 @@
 	<-w.wake
 	qt.Check(t, w.sleep(t.Context(), time.Hour), qt.IsTrue)
 }
+
+// TestReadFollowsWatchThatShowsNoChanges guards against a watch that is repeated from
+// the same revision although the store cannot show the changes since then.
+func TestReadFollowsWatchThatShowsNoChanges(t *testing.T) {
+	for _, shown := range []error{platform.ErrHistoryGone, platform.ErrRestored, platform.ErrTooManyChanges} {
+		g := &Gateway{control: loop.New[state](), Now: func() time.Duration { return 0 }}
+		g.control.State = *newState(t)
+		go g.control.Run(t.Context())
+		w := &watcher{g: g, wake: make(chan struct{}, 1), watch: func(context.Context, platform.WatchOptions) (revision.Revision, error) {
+			return revision.Revision{}, fmt.Errorf("watch: %w", shown)
+		}}
+		at, err := w.step(t.Context(), revision.Revision{Number: 7})
+		qt.Check(t, err, qt.IsNil, qt.Commentf("%v", shown))
+		qt.Check(t, at.IsZero(), qt.IsTrue)
+	}
+}
