End background calls together with the gateway

Reports, probes, orders and news that a gateway had begun went on after Run had returned, on connections that were closed meanwhile, and wrote to its log: a test run with -v ended in "Log in goroutine after TestLostStageIsReplaced has completed" (1 of 60 runs beside other tests).

They belong to a group now, which Run cancels and waits for. 15 more runs of that test with -v passed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	draining atomic.Bool
 	// inFlight is the number of callers' requests being processed.
 	inFlight atomic.Int64
+	// tasks are the calls that run in the background. They end with Run.
+	tasks taskGroup
 }
 
 func (g *Gateway) prepare() {
@@ -144,6 +146,8 @@
 	defer g.store.Close()
 	defer g.connPool.Close()
 	defer g.peerClients.Close()
+	g.tasks.start(ctx)
+	defer g.tasks.stop()
 	peerListener, err := g.Listen(ctx, "tcp", g.Settings.Listen.Peers)
 	if err != nil {
 		return fmt.Errorf("gateway: %w", err)
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -13,7 +13,7 @@
 	g.control.Send(func(s *state) {
 		for _, stage := range to.chain {
 			if s.health.PaceQueryDue(stage.Upstream.Instance, g.Now()) {
-				go g.fetchPace(stage.Upstream)
+				g.tasks.run(func(ctx context.Context) { g.fetchPace(ctx, stage.Upstream) })
 			}
 		}
 	})
@@ -25,14 +25,14 @@
 	g.control.Send(func(s *state) {
 		for _, instance := range s.health.SlowEnginesDue(g.Now()) {
 			if u := s.upstreams[instance]; u != nil {
-				go g.fetchPace(u)
+				g.tasks.run(func(ctx context.Context) { g.fetchPace(ctx, u) })
 			}
 		}
 	})
 }
 
-func (g *Gateway) fetchPace(u *fleet.Upstream) {
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+func (g *Gateway) fetchPace(ctx context.Context, u *fleet.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := g.fetchReport(ctx, u)
 	if err != nil {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -54,13 +54,17 @@
 		})
 		var calls sync.WaitGroup
 		for address, news := range due {
-			calls.Go(func() { g.sendNews(ctx, address, news) })
+			calls.Add(1)
+			g.tasks.run(func(ctx context.Context) {
+				defer calls.Done()
+				g.sendNews(ctx, address, news)
+			})
 		}
 		if first {
-			go func() {
+			g.tasks.run(func(context.Context) {
 				calls.Wait()
 				g.closePeersTried()
-			}()
+			})
 		}
 	}
 	return nil
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -35,10 +35,10 @@
 	plans := make(map[string]*placement.PlanCache)
 	for loop.Sleep(ctx, planInterval) {
 		for _, o := range g.dueOrders(plans) {
-			go g.sendOrder(ctx, o)
+			g.tasks.run(func(ctx context.Context) { g.sendOrder(ctx, o) })
 		}
 		for _, u := range g.overdueEngines() {
-			go g.refreshHeldLayers(ctx, u)
+			g.tasks.run(func(ctx context.Context) { g.refreshHeldLayers(ctx, u) })
 		}
 	}
 	return nil
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -26,7 +26,7 @@
 	for loop.Sleep(ctx, probeInterval) {
 		g.recheckSlowEngines()
 		for _, u := range g.dueProbes() {
-			go g.probeUpstream(ctx, u)
+			g.tasks.run(func(ctx context.Context) { g.probeUpstream(ctx, u) })
 		}
 	}
 	return nil
