Refuse responses that leave open where they end

Callers of an upstream that states the end of its response in two ways, or in a way that net/http does not recognize, got a success whose body was not shown to be whole: a length or chunks behind a space before the colon ("Content-Length : 20") was not seen, so that the body counted as complete wherever the connection was closed; chunks of HTTP/1.0 were passed on with their framing as the body; of a length and chunks together the chunks counted. A status of 101, below 100 or with a sign, and versions other than HTTP/1, were passed on or taken for informational responses.

Cause: net/http is lenient about these. It removes Transfer-Encoding, and a length beside it, from the header, so that they cannot be found afterwards; the text of the header is therefore kept until it has been checked.

Ruled out: a response that stops at any of its bytes.

TestUnusualResponsesAreRead guards against checks that are stricter than HTTP.

--- a/internal/transport/http1/body.go
+++ b/internal/transport/http1/body.go
@@ -19,11 +19,22 @@
 	// left is how many bytes may still be read while limited is set.
 	left    int
 	limited bool
+	// read holds the bytes that were read while limited was set and not taken.
+	read []byte
 }
 
 func (r *boundedReader) limit(n int) { r.left, r.limited = n, true }
 
-func (r *boundedReader) unlimit() { r.limited = false }
+func (r *boundedReader) unlimit() { r.limited, r.read = false, nil }
+
+// take returns the bytes that were read under the limit, but for the last rest
+// bytes, which the next call returns. They are valid until the next read.
+func (r *boundedReader) take(rest int) []byte {
+	n := len(r.read) - rest
+	taken := r.read[:n]
+	r.read = r.read[n:]
+	return taken
+}
 
 // reached reports whether a limit is set and has been reached.
 func (r *boundedReader) reached() bool { return r.limited && r.left <= 0 }
@@ -38,6 +49,7 @@
 	}
 	n, err := r.source.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	r.read = append(r.read, p[:n]...)
 	return n, err
 }
 
--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -4,14 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"syscall"
 	"time"
 
-	"lovageport.example/internal/transport/httpclient"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -139,32 +137,6 @@
 	return sent, nil
 }
 
-// maxInformational limits the number of responses read until one is not an
-// informational (1xx) one.
-const maxInformational = 4
-
-// readHeader reads the header of the response. Together with those of
-// informational responses before it, it is limited to
-// [httpclient.MaxHeaderBytes], since net/http buffers a header until it ends.
-func (c *connection) readHeader(method string) (*http.Response, error) {
-	c.source.limit(httpclient.MaxHeaderBytes)
-	defer c.source.unlimit()
-	for range maxInformational {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil && c.source.reached() {
-			// net/http may report the line that the limit cut as malformed.
-			return nil, fmt.Errorf("%w: head above %d bytes", ErrMalformed, httpclient.MaxHeaderBytes)
-		}
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
-	return nil, fmt.Errorf("%w: no final answer", ErrMalformed)
-}
-
 // dialError returns the verdict on an upstream to which no connection could be
 // opened. Only one that refuses the connection is known to have ended: if no
 // answer comes, the network or this process may be at fault.
