Fail an exchange whose data has arrived before its request

Callers without an ID check saw a message that an upstream had sent unasked as the response to their request: Pool.take looks for such data only when it takes a connection, and what arrives between that look and the write of the request was read as the response.

Change: the request is encoded before the connection is taken, so that the look is directly before the write. After the write of a request on a reused connection, data that can be read although the peer has acknowledged nothing of the request (SIOCOUTQ) fails the exchange as malformed: a segment with a response would have acknowledged some of the request. Such a failure no longer counts as a connection that the upstream has dropped silently (reduceIdleLimit).

--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -61,26 +62,37 @@
 // is read, since an upstream may respond before it has read the whole body.
 const largeBody = 16 << 10
 
+// errEarlyData is returned if data has arrived before the request, so that it is
+// not the response to it.
+var errEarlyData = fmt.Errorf("%w: data before the request", ErrMalformed)
+
 // Do sends a request and reads the header of the response. The error is a
 // [verdict.Error], with the verdict not-run if no connection could be opened. The
 // end of ctx aborts the exchange, including the reading of the body.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
+	message := encode(r)
 	conn, err := p.take(ctx, r, time.Now())
 	if err != nil {
 		return nil, dialError(ctx, err)
 	}
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(aLongTimeAgo) })
 	fail := func(err error) error {
-		if stop() {
+		if stop() && !errors.Is(err, ErrMalformed) {
 			p.reduceIdleLimit(r.Address, conn, time.Now())
 		}
 		conn.abort()
 		return exchangeError(ctx, err)
 	}
-	sent, err := send(conn, r)
-	if err != nil {
+	if _, err := conn.Write(message); err != nil {
 		return nil, fail(err)
 	}
+	if conn.reused && conn.hasDataBefore(len(message)) {
+		return nil, fail(errEarlyData)
+	}
+	var sent chan error
+	if len(r.Body) >= largeBody {
+		sent = conn.writeInBackground(r.Body)
+	}
 	response, err := conn.readHeader(r.Method)
 	if err != nil {
 		return nil, fail(err)
@@ -109,32 +121,30 @@
 	return 0
 }
 
-// send writes the request. It writes a large body in the background and returns a
-// channel that receives the result; the channel is nil otherwise.
-func send(conn *connection, r *Request) (chan error, error) {
-	var head bytes.Buffer
-	head.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	if err := r.Header.Write(&head); err != nil {
-		return nil, err
-	}
+// encode returns the request as it is sent, without its body if that is large.
+func encode(r *Request) []byte {
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	// Writing to a buffer cannot fail.
+	_ = r.Header.Write(&b)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
-	head.WriteString("\r\n")
+	b.WriteString("\r\n")
 	if len(r.Body) < largeBody {
-		head.Write(r.Body)
-		_, err := conn.Write(head.Bytes())
-		return nil, err
-	}
-	if _, err := conn.Write(head.Bytes()); err != nil {
-		return nil, err
+		b.Write(r.Body)
 	}
+	return b.Bytes()
+}
+
+// writeInBackground writes the body of a request. The channel receives the result.
+func (c *connection) writeInBackground(body []byte) chan error {
 	sent := make(chan error, 1)
 	go func() {
-		_, err := conn.Write(r.Body)
+		_, err := c.Write(body)
 		sent <- err
 	}()
-	return sent, nil
+	return sent
 }
 
 // dialError returns the verdict on an upstream to which no connection could be
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -215,7 +215,7 @@
 	}
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
-		_, recvErr := peek(fd)
+		_, recvErr := peek(int(fd))
 		quiet = recvErr == syscall.EAGAIN
 		return true
 	})
