Soak configurations in series beside streams, and count the streams that are cut

The soak had one new configuration among many actions, streams of half a second and no process that stands still for a moment. With Config.Storms it now draws series of 10 to 40 configurations 30 to 350 ms apart, large ones of 1000 to 3000 routes, and signals and leaving upstreams within a series. Each version adds a key and routes and removes those of the eighth before it while streams of up to 3 s run on them. Config.Standstills adds standstills of 100 to 600 ms, also as the only faults. Config.MaxProcs limits the processors of the gateways.

The check of runs without faults also finds a call that had reached an upstream and was sent again by the client itself because its connection had ended; this was hidden by net/http for idempotent calls. Long streams, which are new, are excused at their deadline and in the last sixth of the grace period; all other calls are excused by nothing, as before. The report counts the streams that were cut beside a configuration and those cut at other times.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 
@@ -28,8 +29,11 @@
 	// plainServiceTimeout is the timeout of calls to plain services in the
 	// configuration of the gateways.
 	plainServiceTimeout = time.Second
-	// streamEvents is the number of events in a stream.
-	streamEvents = 25
+	// streamEvents is the number of events in a stream, longStreamEvents the most
+	// in runs with storms, where longCallTimeout is the timeout of streams.
+	streamEvents     = 25
+	longStreamEvents = 150
+	longCallTimeout  = 10 * time.Second
 	// maxCallInterval is the longest pause between two calls of a caller.
 	maxCallInterval = 60 * time.Millisecond
 )
@@ -38,6 +42,12 @@
 type call struct {
 	id, kind, key string
 	gateway       *gateway
+	// variant is the set of routes that the call uses; empty for the stable ones.
+	variant string
+	// events is the number of events that a stream should have, timeout the timeout
+	// that the call states.
+	events  int
+	timeout time.Duration
 	// incarnation numbers the process of the gateway when the call was sent.
 	// sameProcess is set if that was still the latest process when the call
 	// ended.
@@ -50,6 +60,9 @@
 	header http.Header
 	body   string
 	err    error
+	// resent holds when the client sent the call once more because its connection
+	// had ended without an answer.
+	resent []time.Time
 }
 
 // caller sends calls to one gateway, one after another. It uses a single
@@ -86,7 +99,7 @@
 // drawCall draws the kind and the API key of the next call. The key is
 // stableKey, or that of the newest configuration or the one before it.
 func (c *caller) drawCall() *call {
-	k := &call{id: fmt.Sprintf("%s-%d", c.name, len(c.calls)), gateway: c.gateway, key: stableKey}
+	k := &call{id: fmt.Sprintf("%s-%d", c.name, len(c.calls)), gateway: c.gateway, key: stableKey, events: streamEvents, timeout: callTimeout}
 	k.kind = []string{streamKind, writeKind, writeKind, readKind}[c.rng.IntN(4)]
 	newest, before := c.system.recentKeys()
 	switch c.rng.IntN(6) {
@@ -97,15 +110,49 @@
 			k.key = before
 		}
 	}
+	if c.system.storms {
+		c.drawStormCall(k)
+	}
 	return k
 }
 
-func (k *call) path() string { return "/" + k.kind + "/" + k.id }
+// drawStormCall draws the rest of a call in a run with storms: streams may be long,
+// and a key that does not stay is used with the routes that come and go with it.
+func (c *caller) drawStormCall(k *call) {
+	if k.kind == streamKind {
+		k.events, k.timeout = streamEvents+c.rng.IntN(longStreamEvents-streamEvents+1), longCallTimeout
+	}
+	if c.rng.IntN(4) == 0 {
+		k.key = c.system.keptKey(c.rng.Float64())
+	}
+	if k.key != stableKey {
+		k.variant = k.key
+	}
+}
+
+func (k *call) path() string {
+	if k.variant != "" {
+		return "/" + k.kind + "-" + k.variant + "/" + k.id
+	}
+	return "/" + k.kind + "/" + k.id
+}
+
+// trace returns hooks that record when the client takes another connection for the
+// call than the first.
+func (k *call) trace() *httptrace.ClientTrace {
+	first := true
+	return &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		if !first {
+			k.resent = append(k.resent, time.Now())
+		}
+		first = false
+	}}
+}
 
 // send sends a call and records its outcome.
 func (c *caller) send(k *call) {
 	// Wait for longer than the stated timeout, to see how late a response is.
-	ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*k.timeout)
 	defer cancel()
 	method, body := http.MethodGet, io.Reader(nil)
 	if k.kind != readKind {
@@ -116,8 +163,9 @@
 		k.err = err
 		return
 	}
-	platformtest.SetCall(r, k.id, k.key, callTimeout, streamEvents)
+	platformtest.SetCall(r, k.id, k.key, k.timeout, k.events)
 	k.incarnation = c.gateway.incarnation()
+	r = r.WithContext(httptrace.WithClientTrace(ctx, k.trace()))
 	k.sent = time.Now()
 	response, err := c.client.Do(r)
 	if err == nil {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -94,7 +94,7 @@
 // checkResponse checks that a successful response comes from an upstream and
 // is complete.
 func (c *checker) checkResponse(k *call) {
-	fullBody := platformtest.EventText(1, streamEvents)
+	fullBody := platformtest.EventText(1, k.events)
 	switch {
 	case k.status != http.StatusOK:
 		return
@@ -136,8 +136,8 @@
 		if v.key != key {
 			continue
 		}
-		if i+1 < len(s.versions) {
-			removed = s.versions[i+1].at
+		if next := i + s.keptVersions; next < len(s.versions) {
+			removed = s.versions[next].at
 		}
 		return v.at, removed
 	}
@@ -165,13 +165,16 @@
 }
 
 // checkUndisturbed checks what holds in a run without faults: no call is cut
-// off, and each one ends by its deadline.
+// off, even if the client sent it again unasked, and each one ends by its deadline.
 func (c *checker) checkUndisturbed(k *call) {
 	took := k.ended.Sub(k.sent)
-	if k.err != nil && (took > connectionCloseRace || len(c.executions[k.id]) > 0) {
+	if k.err != nil && (took > connectionCloseRace || len(c.executions[k.id]) > 0) && !c.mayBeCut(k) {
 		c.report("planned maintenance cuts off no call", k)
 	}
-	limit := callTimeout
+	if c.wasDropped(k) {
+		c.report("planned maintenance drops no call that an upstream has", k)
+	}
+	limit := k.timeout
 	if k.kind != streamKind {
 		limit = plainServiceTimeout
 	}
@@ -189,9 +192,11 @@
 		number int
 		at     time.Time
 	}
-	number := make(map[string]int)
-	for _, v := range c.system.versions {
-		number[v.key] = v.number
+	// first and last are the numbers of the configurations in which a key is valid.
+	first, last := make(map[string]int), make(map[string]int)
+	for i, v := range c.system.versions {
+		first[v.key] = v.number
+		last[v.key] = c.system.versions[min(i+c.system.keptVersions, len(c.system.versions))-1].number
 	}
 	var served []*call
 	for _, k := range c.calls {
@@ -204,13 +209,13 @@
 	for _, k := range served {
 		p := k.process()
 		for _, s := range newest[p] {
-			if s.number > number[k.key] && k.sent.After(s.at.Add(staleConfigurationTolerance)) {
+			if s.number > last[k.key] && k.sent.After(s.at.Add(staleConfigurationTolerance)) {
 				c.report("a process does not return to an older configuration", k)
 				break
 			}
 		}
-		if n := len(newest[p]); n == 0 || newest[p][n-1].number < number[k.key] {
-			newest[p] = append(newest[p], shown{number[k.key], k.ended})
+		if n := len(newest[p]); n == 0 || newest[p][n-1].number < first[k.key] {
+			newest[p] = append(newest[p], shown{first[k.key], k.ended})
 		}
 	}
 }
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -41,6 +41,8 @@
 	// that of the other build, if there is one. Guarded by mu.
 	binDir, otherBinDir   string
 	settingsPath, logPath string
+	// variables are added to the environment of the processes.
+	variables []string
 	// report records a violated guarantee.
 	report func(guarantee, detail string)
 
@@ -53,6 +55,10 @@
 	stopRequested, killed bool
 	stopRequestedAt       time.Time
 	stopping              bool
+	// stops holds when SIGTERM was first sent, by the number of the process.
+	stops map[int]time.Time
+	// stoodStill is how long the process was made to stand still in all.
+	stoodStill time.Duration
 	// logSizeAtStart is the size of the log in bytes when the process was
 	// started.
 	logSizeAtStart int64
@@ -60,7 +66,10 @@
 
 // newGateway returns a gateway and starts its proxies, but not its process.
 func newGateway(name, zone, dir, binDir, storeAddress string) (*gateway, error) {
-	g := &gateway{name: name, zone: zone, binDir: binDir, settingsPath: filepath.Join(dir, name+".toml"), logPath: filepath.Join(dir, name+".log")}
+	g := &gateway{
+		name: name, zone: zone, binDir: binDir, stops: make(map[int]time.Time),
+		settingsPath: filepath.Join(dir, name+".toml"), logPath: filepath.Join(dir, name+".log"),
+	}
 	var listen string
 	for _, address := range []*string{&listen, &g.healthAddress, &g.peerAddress} {
 		free, err := program.FreeAddress()
@@ -160,11 +169,11 @@
 		return nil, nil
 	}
 	g.logSizeAtStart = g.logSize()
-	p, err := program.Start(g.binDir, "lovageport", out, "gateway", "--config", g.settingsPath)
+	p, err := program.StartWith(g.variables, g.binDir, "lovageport", out, "gateway", "--config", g.settingsPath)
 	if err != nil {
 		return nil, err
 	}
-	g.process, g.stopRequested, g.killed = p, false, false
+	g.process, g.stopRequested, g.killed, g.stoodStill = p, false, false, 0
 	g.starts++
 	return p, nil
 }
@@ -182,7 +191,7 @@
 		g.report("a gateway exits only when told to", fmt.Sprintf("%s: %v", g.name, state))
 	case state.ExitCode() != 0:
 		g.report("a gateway exits with code 0 after SIGTERM", fmt.Sprintf("%s: %v", g.name, state))
-	case took > stopGracePeriod:
+	case took > stopGracePeriod+g.stoodStill:
 		g.report("a gateway stops within its grace period", fmt.Sprintf("%s took %v", g.name, took))
 	}
 }
@@ -200,6 +209,7 @@
 	case syscall.SIGTERM:
 		if !g.stopRequested {
 			g.stopRequested, g.stopRequestedAt = true, time.Now()
+			g.stops[g.starts] = g.stopRequestedAt
 		}
 	case syscall.SIGKILL, syscall.SIGSTOP:
 		g.killed = true
@@ -208,6 +218,32 @@
 	_ = g.process.Command.Process.Signal(s)
 }
 
+// standStill stops the running process for a time, as if it got no processor, and
+// continues it. Unlike SIGSTOP by [gateway.signal], it excuses no exit.
+func (g *gateway) standStill(length time.Duration) {
+	g.mu.Lock()
+	p := g.process
+	if p == nil || !g.hasLoggedLocked() {
+		g.mu.Unlock()
+		return
+	}
+	g.stoodStill += length
+	g.mu.Unlock()
+	// The process may end at any time and then needs no signal.
+	_ = p.Command.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	_ = p.Command.Process.Signal(syscall.SIGCONT)
+}
+
+// stopRequestedOf returns when SIGTERM was first sent to a process, given by its
+// number, and whether it was.
+func (g *gateway) stopRequestedOf(incarnation int) (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.stops[incarnation]
+	return at, ok
+}
+
 // logSize returns the size of the log in bytes, or 0 if there is no log.
 func (g *gateway) logSize() int64 {
 	info, err := os.Stat(g.logPath)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +21,14 @@
 	MaintenanceOnly bool
 	// Restorations adds restorations of the store from a copy to the faults.
 	Restorations bool
+	// Storms adds series of configurations, some of them large and some beside
+	// signals and leaving upstreams. Streams may last for seconds.
+	Storms bool
+	// Standstills adds short standstills of processes. With MaintenanceOnly they are
+	// the only faults.
+	Standstills bool
+	// MaxProcs, if positive, limits the processors that a gateway uses at a time.
+	MaxProcs int
 	// EarlierBinDir, if set, is the directory of the binaries of an earlier build,
 	// with which the gateways start. Each of them may change its build several
 	// times.
@@ -41,7 +51,11 @@
 	// Calls is the number of calls sent, Succeeded the number of those that
 	// got a complete successful response.
 	Calls, Succeeded int
-	Violations       []Violation
+	// Versions is the number of configurations. Beside counts the streams that were
+	// cut beside one of them, Outside those that were cut at other times.
+	Versions        int
+	Beside, Outside Cuts
+	Violations      []Violation
 	// Logs holds the logs of the gateways, by name.
 	Logs map[string]string
 }
@@ -74,6 +88,10 @@
 	}
 	d := &scheduler{rng: rand.New(rand.NewPCG(p.Seed, 1)), system: s}
 	actions := d.drawSchedule(p)
+	if p.Storms || p.Standstills {
+		actions = append(actions, newStormScheduler(p, s).drawSchedule(p)...)
+		slices.SortStableFunc(actions, func(a, b action) int { return cmp.Compare(a.at, b.at) })
+	}
 	d.runSchedule(actions, time.Now())
 	s.checkRecovery(p.Seed)
 	cancel()
@@ -90,7 +108,8 @@
 		calls = append(calls, c.calls...)
 	}
 	s.check(calls, p.MaintenanceOnly)
-	r := &Report{Calls: len(calls), Violations: s.violations, Logs: make(map[string]string)}
+	r := &Report{Calls: len(calls), Versions: len(s.versions), Violations: s.violations, Logs: make(map[string]string)}
+	r.Beside, r.Outside = s.countCuts(calls)
 	for _, f := range actions {
 		r.Actions = append(r.Actions, fmt.Sprintf("%v %s", f.at.Round(time.Millisecond), f.description))
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +23,11 @@
 	gateways      = flag.Int("soak.gateways", 4, "number of gateway processes")
 	restorations  = flag.Bool("soak.restore", false, "restore the store from copies in runs with odd seeds")
 	earlier       = flag.String("soak.earlier", "", "commit of the build that runs beside the present one")
+	build         = flag.String("soak.build", "", "commit of the gateways; empty for the present one")
+	storms        = flag.Bool("soak.storms", false, "store configurations in series")
+	standstills   = flag.Bool("soak.standstills", false, "have processes stand still for a short time; the only fault in runs with even seeds")
+	maxProcs      = flag.Int("soak.maxprocs", 0, "number of processors that a gateway uses at a time; 0 for no limit")
+	busy          = flag.Int("soak.busy", 0, "number of processes that use processors beside the runs")
 	callers       = flag.Int("soak.callers", 4, "number of callers of each gateway")
 )
 
@@ -38,12 +44,19 @@
 // TestSoak performs runs with consecutive seeds. Those with even seeds have
 // planned maintenance only.
 func TestSoak(t *testing.T) {
+	for range *busy {
+		startBusyProcess(t)
+	}
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			p := Config{Seed: seed, MaintenanceOnly: seed%2 == 0, Gateways: *gateways, Callers: *callers, Duration: *faultDuration}
 			p.Restorations = *restorations && !p.MaintenanceOnly
+			p.Storms, p.Standstills, p.MaxProcs = *storms, *standstills, *maxProcs
+			if *build != "" {
+				p.BinDir = buildCommit(t, *build)
+			}
 			if *earlier != "" {
 				p.EarlierBinDir = buildCommit(t, *earlier)
 			}
@@ -52,6 +65,36 @@
 	}
 }
 
+// startBusyProcess starts a process that uses one processor until the test ends.
+func startBusyProcess(t *testing.T) {
+	c := exec.Command("sh", "-c", "while :; do :; done")
+	qt.Assert(t, c.Start(), qt.IsNil)
+	t.Cleanup(func() {
+		qt.Check(t, c.Process.Kill(), qt.IsNil)
+		// It ends with the error that it was killed.
+		_ = c.Wait()
+	})
+}
+
+// TestStorms performs runs with configurations in series: one of planned maintenance
+// alone, one with standstills as the only faults and one with all faults.
+func TestStorms(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		config Config
+	}{
+		{"maintenance", Config{Seed: 1, MaintenanceOnly: true, MaxProcs: 1}},
+		{"standstills", Config{Seed: 2, MaintenanceOnly: true, MaxProcs: 1, Standstills: true}},
+		{"faults", Config{Seed: 3, Standstills: true}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			x.config.Storms, x.config.Gateways, x.config.Callers, x.config.Duration = true, 4, 4, 8*time.Second
+			runAndCheck(t, x.config)
+		})
+	}
+}
+
 // TestRestorations performs a run in which the store is restored from copies.
 func TestRestorations(t *testing.T) {
 	t.Parallel()
@@ -113,10 +156,15 @@
 
 // runAndCheck performs a run and fails the test for each violated guarantee.
 func runAndCheck(t *testing.T, p Config) {
-	p.Dir, p.BinDir = t.TempDir(), binDir
+	p.Dir = t.TempDir()
+	if p.BinDir == "" {
+		p.BinDir = binDir
+	}
 	r, err := Run(p)
 	qt.Assert(t, err, qt.IsNil)
 	t.Logf("%d calls, %d succeeded, %d maintenance actions and faults", r.Calls, r.Succeeded, len(r.Actions))
+	t.Logf("%d configurations; streams cut beside one: %d in %v, at other times: %d in %v", r.Versions,
+		r.Beside.Cut, r.Beside.Time.Round(time.Millisecond), r.Outside.Cut, r.Outside.Time.Round(time.Millisecond))
 	qt.Check(t, r.Succeeded > r.Calls/4, qt.IsTrue, qt.Commentf("%d of %d calls succeeded", r.Succeeded, r.Calls))
 	for _, v := range r.Violations {
 		t.Errorf("guarantee violated: %s: %s", v.Guarantee, v.Detail)
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -36,6 +36,12 @@
 	// unavailable holds the indexes of the upstreams that are leaving, refuse
 	// calls or have crashed.
 	unavailable map[int]bool
+	// keptVersions is how many of the newest configurations' keys and routes are
+	// valid.
+	keptVersions int
+	// storms is set if each key has routes of its own and streams may last for
+	// seconds.
+	storms bool
 	// recoveryCalls holds the calls of checkRecovery.
 	recoveryCalls []*call
 }
@@ -43,10 +49,14 @@
 // configurationVersion is a configuration that the store has acknowledged.
 type configurationVersion struct {
 	number int
-	// key is valid in this configuration only. stableKey is valid beside it.
+	// key is valid in this configuration and the next ones as keptVersions says.
+	// stableKey is valid beside it.
 	key string
-	// at is when the store acknowledged the configuration.
-	at time.Time
+	// sent is when the configuration was sent to the store, at when the store
+	// acknowledged it.
+	sent, at time.Time
+	// unusedRoutes is the number of routes that make the configuration larger.
+	unusedRoutes int
 }
 
 // leavePeriod is a period in which an upstream was leaving. listed is set if
@@ -75,7 +85,10 @@
 // newSystem starts a store, upstreams and gateways. If it returns an error,
 // the caller still has to close the system.
 func newSystem(p Config) (*system, error) {
-	s := &system{store: platformtest.NewStore(), unavailable: make(map[int]bool)}
+	s := &system{store: platformtest.NewStore(), unavailable: make(map[int]bool), keptVersions: 1, storms: p.Storms}
+	if p.Storms {
+		s.keptVersions = stormKeptVersions
+	}
 	s.store.SetEra(1)
 	// Each zone has one engine for either half of the layers, a spare engine
 	// and two plain services.
@@ -103,6 +116,9 @@
 		if p.EarlierBinDir != "" {
 			g.binDir, g.otherBinDir = p.EarlierBinDir, p.BinDir
 		}
+		if p.MaxProcs > 0 {
+			g.variables = []string{fmt.Sprint("GOMAXPROCS=", p.MaxProcs)}
+		}
 		g.report = s.reportViolation
 		s.gateways = append(s.gateways, g)
 	}
@@ -180,21 +196,46 @@
 	s.store.Close()
 }
 
-// configure stores the next configuration. Its new key replaces the one of
-// the previous configuration.
+// configure stores the next configuration. Its new key replaces the oldest one, and
+// its size is that of the previous configuration.
 func (s *system) configure() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	unusedRoutes := 0
+	if n := len(s.versions); n > 0 {
+		unusedRoutes = s.versions[n-1].unusedRoutes
+	}
+	s.configureLocked(unusedRoutes)
+}
+
+// configureSize is like configure with a number of unused routes.
+func (s *system) configureSize(unusedRoutes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configureLocked(unusedRoutes)
+}
+
+// configureLocked stores the next configuration. The caller holds mu.
+func (s *system) configureLocked(unusedRoutes int) {
 	number := 3*len(s.versions) + 1
-	v := configurationVersion{number: number, key: fmt.Sprint("key", number)}
-	s.putConfiguration(v)
-	v.at = time.Now()
+	v := configurationVersion{number: number, key: fmt.Sprint("key", number), unusedRoutes: unusedRoutes, sent: time.Now()}
 	s.versions = append(s.versions, v)
+	s.putLatest()
+	s.versions[len(s.versions)-1].at = time.Now()
 }
 
-// putConfiguration writes a configuration. The caller holds mu.
-func (s *system) putConfiguration(v configurationVersion) {
-	s.store.Configure(platformtest.Configuration{Version: v.number, Keys: []string{stableKey, v.key}, StreamAttempts: 2})
+// putLatest writes the latest configuration. The caller holds mu.
+func (s *system) putLatest() {
+	kept := s.versions[max(0, len(s.versions)-s.keptVersions):]
+	latest := kept[len(kept)-1]
+	c := platformtest.Configuration{Version: latest.number, Keys: []string{stableKey}, StreamAttempts: 2, UnusedRoutes: latest.unusedRoutes}
+	for _, v := range kept {
+		c.Keys = append(c.Keys, v.key)
+		if s.storms {
+			c.Variants = append(c.Variants, v.key)
+		}
+	}
+	s.store.Configure(c)
 }
 
 // restoreStore restores the store from a copy of a given age. The store is away for
@@ -213,14 +254,22 @@
 // writeAgain has the operator and the upstreams write what they wrote last.
 func (s *system) writeAgain() {
 	s.mu.Lock()
-	v := s.versions[len(s.versions)-1]
-	s.putConfiguration(v)
+	s.putLatest()
 	s.mu.Unlock()
 	for _, u := range s.upstreams {
 		u.WriteAgain()
 	}
 }
 
+// keptKey returns the key of one of the configurations whose keys are valid, given
+// by a number between 0 and 1.
+func (s *system) keptKey(which float64) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.versions[max(0, len(s.versions)-s.keptVersions):]
+	return kept[int(which*float64(len(kept)))].key
+}
+
 // recentKeys returns the key of the newest configuration and that of the one
 // before it, which is empty if there is none.
 func (s *system) recentKeys() (newest, before string) {
--- a/internal/standin/program/program.go
+++ b/internal/standin/program/program.go
@@ -44,7 +44,14 @@
 // Start starts the named binary of a directory. Standard output and standard
 // error are written to out.
 func Start(dir, name string, out io.Writer, args ...string) (*Process, error) {
+	return StartWith(nil, dir, name, out, args...)
+}
+
+// StartWith is like [Start] and adds variables of the form NAME=VALUE to the
+// environment of the program.
+func StartWith(variables []string, dir, name string, out io.Writer, args ...string) (*Process, error) {
 	p := &Process{Command: exec.Command(filepath.Join(dir, name), args...), Done: make(chan struct{})}
+	p.Command.Env = append(os.Environ(), variables...)
 	p.Command.Stdout = out
 	p.Command.Stderr = out
 	if err := p.Command.Start(); err != nil {
