Keep a connection whose request was read together with an earlier one

A caller that sends a request before it has the answer to the one before, on the same connection, could lose it in a drain: the process had read the request, the drain counted the connection as quiet and interrupted its read, and net/http cancelled the request that was at work. A request of which only a part had been read so was dropped.

A connection counted as busy from the bytes that were read after the server began to wait for a request. Bytes in the server's buffer were not counted, and net/http reports no StateActive for a request that it takes from there. The second deadline that it sets after StateIdle is the sign now: the first one is for the wait, the next one for the request that has begun.

That the users' callers pipeline is not known; callers that wait for an answer before they send the next request did not meet this.

--- a/internal/transport/drain/conn.go
+++ b/internal/transport/drain/conn.go
@@ -22,8 +22,10 @@
 	// the next request, quietSince is when that wait began.
 	busy       bool
 	quietSince time.Time
-	// deadline is the read deadline that the server has set.
-	deadline time.Time
+	// deadline is the read deadline that the server has set. deadlines counts those
+	// that it has set since it last had no request.
+	deadline  time.Time
+	deadlines int
 }
 
 // Read implements [io.Reader]. It returns [io.EOF] if a drain ends the connection.
@@ -52,7 +54,7 @@
 func (c *conn) recordQuiet() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy, c.quietSince = false, time.Now()
+	c.busy, c.quietSince, c.deadlines = false, time.Now(), 0
 }
 
 // isQuiet reports whether the connection has had no request for quietPeriod. The
@@ -88,10 +90,14 @@
 	return c.isQuiet() && !readable(c.Conn)
 }
 
-// SetReadDeadline implements [net.Conn].
+// SetReadDeadline implements [net.Conn]. A server sets one deadline for the wait for
+// a request and another when the request has begun. A request that was read together
+// with an earlier one gives no other sign of that.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.deadlines++
+	c.busy = c.busy || c.deadlines > 1
 	c.deadline = t
 	return c.Conn.SetReadDeadline(t)
 }
--- /dev/null
+++ b/internal/transport/drain/pipelining_test.go
@@ -0,0 +1,59 @@
+package drain_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPipelinedRequestsAreAnswered guards against ending a connection, and with it the
+// request that is at work, because that request was read together with an earlier one.
+func TestPipelinedRequestsAreAnswered(t *testing.T) {
+	const slow = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, x := range []struct {
+		name string
+		// first is sent at once, rest after the drain has begun.
+		first, rest string
+		answers     int
+	}{
+		{name: "second at work", first: get + slow, answers: 2},
+		{name: "third at work", first: get + get + slow, answers: 3},
+		{name: "half of the second", first: get + get[:10], rest: get[10:], answers: 2},
+		{name: "half of the second's body", first: get + postStart, rest: "cd", answers: 2},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				_, err := io.Copy(io.Discard, r.Body)
+				qt.Check(t, err, qt.IsNil)
+				if r.URL.Path != "/slow" {
+					return
+				}
+				select {
+				case <-r.Context().Done():
+					w.WriteHeader(http.StatusBadGateway)
+				case <-time.After(4 * longIdle):
+				}
+			})
+			c := s.dial(t)
+			c.write(x.first)
+			time.Sleep(longIdle)
+			drained := make(chan error, 1)
+			go func() { drained <- s.Drain(context.Background()) }()
+			if x.rest != "" {
+				time.Sleep(longIdle)
+				c.write(x.rest)
+			}
+			answers := 0
+			for c.answer() == http.StatusOK {
+				answers++
+			}
+			qt.Check(t, answers, qt.Equals, x.answers)
+			qt.Check(t, <-drained, qt.IsNil)
+		})
+	}
+}
