Linger before closing a connection, so that a later request destroys no answer

A caller that had sent another request on its connection before it had read the whole answer to the one before could lose the rest of that answer: with "Connection: close" the server closed the connection right after the answer, with unread data, for which the kernel sends a reset. net/http waits before it closes only if a request's body was not read.

Close now closes for writing, and discards what arrives until the caller closes the connection or half a second has passed; a drain waits for that. A connection that its caller has ended is closed at once.

--- a/internal/transport/drain/conn.go
+++ b/internal/transport/drain/conn.go
@@ -26,6 +26,9 @@
 	// that it has set since it last had no request.
 	deadline  time.Time
 	deadlines int
+	// peerEnded is set when a read has found that the caller has ended the
+	// connection or that it is broken, closed when the server has closed it.
+	peerEnded, closed bool
 }
 
 // Read implements [io.Reader]. It returns [io.EOF] if a drain ends the connection.
@@ -36,7 +39,11 @@
 			c.recordRequest()
 			return n, err
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.wasInterrupted() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.recordPeerEnd()
+			return n, err
+		}
+		if !c.wasInterrupted() {
 			return n, err
 		}
 		if c.mayEnd() {
@@ -51,6 +58,12 @@
 	c.busy = true
 }
 
+func (c *conn) recordPeerEnd() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peerEnded = true
+}
+
 func (c *conn) recordQuiet() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,10 +133,39 @@
 	return half.CloseWrite()
 }
 
-// Close implements [net.Conn].
+// lingerTime is how long a connection that the server has closed stays open for
+// reading, unless the caller closes it. It is as long as net/http waits in the cases
+// in which it does.
+const lingerTime = 500 * time.Millisecond
+
+// Close implements [net.Conn]. It closes the connection for writing and discards what
+// the caller still sends for a while: the kernel resets a connection that is closed
+// with unread data, and a reset destroys what the caller has not read of its answer.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	again, peerEnded := c.closed, c.peerEnded
+	c.closed = true
+	c.mu.Unlock()
+	switch {
+	case again:
+		return net.ErrClosed
+	case peerEnded || c.CloseWrite() != nil:
+		defer c.listener.remove(c)
+		return c.Conn.Close()
+	}
+	go c.linger()
+	return nil
+}
+
+// linger closes the connection once the caller has closed it, or after lingerTime.
+func (c *conn) linger() {
 	defer c.listener.remove(c)
-	return c.Conn.Close()
+	defer c.Conn.Close()
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	// Any error ends the wait.
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 // readable reports whether a connection has data or has been closed by its peer,
--- a/internal/transport/drain/pipelining_test.go
+++ b/internal/transport/drain/pipelining_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -57,3 +58,31 @@
 		})
 	}
 }
+
+// TestAnswerIsNotLostToLaterRequest guards against the reset that the kernel sends for
+// a closed connection with unread data, which destroys what the caller has not read.
+func TestAnswerIsNotLostToLaterRequest(t *testing.T) {
+	const size = 1 << 20
+	started, release := make(chan struct{}, 1), make(chan struct{})
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		<-release
+		w.Header().Set("Connection", "close")
+		_, err := io.WriteString(w, strings.Repeat("x", size))
+		qt.Check(t, err, qt.IsNil)
+	})
+	c := s.dial(t)
+	c.write(get)
+	<-started
+	c.write(get)
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(context.Background()) }()
+	close(release)
+	time.Sleep(longIdle)
+	response, err := http.ReadResponse(c.reader, nil)
+	qt.Assert(t, err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, len(body), qt.Equals, size)
+	qt.Check(t, <-drained, qt.IsNil)
+}
