Have processes stand still at the end of a drain's notice period

Runs with standstills now have one near the end of the notice period of each drain too, where requests that have arrived were lost. The test of such requests has two more cases: a call whose head has arrived and whose body comes after the notice period, and a connection opened while the process stands still.

--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -15,9 +17,6 @@
 	"lovageport.example/platform/platformtest"
 )
 
-// drainNotice is how long a gateway serves as before after it was told to stop.
-const drainNotice = 2500 * time.Millisecond
-
 // keptConn is a caller's connection to a gateway on which it has had an answer.
 type keptConn struct {
 	net.Conn
@@ -48,6 +47,51 @@
 	return r.Write(k)
 }
 
+// lateBytes is the length of the part of a call that sendRest sends.
+const lateBytes = 4
+
+// sendStart sends all but the end of the body of a call, sendRest that end.
+func (k *keptConn) sendStart(id string) error {
+	text, err := writeCall(id)
+	if err != nil {
+		return err
+	}
+	_, err = k.Write(text[:len(text)-lateBytes])
+	return err
+}
+
+func (k *keptConn) sendRest(id string) error {
+	text, err := writeCall(id)
+	if err != nil {
+		return err
+	}
+	_, err = k.Write(text[len(text)-lateBytes:])
+	return err
+}
+
+// writeCall returns a call that is not idempotent as it is sent.
+func writeCall(id string) ([]byte, error) {
+	r, err := http.NewRequest(http.MethodPost, "/"+writeKind+"/"+id, strings.NewReader("body of "+id))
+	if err != nil {
+		return nil, err
+	}
+	platformtest.SetCall(r, id, stableKey, callTimeout, 0)
+	var text bytes.Buffer
+	err = r.Write(&text)
+	return text.Bytes(), err
+}
+
+// sendAnew sends a call over a new connection.
+func (k *keptConn) sendAnew(id string) error {
+	conn, err := net.Dial("tcp", k.RemoteAddr().String())
+	if err != nil {
+		return err
+	}
+	k.Conn.Close()
+	k.Conn, k.reader = conn, bufio.NewReader(conn)
+	return k.send(id)
+}
+
 // awaitAnswer reads a whole answer of any status.
 func (k *keptConn) awaitAnswer() error {
 	if err := k.SetReadDeadline(time.Now().Add(2 * callTimeout)); err != nil {
@@ -83,27 +127,45 @@
 	return s.gateways[0], kept
 }
 
-// TestArrivedRequestsAreAnsweredBeforeTheEnd guards against the loss of requests on
-// kept connections that had reached a process which stood still while the notice
-// period of its drain ended.
+// TestArrivedRequestsAreAnsweredBeforeTheEnd guards against the loss of requests that
+// had reached a process which stood still while the notice period of its drain ended.
 func TestArrivedRequestsAreAnsweredBeforeTheEnd(t *testing.T) {
-	t.Parallel()
-	g, kept := startOne(t, 64)
-	process := g.process.Command.Process
-	g.signal(syscall.SIGTERM)
-	time.Sleep(drainNotice - 500*time.Millisecond)
-	qt.Assert(t, process.Signal(syscall.SIGSTOP), qt.IsNil)
-	for i, k := range kept {
-		qt.Assert(t, k.send(fmt.Sprint("still", i)), qt.IsNil)
-	}
-	time.Sleep(time.Second)
-	qt.Assert(t, process.Signal(syscall.SIGCONT), qt.IsNil)
-	lost := 0
-	for _, k := range kept {
-		if err := k.awaitAnswer(); err != nil {
-			lost++
-			t.Logf("lost: %v", err)
-		}
+	for _, x := range []struct {
+		name string
+		// begin sends requests while the process stands still, finish the rest of
+		// them when it runs again and the notice period is over.
+		begin, finish func(k *keptConn, id string) error
+	}{
+		{"whole", (*keptConn).send, nil},
+		{"half a body", (*keptConn).sendStart, (*keptConn).sendRest},
+		{"new connection", (*keptConn).sendAnew, nil},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			g, kept := startOne(t, 64)
+			process := g.process.Command.Process
+			g.signal(syscall.SIGTERM)
+			time.Sleep(drainNotice - 500*time.Millisecond)
+			qt.Assert(t, process.Signal(syscall.SIGSTOP), qt.IsNil)
+			for i, k := range kept {
+				qt.Assert(t, x.begin(k, fmt.Sprint("still", i)), qt.IsNil)
+			}
+			time.Sleep(time.Second)
+			qt.Assert(t, process.Signal(syscall.SIGCONT), qt.IsNil)
+			if x.finish != nil {
+				time.Sleep(time.Second)
+			}
+			lost := 0
+			for i, k := range kept {
+				if x.finish != nil {
+					qt.Check(t, x.finish(k, fmt.Sprint("still", i)), qt.IsNil)
+				}
+				if err := k.awaitAnswer(); err != nil {
+					lost++
+					t.Logf("lost: %v", err)
+				}
+			}
+			qt.Check(t, lost, qt.Equals, 0, qt.Commentf("of %d requests", len(kept)))
+		})
 	}
-	qt.Check(t, lost, qt.Equals, 0, qt.Commentf("of %d requests", len(kept)))
 }
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -57,6 +57,9 @@
 	stopping              bool
 	// stops holds when SIGTERM was first sent, by the number of the process.
 	stops map[int]time.Time
+	// drawDrainStandstill, if set, draws a standstill near the end of the notice period
+	// of a drain. It is called with mu held.
+	drawDrainStandstill func() (after, length time.Duration)
 	// stoodStill is how long the process was made to stand still in all.
 	stoodStill time.Duration
 	// logSizeAtStart is the size of the log in bytes when the process was
@@ -210,6 +213,10 @@
 		if !g.stopRequested {
 			g.stopRequested, g.stopRequestedAt = true, time.Now()
 			g.stops[g.starts] = g.stopRequestedAt
+			if g.drawDrainStandstill != nil {
+				after, length := g.drawDrainStandstill()
+				time.AfterFunc(after, func() { g.standStill(length) })
+			}
 		}
 	case syscall.SIGKILL, syscall.SIGSTOP:
 		g.killed = true
--- a/internal/soak/storm.go
+++ b/internal/soak/storm.go
@@ -21,6 +21,8 @@
 	minStandstill, maxStandstill     = 100 * time.Millisecond, 600 * time.Millisecond
 	meanStormInterval                = 2 * time.Second
 	meanStandstillInterval           = 500 * time.Millisecond
+	// drainNotice is how long a gateway serves as before after it was told to stop.
+	drainNotice = 2500 * time.Millisecond
 )
 
 // stormScheduler draws series of configurations and standstills. It has a random
@@ -59,6 +61,16 @@
 	return fmt.Sprintf("stand still %s for %v", g.name, length), func() { g.standStill(length) }
 }
 
+// newDrainStandstills returns a function that draws standstills of a gateway, given
+// by its index. They begin up to half a second before the notice period of a drain
+// ends.
+func newDrainStandstills(seed uint64, gateway int) func() (after, length time.Duration) {
+	s := scheduler{rng: rand.New(rand.NewPCG(seed, stormStream+1+uint64(gateway)))}
+	return func() (after, length time.Duration) {
+		return s.drawDuration(drainNotice-500*time.Millisecond, drainNotice), s.drawDuration(minStandstill, maxStandstill)
+	}
+}
+
 // drawStorm draws a series of configurations, or one that is large.
 func (s *stormScheduler) drawStorm() (string, func()) {
 	routes := 0
