--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -1,9 +1,12 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +22,14 @@
 	MaintenanceOnly bool
 	// Restorations adds restorations of the store from a copy to the faults.
 	Restorations bool
+	// Storms adds series of configurations, some of them large and some beside
+	// signals and leaving upstreams. Streams may last for seconds.
+	Storms bool
+	// Standstills adds short standstills of processes. With MaintenanceOnly they are
+	// the only faults.
+	Standstills bool
+	// MaxProcs, if positive, limits the processors that a gateway uses at a time.
+	MaxProcs int
 	// EarlierBinDir, if set, is the directory of the binaries of an earlier build,
 	// with which the gateways start. Each of them may change its build several
 	// times.
@@ -41,7 +52,14 @@
 	// Calls is the number of calls sent, Succeeded the number of those that
 	// got a complete successful response.
 	Calls, Succeeded int
-	Violations       []Violation
+	// Versions is the number of configurations. Beside counts the streams that were
+	// cut beside one of them, Outside those that were cut at other times.
+	Versions        int
+	Beside, Outside Cuts
+	// CutStreams describes the streams that were cut, each with the time since the
+	// first action could start.
+	CutStreams []string
+	Violations []Violation
 	// Logs holds the logs of the gateways, by name.
 	Logs map[string]string
 }
@@ -74,7 +92,12 @@
 	}
 	d := &scheduler{rng: rand.New(rand.NewPCG(p.Seed, 1)), system: s}
 	actions := d.drawSchedule(p)
-	d.runSchedule(actions, time.Now())
+	if p.Storms || p.Standstills {
+		actions = append(actions, newStormScheduler(p, s).drawSchedule(p)...)
+		slices.SortStableFunc(actions, func(a, b action) int { return cmp.Compare(a.at, b.at) })
+	}
+	s.began = time.Now()
+	d.runSchedule(actions, s.began)
 	s.checkRecovery(p.Seed)
 	cancel()
 	calling.Wait()
@@ -90,7 +113,8 @@
 		calls = append(calls, c.calls...)
 	}
 	s.check(calls, p.MaintenanceOnly)
-	r := &Report{Calls: len(calls), Violations: s.violations, Logs: make(map[string]string)}
+	r := &Report{Calls: len(calls), Versions: len(s.versions), Violations: s.violations, Logs: make(map[string]string)}
+	r.Beside, r.Outside = s.countCuts(calls)
 	for _, f := range actions {
 		r.Actions = append(r.Actions, fmt.Sprintf("%v %s", f.at.Round(time.Millisecond), f.description))
 	}
@@ -98,6 +122,10 @@
 		if k.status/100 == 2 && k.err == nil {
 			r.Succeeded++
 		}
+		if k.wasCut() {
+			r.CutStreams = append(r.CutStreams, fmt.Sprintf("%v %s after %v, %d events of %d, %d executions, beside a configuration: %v, %v",
+				k.ended.Sub(s.began).Round(time.Millisecond), k.id, k.ended.Sub(k.sent).Round(time.Millisecond), strings.Count(k.body, "\n\n"), k.events, k.executions, s.isBeside(k.ended), k.err))
+		}
 	}
 	for _, g := range s.gateways {
 		r.Logs[g.name] = s.readLog(g)
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -25,6 +25,9 @@
 	// processes tracks the gateways, and serving the endless peer.
 	processes, serving sync.WaitGroup
 
+	// began is when the first action could start.
+	began time.Time
+
 	mu sync.Mutex
 	// versions holds the configurations that the store has acknowledged,
 	// oldest first.
@@ -36,19 +39,16 @@
 	// unavailable holds the indexes of the upstreams that are leaving, refuse
 	// calls or have crashed.
 	unavailable map[int]bool
+	// keptVersions is how many of the newest configurations' keys and routes are
+	// valid.
+	keptVersions int
+	// storms is set if each key has routes of its own and streams may last for
+	// seconds.
+	storms bool
 	// recoveryCalls holds the calls of checkRecovery.
 	recoveryCalls []*call
 }
 
-// configurationVersion is a configuration that the store has acknowledged.
-type configurationVersion struct {
-	number int
-	// key is valid in this configuration only. stableKey is valid beside it.
-	key string
-	// at is when the store acknowledged the configuration.
-	at time.Time
-}
-
 // leavePeriod is a period in which an upstream was leaving. listed is set if
 // its entry in the store was marked as draining too.
 type leavePeriod struct {
@@ -60,9 +60,6 @@
 // Violation is a guarantee that did not hold.
 type Violation struct{ Guarantee, Detail string }
 
-// stableKey is an API key that is valid in all configurations.
-const stableKey = "stable"
-
 // entryExpiry is how long after a crash the entry of an upstream is removed
 // from the store.
 const entryExpiry = time.Second
@@ -75,7 +72,10 @@
 // newSystem starts a store, upstreams and gateways. If it returns an error,
 // the caller still has to close the system.
 func newSystem(p Config) (*system, error) {
-	s := &system{store: platformtest.NewStore(), unavailable: make(map[int]bool)}
+	s := &system{store: platformtest.NewStore(), unavailable: make(map[int]bool), keptVersions: 1, storms: p.Storms}
+	if p.Storms {
+		s.keptVersions = stormKeptVersions
+	}
 	s.store.SetEra(1)
 	// Each zone has one engine for either half of the layers, a spare engine
 	// and two plain services.
@@ -103,6 +103,12 @@
 		if p.EarlierBinDir != "" {
 			g.binDir, g.otherBinDir = p.EarlierBinDir, p.BinDir
 		}
+		if p.MaxProcs > 0 {
+			g.variables = []string{fmt.Sprint("GOMAXPROCS=", p.MaxProcs)}
+		}
+		if p.Standstills {
+			g.drawDrainStandstill = newDrainStandstills(p.Seed, i)
+		}
 		g.report = s.reportViolation
 		s.gateways = append(s.gateways, g)
 	}
@@ -180,23 +186,6 @@
 	s.store.Close()
 }
 
-// configure stores the next configuration. Its new key replaces the one of
-// the previous configuration.
-func (s *system) configure() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	number := 3*len(s.versions) + 1
-	v := configurationVersion{number: number, key: fmt.Sprint("key", number)}
-	s.putConfiguration(v)
-	v.at = time.Now()
-	s.versions = append(s.versions, v)
-}
-
-// putConfiguration writes a configuration. The caller holds mu.
-func (s *system) putConfiguration(v configurationVersion) {
-	s.store.Configure(platformtest.Configuration{Version: v.number, Keys: []string{stableKey, v.key}, StreamAttempts: 2})
-}
-
 // restoreStore restores the store from a copy of a given age. The store is away for
 // some time before, and what was lost is written again some time after.
 func (s *system) restoreStore(age, away, rewrite time.Duration) {
@@ -213,26 +202,13 @@
 // writeAgain has the operator and the upstreams write what they wrote last.
 func (s *system) writeAgain() {
 	s.mu.Lock()
-	v := s.versions[len(s.versions)-1]
-	s.putConfiguration(v)
+	s.putLatest()
 	s.mu.Unlock()
 	for _, u := range s.upstreams {
 		u.WriteAgain()
 	}
 }
 
-// recentKeys returns the key of the newest configuration and that of the one
-// before it, which is empty if there is none.
-func (s *system) recentKeys() (newest, before string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := len(s.versions)
-	if n > 1 {
-		before = s.versions[n-2].key
-	}
-	return s.versions[n-1].key, before
-}
-
 // leave makes an upstream leave for a duration, unless it is unavailable
 // already. All its responses announce this, and so does its entry in the
 // store if listed is set. Afterwards the upstream is restarted.
