Let a slow call go on beside the next attempt

Callers of idempotent calls got a 502, 503 or 504 although their upstream would have answered in time: each attempt was broken off after 200 ms, and only then was another target asked for. If the retry allowance, the limit of upstreams or the lack of another upstream refused it, or the next upstream refused, failed or was slower still, no answer was left. An upstream's own failure also ended the call while nothing else could be tried.

An attempt that has not been answered after 200 ms now goes on, and the target of the next one is searched beside it, as for streams. If there is one, both run, and the first good answer is passed on; the other attempt is broken off then. Giving the slow attempt up once its successor has a target was considered: the successor counts as an upstream that ran the call, and as a retry, either way, so that nothing is saved by losing the first answer but the rest of its work. The call ends with an error only when no attempt runs any more, so that "not run" is still said only if that is known of all of them.

The upstream is ejected as before, but only if another one could be tried and this process ran all the while.

--- a/internal/gateway/invocation.go
+++ b/internal/gateway/invocation.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
 	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/pkg/verdict"
@@ -14,27 +16,61 @@
 // buffered until it is complete.
 const maxResponseBytes = 512 << 10
 
-// callAttemptTimeout bounds one attempt of an idempotent call, after which
-// another upstream is tried.
+// callAttemptTimeout is the time after which an attempt of an idempotent call is
+// slow: another one is then made beside it.
 const callAttemptTimeout = 200 * time.Millisecond
 
-// invocation is one call to a service without engine.
+// invocation is one call to a service without engine. A slow attempt goes on
+// beside the next one, since its upstream may still answer, and the next one may
+// not be permitted, or fail. The first good answer is passed on.
 type invocation struct {
 	*request
-	g *Gateway
+	g        *Gateway
+	handover handover
+	// running is the number of attempts without outcome. The last attempt began at
+	// the boot time lastBegan, on lastTarget; lastSlow reports whether it was found
+	// to be slow.
+	running    int
+	lastBegan  time.Duration
+	lastTarget target
+	lastSlow   bool
+	// outcomes receives the outcome of each attempt.
+	outcomes chan callOutcome
+	// searches receives the result of each search for the next target beside a
+	// running attempt; searching reports whether one is under way.
+	searches  chan admissionResult
+	searching bool
 	// failure is an upstream's own error response, which is passed to the
 	// caller if no other upstream can be tried.
-	failure     *response
-	failureBody []byte
+	failure *callResponse
+}
+
+// callResponse is a whole response to a call.
+type callResponse struct {
+	*response
+	body []byte
+}
+
+// callOutcome is the outcome of an attempt: a response, or why there is none. A
+// response with an error is the upstream's own failure.
+type callOutcome struct {
+	response *callResponse
+	err      error
 }
 
 // invoke forwards a call to a service without engine.
 func (g *Gateway) invoke(ctx context.Context, w http.ResponseWriter, q *request) {
-	c := &invocation{request: q, g: g}
+	c := &invocation{
+		request: q, g: g, handover: handover{g: g, q: q},
+		outcomes: make(chan callOutcome, maxAttempts), searches: make(chan admissionResult, 1),
+	}
+	// The other attempts end with the first good answer.
+	attempts, cancel := context.WithCancel(ctx)
+	defer cancel()
 	for {
-		resp, body, err := c.attempt(ctx)
+		resp, err := c.try(ctx, attempts)
 		if err == nil {
-			c.respond(w, resp, body)
+			c.respond(w, resp)
 			return
 		}
 		e := verdict.Of(err)
@@ -45,7 +81,7 @@
 			continue
 		}
 		if c.failure != nil {
-			c.respond(w, c.failure, c.failureBody)
+			c.respond(w, c.failure)
 			return
 		}
 		g.refuse(w, q, e)
@@ -54,52 +90,158 @@
 }
 
 // respond passes an upstream's response to the caller.
-func (c *invocation) respond(w http.ResponseWriter, resp *response, body []byte) {
+func (c *invocation) respond(w http.ResponseWriter, resp *callResponse) {
 	c.recordEvent(c.g.Now())
 	c.g.metrics.firstByte.WithLabelValues(c.service).Observe(c.firstEvent.Seconds())
 	c.g.logOutcome(c.request, resp.head.Status, nil)
-	c.g.writeResponse(w, resp, body)
+	c.g.writeResponse(w, resp.response, resp.body)
 }
 
-// attempt makes one attempt and reads the whole response.
-func (c *invocation) attempt(ctx context.Context) (*response, []byte, error) {
-	g, q := c.g, c.request
+// try makes an attempt, and others beside it while it is slow, until one of them
+// succeeds or none runs any more. The attempts end with the context attempts.
+func (c *invocation) try(ctx, attempts context.Context) (*callResponse, error) {
 	if c.failure != nil {
 		// The caller can be given the failure: do not wait for another target.
-		q.queueDeadline = g.Now()
+		c.queueDeadline = c.g.Now()
 	}
-	to, err := g.acquireTarget(ctx, q)
+	to, err := c.g.acquireTarget(ctx, c.request)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
+	}
+	defer c.stopSearch()
+	c.start(attempts, to)
+	slow := time.NewTimer(callAttemptTimeout)
+	defer slow.Stop()
+	for {
+		select {
+		case o := <-c.outcomes:
+			c.running--
+			if o.err == nil {
+				return o.response, nil
+			}
+			if o.response != nil {
+				c.failure = o.response
+			}
+			if c.running == 0 {
+				return nil, o.err
+			}
+			c.search()
+		case found := <-c.searches:
+			c.searching = false
+			slow.Reset(callAttemptTimeout)
+			if found.err != nil {
+				c.logKept(found.err)
+				continue
+			}
+			c.start(attempts, found.target)
+		case <-slow.C:
+			slow.Reset(callAttemptTimeout)
+			if c.recordSlow() {
+				c.search()
+			}
+		}
+	}
+}
+
+// start starts an attempt. No other one is made on its upstream.
+func (c *invocation) start(ctx context.Context, to target) {
+	c.running++
+	c.lastBegan, c.lastTarget, c.lastSlow = c.g.Now(), to, false
+	c.g.control.Send(func(*state) { c.exclude(to.upstream.Instance) })
+	go func() {
+		resp, err := c.attempt(ctx, to)
+		c.g.control.Send(func(s *state) { s.release(c.request, to) })
+		c.outcomes <- callOutcome{resp, err}
+	}()
+}
+
+// search begins a search for the target of another attempt, unless one is under
+// way.
+func (c *invocation) search() {
+	if c.searching {
+		return
 	}
-	defer g.control.Send(func(s *state) { s.release(q, to) })
-	if q.route.Kind == routing.Idempotent && q.upstreamsRun()+1 < q.route.MaxUpstreams {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, callAttemptTimeout)
-		defer cancel()
+	ctx, ok := c.handover.begin()
+	if !ok {
+		return
+	}
+	c.searching = true
+	go func() {
+		to, err := c.handover.find(ctx)
+		c.searches <- admissionResult{to, err}
+	}()
+}
+
+// stopSearch ends the search that is under way, if any. A target that it has found
+// is returned.
+func (c *invocation) stopSearch() {
+	if !c.searching {
+		return
+	}
+	c.searching = false
+	c.handover.drop()
+	if found := <-c.searches; found.err == nil {
+		c.g.control.Send(func(s *state) { s.returnTarget(c.request, found.target) })
+	}
+}
+
+// recordSlow reports whether another attempt may be made beside the last one,
+// which has not been answered in time, and if so ejects its upstream, unless this
+// process has stood still meanwhile, so that the answer may have arrived.
+func (c *invocation) recordSlow() bool {
+	now := c.g.Now()
+	if c.route.Kind != routing.Idempotent {
+		return false
+	}
+	stoodStill := c.g.pauses.Stalled(c.lastBegan, now)
+	u := c.lastTarget.upstream
+	allowed := false
+	c.g.control.Do(func(s *state) {
+		allowed = !s.atUpstreamLimit(c.request)
+		if allowed && !c.lastSlow && !stoodStill {
+			s.health.RecordResult(u.Instance, true, now)
+			s.eject(u, health.Silent, now)
+		}
+	})
+	if allowed && !c.lastSlow {
+		c.lastSlow = true
+		c.g.Log.Info("call slow", zap.String("request", c.ID), zap.String("upstream", u.Instance), zap.Duration("for", now-c.lastBegan), zap.Bool("stood_still", stoodStill))
 	}
+	return allowed
+}
+
+// logKept logs that a slow attempt goes on alone, because no other one may be made.
+func (c *invocation) logKept(err error) {
+	c.g.Log.Info("slow call kept", zap.String("request", c.ID), zap.String("upstream", c.lastTarget.upstream.Instance),
+		zap.Duration("for", c.g.Now()-c.lastBegan), zap.Error(err))
+}
+
+// attempt makes one attempt and reads the whole response. An error with a response
+// is the upstream's own failure of a call that may be repeated.
+func (c *invocation) attempt(ctx context.Context, to target) (*callResponse, error) {
+	g, q := c.g, c.request
 	began := g.Now()
 	resp, err := g.send(ctx, q, to, "")
 	if err != nil {
-		return nil, nil, g.recordSlowResponse(to, err, began)
+		return nil, g.recordSlowResponse(to, err, began)
 	}
 	defer resp.Close()
 	body, err := resp.ReadAll(ctx, maxResponseBytes)
 	if err != nil {
-		return nil, nil, g.recordFailure(q, to, err, resp.head)
+		return nil, g.recordFailure(q, to, err, resp.head)
 	}
+	whole := &callResponse{resp, body}
 	took := g.Now() - began
 	g.control.Send(func(s *state) { s.health.RecordLatency(to.upstream.Instance, took, g.Now()) })
 	if resp.head.Status < http.StatusInternalServerError {
 		g.control.Send(func(s *state) { s.health.RecordResult(to.upstream.Instance, false, g.Now()) })
-		return resp, body, nil
+		return whole, nil
 	}
 	err = g.recordFailure(q, to, &verdict.Error{Run: verdict.Ran, Reason: verdict.UpstreamLost, Message: "upstream failed"}, resp.head)
 	if q.route.Kind != routing.Idempotent {
-		return resp, body, nil
+		return whole, nil
 	}
-	c.failure, c.failureBody = resp, body
-	return nil, nil, err
+	return whole, err
 }
 
 // recordSlowResponse ejects an upstream that did not answer in time a call that
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -49,9 +50,8 @@
 	mu sync.Mutex
 	// sent reports whether an attempt has reached an upstream.
 	sent bool
-	// sentTo is the upstream whose response an attempt waits for; empty if there
-	// is none.
-	sentTo string
+	// sentTo holds the upstreams whose responses attempts wait for.
+	sentTo []string
 	// handingOver reports whether a running attempt looks for its successor.
 	handingOver bool
 	// ranOn holds the upstreams, first stages in the case of chains, that may
@@ -105,7 +105,7 @@
 func (q *request) beginSend(instance string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.sentTo = instance
+	q.sentTo = append(q.sentTo, instance)
 }
 
 // setHandingOver records whether a running attempt looks for its successor.
@@ -122,11 +122,14 @@
 	return q.handingOver
 }
 
-// endSend records that the outcome of an attempt that was sent is recorded.
-func (q *request) endSend() {
+// endSend records that the outcome of an attempt that was sent to an upstream is
+// recorded.
+func (q *request) endSend(instance string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.sentTo = ""
+	if i := slices.Index(q.sentTo, instance); i >= 0 {
+		q.sentTo = slices.Delete(q.sentTo, i, i+1)
+	}
 }
 
 // countAttempt counts a target that is assigned, and returns its number.
@@ -159,14 +162,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	h := history{sent: q.sent, ranOn: maps.Clone(q.ranOn), firstStage: q.firstStage, lastEvent: q.lastEvent, attempts: q.attempts}
-	if q.sentTo == "" {
-		return h
-	}
-	h.sent = true
 	if h.ranOn == nil {
 		h.ranOn = make(map[string]bool)
 	}
-	h.ranOn[q.sentTo] = true
+	for _, instance := range q.sentTo {
+		h.sent = true
+		h.ranOn[instance] = true
+	}
 	return h
 }
 
