Answer what has arrived at a draining entry before its connections end

Callers and operators on kept connections lost requests that had reached an entry at the end of its drain. The entry waited until no connection was active and then closed all of them: one that holds a request which net/http has not read counts as idle, and callers were never asked to close theirs, so that busy ones had requests cut at any moment of the close.

The listeners of callers and operators are drained with package drain, answers ask for the end of the connection while the entry drains, and the operators' listener ends last, since it serves the health checks. Requests whose callers have disconnected are waited for as before.

Ruled out: a body that is still being received, and a request at work, were waited for before too (TestDrainWaitsForBodies, TestEntryDrainCutsNoRequest).

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -2,21 +2,30 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/loop"
+	"lovageport.example/internal/transport/drain"
 )
 
 // drainPollInterval is how often a drain checks whether all requests have ended.
 const drainPollInterval = 20 * time.Millisecond
 
+// errUnfinished is returned for a drain whose timeout passed while requests of
+// callers that have disconnected were still at work.
+var errUnfinished = errors.New("entry: requests are still at work")
+
 // drainOnRequest waits for a drain request. It then reports the entry as not
 // ready, waits for the notice period so that the load balancer can notice, and
-// returns once the requests in flight have ended or the drain times out. When it
-// returns, the whole entry stops.
-func (e *Entry) drainOnRequest(ctx context.Context) error {
+// ends the listeners: first that of callers, then that of operators, which serves
+// the health checks. It returns once the requests in flight and those that have
+// arrived have ended, or the drain times out. When it returns, the whole entry
+// stops.
+func (e *Entry) drainOnRequest(ctx context.Context, callers, operators *drain.Listener) error {
 	select {
 	case <-ctx.Done():
 		return nil
@@ -33,23 +42,39 @@
 	if !loop.Sleep(ctx, e.Settings.Drain.Notice.Duration) {
 		return nil
 	}
-	deadline := time.Now().Add(e.Settings.Drain.Timeout.Duration)
-	for e.unfinishedRequests() > 0 && time.Now().Before(deadline) {
+	limited, cancel := context.WithTimeout(ctx, e.Settings.Drain.Timeout.Duration)
+	defer cancel()
+	err := errors.Join(callers.Drain(limited), e.awaitRequests(limited))
+	e.retryQueue.flush(ctx)
+	if err = errors.Join(err, operators.Drain(limited)); err != nil {
+		e.Log.Warn("drain timed out", zap.Int64("in_flight", e.inFlight.Load()), zap.Int("caller_connections", callers.Open()),
+			zap.Int("operator_connections", operators.Open()), zap.Error(err))
+	}
+	return nil
+}
+
+// awaitRequests waits until no request is at work. One that may not be repeated
+// goes on after its caller has disconnected.
+func (e *Entry) awaitRequests(ctx context.Context) error {
+	for e.inFlight.Load() > 0 {
 		if !loop.Sleep(ctx, drainPollInterval) {
-			return nil
+			return errUnfinished
 		}
 	}
-	e.retryQueue.flush(ctx)
-	if unfinished := e.unfinishedRequests(); unfinished > 0 {
-		e.Log.Warn("drain timed out", zap.Int("unfinished", unfinished))
-	}
 	return nil
 }
 
-// unfinishedRequests returns the number of requests that a stop would interrupt,
-// including those whose body is still being received or whose answer is still
-// being sent.
-func (e *Entry) unfinishedRequests() int { return max(int(e.inFlight.Load()), e.callerConns.count()) }
+// closeWhileDraining returns a handler that asks clients to close their
+// connections during a drain. The load balancer then assigns the next connection
+// to another entry.
+func (e *Entry) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.control.view.Load().draining {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
 
 // requestDrain starts a drain on behalf of an operator. Calls after the first
 // have no effect.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"lovageport.example/internal/state/configuration"
 	"lovageport.example/internal/state/store"
 	"lovageport.example/internal/transport/caller"
+	"lovageport.example/internal/transport/drain"
 	"lovageport.example/internal/transport/objectstore"
 	"lovageport.example/internal/transport/operator"
 	"lovageport.example/internal/transport/peer"
@@ -65,9 +66,6 @@
 	// inFlight counts the callers' requests being processed, including those
 	// that continue after their caller has disconnected.
 	inFlight atomic.Int64
-	// callerConns tracks the callers' connections on which a request is in
-	// progress, from its first byte to the last byte of the response.
-	callerConns activeConns
 }
 
 // prepare sets defaults and creates the parts that need no goroutine.
@@ -138,7 +136,6 @@
 	var g run.Group
 	loop.AddActor(&g, ctx, e.control.Run)
 	loop.AddActor(&g, ctx, e.control.tick)
-	loop.AddActor(&g, ctx, e.drainOnRequest)
 	loop.AddActor(&g, ctx, e.watchHead)
 	loop.AddActor(&g, ctx, e.pollHead)
 	loop.AddActor(&g, ctx, e.runAdopter)
@@ -150,24 +147,32 @@
 	loop.AddActor(&g, ctx, func(ctx context.Context) error {
 		return peer.Serve(ctx, listeners.peers, e.peerHandler(), e.logPeerError)
 	})
-	callers := e.callerServer().HTTP()
-	callers.ConnState = e.callerConns.track
-	e.addServer(&g, listeners.callers, callers)
-	e.addServer(&g, listeners.operators, e.operatorServer())
+	callers, operators := drain.NewListener(listeners.callers), drain.NewListener(listeners.operators)
+	e.addServer(&g, callers, e.callerServer().HTTP())
+	e.addServer(&g, operators, e.operatorServer())
+	loop.AddActor(&g, ctx, func(ctx context.Context) error { return e.drainOnRequest(ctx, callers, operators) })
 	e.Log.Info("started", zap.String("entry", e.Settings.Name), zap.String("zone", e.Settings.Zone), zap.String("version", e.Version))
 	err = g.Run()
 	e.Log.Info("stopped", zap.Error(err))
 	return err
 }
 
-// addServer adds an HTTP server to the group.
-func (e *Entry) addServer(g *run.Group, listener net.Listener, server *http.Server) {
+// addServer adds an HTTP server to the group. A drain of its listener does not end
+// the group.
+func (e *Entry) addServer(g *run.Group, listener *drain.Listener, server *http.Server) {
+	server.Handler = e.closeWhileDraining(server.Handler)
+	server.ConnState = drain.Track
+	stopped := make(chan struct{})
 	g.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("entry: %w", err)
 		}
+		<-stopped
 		return nil
-	}, func(error) { server.Close() })
+	}, func(error) {
+		close(stopped)
+		server.Close()
+	})
 }
 
 // listeners holds the listeners of one entry.
