Believe only frames that can be of the running attempt of a stream

A stream of an entry took frames at their word:

- A failure frame of an earlier attempt ended the running one, and its claim that nothing had run became the verdict.
Late frames were counted and dropped by the assembler, but acted upon by its caller all the same.
- "Not run" was believed after tokens of the same attempt had been received, so that callers were told not-run about a request that had run.
- A stage could report a failure, a load or a leave of any upstream, which then got no new requests for up to 30 s.
A refusal could name any upstream too; one that was said to be busy had the same chain chosen again at once.
- An end without a reason, or at a length below the limit, completed a truncated answer.
- Frames of an earlier attempt counted as signs of life of the running one.

The assembler tells frames that count from those of earlier attempts, rejects reports about upstreams outside the route and reports that contradict tokens already received, and checks the reason of an end. Refusals must name a stage of the route.

Checked and found sound: another request's frames, index and trace of tokens, the count of an end (existing tests).

--- a/internal/coordination/generation/assembler.go
+++ b/internal/coordination/generation/assembler.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"lovageport.example/internal/protocol/engine"
 	"lovageport.example/pkg/verdict"
@@ -14,9 +15,11 @@
 
 // The events.
 const (
-	// Ignored frames add nothing: they are heartbeats, or belong to an earlier
-	// attempt.
+	// Ignored frames belong to an earlier attempt. Nothing in them counts.
 	Ignored Event = iota
+	// Reported frames are heartbeats or failures of a stage of the current
+	// attempt.
+	Reported
 	// Accepted frames carry the next token of the answer.
 	Accepted
 	// Finished is the event of the frame that completes the answer.
@@ -37,10 +40,12 @@
 	// Dropped is the number of late frames of earlier attempts.
 	Dropped int
 	// FinishReason is set when the answer is complete.
-	FinishReason string
+	FinishReason engine.FinishReason
 
-	tokens   []string
-	attempt  string
+	tokens  []string
+	attempt string
+	// resumed is the number of tokens that earlier attempts delivered.
+	resumed  int
 	route    []engine.Span
 	earlier  map[string]bool
 	finished bool
@@ -66,6 +71,7 @@
 		a.earlier[a.attempt] = true
 	}
 	a.attempt = attempt
+	a.resumed = len(a.tokens)
 	a.route = route
 	return nil
 }
@@ -93,7 +99,19 @@
 	case engine.Done:
 		return a.acceptDone(f)
 	}
-	return Ignored, nil
+	return a.acceptReport(f)
+}
+
+// acceptReport checks a heartbeat or failure, whose sender need not be the stage
+// that it names.
+func (a *Assembler) acceptReport(f *engine.Frame) (Event, error) {
+	if !slices.ContainsFunc(a.route, func(s engine.Span) bool { return s.Upstream == f.Upstream }) {
+		return Ignored, a.protocolError(fmt.Sprintf("%s of %q, which is no stage of the route", f.Kind, f.Upstream))
+	}
+	if f.NotRun && len(a.tokens) > a.resumed {
+		return Ignored, a.protocolError("attempt that delivered tokens is said not to have run")
+	}
+	return Reported, nil
 }
 
 func (a *Assembler) acceptToken(f *engine.Frame) (Event, error) {
@@ -131,6 +149,9 @@
 	if f.Tokens != len(a.tokens) {
 		return Ignored, a.protocolError(fmt.Sprintf("answer ends at %d of %d tokens", len(a.tokens), f.Tokens))
 	}
+	if f.FinishReason == engine.Length && f.Tokens != a.MaxTokens {
+		return Ignored, a.protocolError(fmt.Sprintf("answer of %d tokens ends at the limit of %d", f.Tokens, a.MaxTokens))
+	}
 	a.finished = true
 	a.FinishReason = f.FinishReason
 	return Finished, nil
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -77,7 +77,7 @@
 		outcome, err := g.attempt(ctx, placement)
 		g.placements.finish(ctx, placement, outcome)
 		if err == nil {
-			return caller.GenerateResult{Tokens: len(g.assembler.Tokens()), FinishReason: g.assembler.FinishReason}, nil
+			return caller.GenerateResult{Tokens: len(g.assembler.Tokens()), FinishReason: string(g.assembler.FinishReason)}, nil
 		}
 		e := verdict.Of(err)
 		g.mayHaveRun = g.mayHaveRun || e.Run != verdict.NotRun
@@ -192,9 +192,9 @@
 			if err := g.sink(frame.Text, stream.HasBuffered()); err != nil {
 				return dispatch.Outcome{Fault: dispatch.Abandoned}, &verdict.Error{Reason: verdict.CallerGone, Err: err}
 			}
-		case frame.Kind == engine.Heartbeat && frame.Load != nil:
+		case event == generation.Reported && frame.Kind == engine.Heartbeat && frame.Load != nil:
 			g.entry.reportLoad(frame.Upstream, frame.Load)
-		case frame.Kind == engine.Failed:
+		case event == generation.Reported && frame.Kind == engine.Failed:
 			return g.classifyFailure(ctx, placement, stageError(&frame), received)
 		}
 	}
--- a/internal/protocol/engine/engine.go
+++ b/internal/protocol/engine/engine.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Paths and limits of the protocol.
@@ -86,6 +87,17 @@
 	Failed Kind = "failed"
 )
 
+// FinishReason is why a complete answer ends.
+type FinishReason string
+
+// The finish reasons.
+const (
+	// Stop means that the model ended the answer.
+	Stop FinishReason = "stop"
+	// Length means that the answer has RunRequest.MaxTokens tokens.
+	Length FinishReason = "length"
+)
+
 // Load is the load that an engine reports. It may be out of date.
 type Load struct {
 	// Running and Queued are numbers of requests.
@@ -108,8 +120,8 @@
 	Trace []Span `json:",omitempty"`
 	// Tokens is the number of tokens of a complete answer.
 	Tokens int `json:",omitempty"`
-	// FinishReason is "stop" or "length".
-	FinishReason string `json:",omitempty"`
+	// FinishReason is set in a Done frame.
+	FinishReason FinishReason `json:",omitempty"`
 	// Upstream is the name of the stage that sent a heartbeat or failed.
 	Upstream string `json:",omitempty"`
 	Load     *Load  `json:",omitempty"`
@@ -164,7 +176,12 @@
 		return errors.New("engine: trace has more spans than a route may have stages")
 	}
 	switch f.Kind {
-	case Token, Done:
+	case Token:
+		return nil
+	case Done:
+		if f.FinishReason != Stop && f.FinishReason != Length {
+			return fmt.Errorf("engine: unknown finish reason %q", f.FinishReason)
+		}
 		return nil
 	case Heartbeat, Failed:
 		if f.Upstream == "" {
@@ -175,6 +192,11 @@
 	return fmt.Errorf("engine: unknown frame kind %q", f.Kind)
 }
 
+// Includes reports whether an upstream is a stage of a route.
+func Includes(route []Stage, upstream string) bool {
+	return slices.ContainsFunc(route, func(s Stage) bool { return s.Upstream == upstream })
+}
+
 // CoversLayers reports whether the spans of trace cover each of the layers
 // [0, layers) exactly once and in order.
 func CoversLayers(trace []Span, layers int) bool {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -46,6 +46,9 @@
 	EndEarly bool
 	// Reset aborts the connection once the request has been read.
 	Reset bool
+	// Stray, if not nil, returns frames to send before the token with an index,
+	// as they are.
+	Stray func(run *engine.RunRequest, index int) []engine.Frame
 }
 
 // Run is a token that the engine has run through its layers.
--- a/internal/standin/engine/session.go
+++ b/internal/standin/engine/session.go
@@ -155,6 +155,11 @@
 	if s.engine.currentFaults().WrongRequest {
 		f.Request = "another"
 	}
+	return s.write(f)
+}
+
+// write sends a frame as it is.
+func (s *session) write(f engine.Frame) error {
 	text, err := json.Marshal(&f)
 	if err != nil {
 		return err
@@ -192,6 +197,13 @@
 	if faults.CrashBeforeToken > 0 && f.Index >= faults.CrashBeforeToken {
 		s.crash()
 	}
+	if faults.Stray != nil {
+		for _, stray := range faults.Stray(s.run, f.Index) {
+			if err := s.write(stray); err != nil {
+				return err
+			}
+		}
+	}
 	s.engine.recordRun(s.run, f.Index, s.span)
 	if !faults.SkipTrace {
 		f.Trace = append([]engine.Span{s.span}, f.Trace...)
--- a/internal/transport/upstream/engines.go
+++ b/internal/transport/upstream/engines.go
@@ -161,7 +161,6 @@
 	if err != nil {
 		return engine.Frame{}, err
 	}
-	s.watchdog.Reset(SilenceTimeout)
 	frame, err := engine.DecodeFrame(line)
 	if err != nil {
 		return frame, s.newError(verdict.UpstreamProtocol, "", err)
@@ -169,6 +168,10 @@
 	if frame.Request != s.request.Request {
 		return frame, s.newError(verdict.UpstreamProtocol, "", errors.New("frame belongs to another request"))
 	}
+	if frame.Attempt != s.request.Attempt {
+		return frame, nil
+	}
+	s.watchdog.Reset(SilenceTimeout)
 	if silentStage := s.recordAlive(&frame); silentStage != "" {
 		return frame, s.newError(verdict.UpstreamSilent, silentStage, errors.New("no heartbeat within the silence timeout"))
 	}
@@ -264,6 +267,11 @@
 	return s.newError(verdict.UpstreamLost, s.firstStage(), err)
 }
 
+// isRefusal reports whether a refusal is of this attempt by a stage of its route.
+func (s *Stream) isRefusal(r *engine.Refusal) bool {
+	return r.Request == s.request.Request && r.Attempt == s.request.Attempt && engine.Includes(s.request.Route, r.Upstream)
+}
+
 // refusalError returns the error for a status other than 200. Only a refusal that
 // names this attempt proves that it did not run.
 func (s *Stream) refusalError(response *http.Response) *verdict.Error {
@@ -272,7 +280,7 @@
 	if err == nil {
 		err = json.Unmarshal(text, &refusal)
 	}
-	if err != nil || response.StatusCode != http.StatusServiceUnavailable || refusal.Attempt != s.request.Attempt || refusal.Request != s.request.Request {
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable || !s.isRefusal(&refusal) {
 		return s.newError(verdict.UpstreamProtocol, s.firstStage(), errors.New("unexpected status "+response.Status))
 	}
 	return &verdict.Error{Run: verdict.NotRun, Reason: ReasonOf(refusal.Fault), Upstream: refusal.Upstream}
