Keep connections only to services whose answers state the attempt

A caller could get the answer of another caller's call: a service that does not echo the attempt and writes an earlier answer once more on a kept connection had that copy taken for the answer to the next call. An answer that stated two attempts was believed too, if the first was right.

Calls of services that do not echo the attempt have a connection of their own, as calls that may not be repeated have always had; the cost is one handshake a call. Every stated attempt must be that of the call.

--- a/internal/transport/upstream/services.go
+++ b/internal/transport/upstream/services.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"lovageport.example/internal/transport/httpclient"
@@ -37,11 +38,16 @@
 	// EchoesAttempt reports whether the response must echo Attempt.
 	EchoesAttempt bool
 	// BeforeSend is called right before the first byte is sent, if not nil, and
-	// for a call that is not repeatable only once the connection is open. An
-	// error prevents the call and is returned.
+	// for a call with a connection of its own only once that is open. An error
+	// prevents the call and is returned.
 	BeforeSend func() error
 }
 
+// ownConnection reports whether the call needs a connection that carries no other
+// call: it must not be sent twice, or its response cannot be told from that of
+// another call, which a service may write once more.
+func (c *ServiceCall) ownConnection() bool { return !c.Repeatable || !c.EchoesAttempt }
+
 // Response is the whole response of a plain service.
 type Response struct {
 	Status int
@@ -89,7 +95,7 @@
 // or the one that c.BeforeSend returned.
 func (s *ServiceClient) Do(ctx context.Context, c *ServiceCall) (*Response, error) {
 	client := s.pooled
-	if !c.Repeatable {
+	if c.ownConnection() {
 		fresh, err := s.freshClient(ctx, c)
 		if err != nil {
 			return nil, err
@@ -113,8 +119,7 @@
 	return readResponse(c, response)
 }
 
-// freshClient returns a client with a single new connection, for a call that
-// must not be sent twice. When a reused connection breaks, net/http resends a
+// freshClient returns a client with a single new connection. When a reused connection breaks, net/http resends a
 // request that it considers idempotent, which includes any with an
 // Idempotency-Key header. It does not resend on a new connection, and this
 // client cannot open a second one.
@@ -181,8 +186,8 @@
 	protocolError := func(format string, args ...any) error {
 		return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamProtocol, Upstream: c.Upstream, Message: fmt.Sprintf(format, args...)}
 	}
-	echoed := response.Header.Get(AttemptHeader)
-	if echoed != c.Attempt && (echoed != "" || c.EchoesAttempt) {
+	echoed := response.Header.Values(AttemptHeader)
+	if c.EchoesAttempt && len(echoed) == 0 || slices.ContainsFunc(echoed, func(id string) bool { return id != c.Attempt }) {
 		return nil, protocolError("answer to another attempt")
 	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
--- a/pkg/declaration/kinds.go
+++ b/pkg/declaration/kinds.go
@@ -138,7 +138,9 @@
 	// Timeout is the timeout of one call.
 	Timeout Duration
 	// EchoesAttempt reports whether the upstreams return the header
-	// Lovageport-Attempt. If so, a response without it is rejected.
+	// Lovageport-Attempt. If so, a response without it is rejected. If not, each
+	// call has a connection of its own, since a response on one that is kept
+	// could be that of another call.
 	EchoesAttempt bool `toml:",omitempty"`
 }
 
