Make each call of the store on a connection of its own

An entry believed what the store wrote on a connection that is kept, and what it said about any key: an earlier answer once more became the answer to the next call. A claim counted as acquired although its write had not taken effect, so that a call that may not be repeated could run twice; a change of the configuration was reported as refused although it was accepted; and an earlier "not found" let an entry become ready without the withdrawals.

Refusals of the store state no key, so that only the connection shows which call they answer: each call opens its own. Objects must state the key that was asked for and, after a write or a watch, a version above the one before; a conflict with the very version that the write expects is an unknown outcome. An entry makes about two calls a second, and two for each call that may not be repeated; each now costs one more round trip.

Cut answers and answers with text behind them were refused before too.

--- a/internal/transport/objectstore/client.go
+++ b/internal/transport/objectstore/client.go
@@ -36,7 +36,9 @@
 	http *http.Client
 }
 
-// Objects creates the HTTP client and returns the operations of c.
+// Objects creates the HTTP client and returns the operations of c. Each call has a
+// connection of its own: refusals do not state which call they answer, and on a
+// connection that is kept a store may write one once more.
 func (c *Client) Objects() store.ObjectAPI {
 	dial := c.Dial
 	if dial == nil {
@@ -45,8 +47,7 @@
 	c.http = &http.Client{Transport: &http.Transport{
 		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
 		DialContext:            limitDial(dial, c.Timeout),
-		MaxIdleConnsPerHost:    16,
-		IdleConnTimeout:        time.Minute,
+		DisableKeepAlives:      true,
 	}}
 	return store.ObjectAPI{
 		Get:    c.get,
@@ -81,16 +82,32 @@
 	if err := c.call(ctx, http.MethodGet, object.ObjectsPath+key, nil, c.Timeout, &found); err != nil {
 		return found, err
 	}
-	return found, found.Check()
+	return found, checkAnswer(&found, key, 0)
+}
+
+// checkAnswer returns an error unless found is a valid object that is stored under
+// key and has a version above after.
+func checkAnswer(found *object.Object, key string, after int64) error {
+	if err := found.Check(); err != nil {
+		return err
+	}
+	if found.Key != key || found.Version <= after {
+		return fmt.Errorf("platform: answer about version %d of %q to a call about %q after version %d", found.Version, found.Key, key, after)
+	}
+	return nil
 }
 
 func (c *Client) put(ctx context.Context, key string, value []byte, ifVersion int64) (int64, error) {
 	var written object.Object
 	path := object.ObjectsPath + key + "?ifVersion=" + strconv.FormatInt(ifVersion, 10)
 	if err := c.call(ctx, http.MethodPut, path, value, c.Timeout, &written); err != nil {
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) && conflict.Version == ifVersion {
+			return 0, fmt.Errorf("platform: %s has version %d, but a write that expects it is refused", key, ifVersion)
+		}
 		return 0, err
 	}
-	return written.Version, written.Check()
+	return written.Version, checkAnswer(&written, key, ifVersion)
 }
 
 func (c *Client) delete(ctx context.Context, key string, ifVersion int64) error {
@@ -115,7 +132,7 @@
 	if err := c.call(ctx, http.MethodGet, object.WatchPath+"?"+query.Encode(), nil, c.Timeout+wait, &found); err != nil {
 		return found, err
 	}
-	return found, found.Check()
+	return found, checkAnswer(&found, key, after)
 }
 
 func (c *Client) vms(ctx context.Context) (object.VMList, error) {
