Refuse a withdrawal under the ID of one that was returned

An operator who sent a withdrawal under the ID of one that had been lifted was told that it is in force at all entries, while the upstream stayed in service: a lifted ID never comes into force again, and the answer named the entries that were reached rather than what they hold. Such a call is refused as invalid. A repeat of a withdrawal that is in force succeeds as before.

TestWithdrawalWithUsedIDIsRefused failed before and passes.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -122,16 +122,34 @@
 	if err := e.authorizeUpstreams(o, upstreams); err != nil {
 		return operator.Propagation{}, err
 	}
+	var err error
 	e.control.Do(func(s *state) {
-		for _, name := range upstreams {
-			s.withdrawals.Withdraw(withdrawal.Withdrawal{ID: changeID + "/" + name, Upstream: name, Operator: o.Name, At: time.Now()})
+		if err = s.withdraw(o, changeID, upstreams, time.Now()); err == nil {
+			e.control.publish(s)
 		}
-		e.control.publish(s)
 	})
+	if err != nil {
+		return operator.Propagation{}, err
+	}
 	e.Log.Info("upstreams withdrawn", zap.String("change", changeID), zap.String("operator", o.Name), zap.Strings("upstreams", upstreams))
 	return e.propagateWithdrawals(ctx), nil
 }
 
+// withdraw adds the withdrawals of a change. It refuses a change of which a part
+// has been lifted, since that part would not come into force.
+func (s *state) withdraw(o *declaration.Operator, changeID string, upstreams []string, now time.Time) error {
+	id := func(name string) string { return changeID + "/" + name }
+	for _, name := range upstreams {
+		if s.withdrawals.Lifted(id(name)) {
+			return verdict.Refuse(verdict.BadRequest, "change %q has withdrawn %q before, and that was returned; use another ID", changeID, name)
+		}
+	}
+	for _, name := range upstreams {
+		s.withdrawals.Withdraw(withdrawal.Withdrawal{ID: id(name), Upstream: name, Operator: o.Name, At: now})
+	}
+	return nil
+}
+
 // returnUpstreams lifts the withdrawals of upstreams.
 func (e *Entry) returnUpstreams(ctx context.Context, o *declaration.Operator, upstreams []string) (operator.Propagation, error) {
 	if err := e.authorizeUpstreams(o, upstreams); err != nil {
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -389,3 +389,18 @@
 		f.awaitReady()
 	})
 }
+
+// TestWithdrawalWithUsedIDIsRefused guards against an operator who is told that a
+// withdrawal is in force although it was taken for one that has been lifted.
+func TestWithdrawalWithUsedIDIsRefused(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		const name = "graz-engine-1"
+		qt.Assert(t, f.withdraw("wien-entry", name).err, qt.IsNil)
+		qt.Assert(t, f.withdraw("linz-entry", name).err, qt.IsNil)
+		_, err := f.operator("wien-entry").Return(f.ctx, call("op-graz", &operatorv1.ReturnRequest{Upstreams: []string{name}}))
+		qt.Assert(t, err, qt.IsNil)
+		got := f.withdraw("linz-entry", name)
+		qt.Check(t, connect.CodeOf(got.err), qt.Equals, connect.CodeInvalidArgument)
+		qt.Check(t, f.upstreamState("linz-entry", name), qt.Equals, "in_service")
+	})
+}
--- a/internal/state/withdrawal/withdrawal.go
+++ b/internal/state/withdrawal/withdrawal.go
@@ -59,6 +59,10 @@
 	return s.Merge([]Withdrawal{w})
 }
 
+// Lifted reports whether the withdrawal with an ID has been lifted. Another one
+// with that ID would not come into force.
+func (s *Set) Lifted(id string) bool { return s.byID[id].Lifted }
+
 // Lift lifts all withdrawals of an upstream that are in the set. It reports
 // whether the set changed.
 func (s *Set) Lift(upstream string, now time.Time) bool {
