Do not probe upstreams of services that the configuration does not name

Such an upstream, reported as faulty by a peer, got probes with an empty path, which is no HTTP request, and was excluded for the answer. No caller is affected, since no request is sent to it.

TestUpstreamOfUnknownServiceIsNotProbed failed before.

--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -52,11 +52,9 @@
 			if u == nil {
 				continue
 			}
-			p := probeTarget{Upstream: u}
 			if service := s.serviceNamed(u.Service); service != nil {
-				p.healthPath = service.HealthPath
+				due = append(due, probeTarget{u, service.HealthPath})
 			}
-			due = append(due, p)
 		}
 	})
 	return due
--- a/internal/gateway/probe_test.go
+++ b/internal/gateway/probe_test.go
@@ -38,3 +38,18 @@
 	c.Assert(due, qt.HasLen, 1)
 	c.Check(due[0].Instance, qt.Equals, "e")
 }
+
+// TestUpstreamOfUnknownServiceIsNotProbed guards against probes without a path, of an
+// upstream whose service the configuration does not name.
+func TestUpstreamOfUnknownServiceIsNotProbed(t *testing.T) {
+	c := qt.New(t)
+	s := newState(t)
+	g := &Gateway{Log: s.log, Now: func() time.Duration { return time.Minute }, control: loop.New[state]()}
+	g.control.State = *s
+	go g.control.Run(t.Context())
+	g.control.Do(func(s *state) {
+		s.upstreams["e"].Service = "other"
+		s.health.RequestProbe("e", time.Minute)
+	})
+	c.Check(g.dueProbes(), qt.HasLen, 0)
+}
