Forget what accounts were served when the queue becomes empty

An account that had had a large request was served after all others once the queue had been empty, however long ago that was: only the finish time of the account whose request left last was forgotten, so that the others stayed ahead of the virtual time. All are forgotten now.

TestServiceBeforeIdleTimeDoesNotCount failed before.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -164,7 +164,11 @@
 		return
 	}
 	delete(f.accounts, account)
-	if f.finish[account] <= f.virtualTime || len(f.accounts) == 0 {
+	switch {
+	case len(f.accounts) == 0:
+		// What was served before counts only while requests wait.
+		clear(f.finish)
+	case f.finish[account] <= f.virtualTime:
 		delete(f.finish, account)
 	}
 }
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -70,6 +70,22 @@
 	}
 }
 
+// TestServiceBeforeIdleTimeDoesNotCount guards against an account that is served after
+// all others because of a large request before the queue was last empty.
+func TestServiceBeforeIdleTimeDoesNotCount(t *testing.T) {
+	var q Queue[string]
+	qt.Assert(t, q.Push(item("a", 5, 1000), "a"), qt.IsNil)
+	qt.Assert(t, q.Push(item("b", 5, 10), "b"), qt.IsNil)
+	pop(&q)
+	pop(&q)
+	qt.Assert(t, q.Len("m"), qt.Equals, 0)
+	for _, account := range []string{"b", "b", "b", "a"} {
+		qt.Assert(t, q.Push(item(account, 5, 10), account), qt.IsNil)
+	}
+	first, second := pop(&q), pop(&q)
+	qt.Check(t, first == "a" || second == "a", qt.IsTrue)
+}
+
 func TestFullQueueRejects(t *testing.T) {
 	q := Queue[string]{Max: 1}
 	qt.Assert(t, q.Push(item("a", 1, 1), "x"), qt.IsNil)
