Take notices only from the answer to the call

A message that answers no request and says that its upstream is leaving, or wants no requests for some time, took a sound upstream out of use: with one such upstream left, callers were refused with 503 for as long as the message said, and after "leaving" until the upstream restarted.

Cause: gateway.exchange recorded the notices of a response before it compared the response's ID with that of the request.

Change: by order; a response that may be another call's has no effect on its upstream but a probe.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,7 +83,7 @@
 
 // exchange sends a call and reads the header of the response. It fails if the
 // response may be another call's: whatever its header says, such as that nothing
-// ran, is then about that call.
+// ran or that the upstream is leaving, is then about that call.
 func (g *Gateway) exchange(ctx context.Context, c *relay.Call) (*response, error) {
 	if !g.mayCall(c.Upstream) {
 		return nil, heldOffError()
@@ -102,13 +102,13 @@
 	}
 	resp := &response{Response: received, head: platform.DecodeResponse(received.Status, received.Header)}
 	received.SetKeepAlive(resp.head.IdleTimeout)
-	g.recordNotices(c.Upstream, resp.head)
 	if resp.isForeign(c) {
 		resp.Close()
 		g.Log.Info("response of another call", zap.String("upstream", c.Upstream.Instance), zap.String("request", c.Request),
 			zap.String("stated", resp.head.Request), zap.Int("status", resp.head.Status), zap.Bool("reused", resp.Reused))
 		return nil, protocolError("answer to another request")
 	}
+	g.recordNotices(c.Upstream, resp.head)
 	return resp, nil
 }
 
