Take no end of a resumed stream for one that an earlier run has passed

A stream that broke within an event ended as complete if the engine that resumed it answered with an empty stream: nothing compared the end with what the first run had shown. A run that has begun a further event (its ID, its data or its version, in part or whole) shows that the stream goes on; a later run that ends before is broken now, and the stream resumes on other engines or is cut. An empty answer remains the engine's word where no run has shown more, as after a break between events.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -91,6 +91,7 @@
 	begun := eventFields{}
 	if r.invalid == nil {
 		begun = r.event
+		begun.addPart(r.buffer[r.checked:])
 	}
 	r.sequence.breakOff(begun)
 }
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -207,10 +207,15 @@
 	c.Assert(s.advance(8), qt.IsNil)
 	c.Check(s.lastID(""), qt.Equals, "8")
 
+	// An event that does not count says nothing of the end.
+	c.Check(s.checkEnd(), qt.IsNil)
+
 	s = newSequence()
 	s.breakOff(eventFields{hasID: true, id: 7})
+	c.Check(s.checkEnd(), qt.IsNotNil)
 	s.beginRun()
 	c.Assert(s.advance(7), qt.IsNil)
+	c.Check(s.checkEnd(), qt.IsNil)
 
 	s = newSequence()
 	s.beginRun()
@@ -220,3 +225,43 @@
 	c.Assert(s.advance(11), qt.IsNil)
 	c.Check(s.lastID(""), qt.Equals, "11")
 }
+
+// TestFirstEventBegun checks that a stream may consist of the event that an earlier run
+// has begun, whatever its ID.
+func TestFirstEventBegun(t *testing.T) {
+	var s eventSequence
+	s.breakOff(eventFields{hasID: true, id: 0})
+	s.beginRun()
+	qt.Assert(t, s.advance(0), qt.IsNil)
+	qt.Check(t, s.checkEnd(), qt.IsNil)
+}
+
+// TestBegunEvents checks which parts of an event show that a run has begun one.
+func TestBegunEvents(t *testing.T) {
+	for _, x := range []struct {
+		part  string
+		shows bool
+	}{
+		{"id: 3\nda", true},
+		{"id: 3", true},
+		{"id:", true},
+		{"data: a\n", true},
+		{"weight-versions: 4", true},
+		{"", false},
+		{"i", false},
+		{"id: 2\nda", false},
+		{": alive", false},
+		{"retry: 1", false},
+		{"internal error", false},
+		{"failed: twice", false},
+		{"failed\nid: 3", false},
+	} {
+		var s eventSequence
+		r := eventReader{source: io.MultiReader(strings.NewReader("id: 1\n\nid: 2\n\n"+x.part), iotest.ErrReader(errors.New("broken"))), sequence: &s}
+		for err := error(nil); err == nil; {
+			_, err = r.next()
+		}
+		r.breakOff()
+		qt.Check(t, s.checkEnd() != nil, qt.Equals, x.shows, qt.Commentf("%q", x.part))
+	}
+}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -194,6 +194,9 @@
 	}
 	err := s.passEvents(to, resp, detector)
 	s.lastEventID = s.sequence.lastID(s.lastEventID)
+	if short := s.sequence.checkEnd(); err == io.EOF && short != nil {
+		err = short
+	}
 	var gone *verdict.Error
 	switch {
 	case errors.As(err, &gone):
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -30,6 +30,8 @@
 	// shown is the ID with which an earlier run has continued after last, or began
 	// to; 0 if unknown.
 	shown uint64
+	// least is the lowest ID of a last event: a run has begun an event from there on.
+	least uint64
 }
 
 // errLargerStep is returned for the first event of a resumed run that makes a larger
@@ -81,9 +83,22 @@
 		s.holds, s.shown, s.held = false, s.held, 0
 		return
 	}
-	if begun.hasID && begun.id > s.last {
-		s.shown = begun.id
+	if begun.hasID && begun.id <= s.last && s.known || !begun.hasID && !begun.hasData {
+		return
+	}
+	s.shown = begun.id
+	if s.known {
+		s.least = max(s.least, s.last+1)
+	}
+}
+
+// checkEnd returns an error if a run ends although another one has begun a further
+// event.
+func (s *eventSequence) checkEnd() error {
+	if s.last >= s.least {
+		return nil
 	}
+	return malformedEvent("end after event %d, after which an earlier run had begun another", s.last)
 }
 
 // lastID returns the ID of the last event, or other if none is known.
@@ -140,6 +155,16 @@
 	return nil
 }
 
+// addPart takes the part of a line that has arrived when a run ends.
+func (f *eventFields) addPart(line []byte) {
+	name, _, hasValue := bytes.Cut(line, []byte(":"))
+	if !hasValue {
+		return
+	}
+	// An ID that is not complete is not known, but shows that an event was begun.
+	f.hasData = f.hasData || string(name) == "id" || string(name) == "data" || string(name) == platform.VersionField
+}
+
 // parseDecimal parses a decimal number without sign and leading zeros. The bool is
 // false if b is none.
 func parseDecimal(b []byte) (uint64, bool) {
