Keep the history of a request's attempts in a type of its own

request.history copied the map of upstreams for each caller, most of which want a counter or a flag: on the control loop that is several copies for each target that it assigns. The history, with the lock that guards it, is attemptHistory now; a summary is returned without the map, and possibleRuns gives the upstreams to the one rule that asks for them. The locking is the same. Several responses may be awaited at once, so that endSend names its upstream.

No change in behaviour. TestHistoryIsCheap: no allocation for a summary, nor for a request without runs.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -42,7 +42,7 @@
 		ResumeAfter: resumeAfter,
 	}
 	q.beginSend(to.upstream.Instance)
-	defer q.endSend()
+	defer q.endSend(to.upstream.Instance)
 	resp, err := g.exchange(ctx, call)
 	if err != nil {
 		return nil, g.recordFailure(q, to, err, relay.ResponseHead{})
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"lovageport.example/internal/protocol/relay"
@@ -47,26 +45,7 @@
 	// was passed on, and longestPause the longest time between two events.
 	firstEvent, longestPause time.Duration
 
-	// mu guards the fields below: while an attempt runs, the control loop may
-	// look for the next one.
-	mu sync.Mutex
-	// sent reports whether an attempt has reached an upstream.
-	sent bool
-	// sentTo is the upstream whose response an attempt waits for; empty if there
-	// is none.
-	sentTo string
-	// handingOver reports whether a running attempt looks for its successor.
-	handingOver bool
-	// ranOn holds the upstreams, first stages in the case of chains, that may
-	// have run the request.
-	ranOn map[string]bool
-	// firstStage is the first stage of the last attempt, which the next one
-	// prefers.
-	firstStage string
-	// lastEvent is the boot time of the last event; 0 if there was none.
-	lastEvent time.Duration
-	// attempts counts the targets that were assigned.
-	attempts int
+	attemptHistory
 }
 
 func (q *request) exclude(instance string) {
@@ -76,127 +55,16 @@
 	q.excluded[instance] = true
 }
 
-// recordRun records that an upstream may have run the request.
-func (q *request) recordRun(instance string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.sent = true
-	if q.ranOn == nil {
-		q.ranOn = make(map[string]bool)
-	}
-	q.ranOn[instance] = true
-}
-
-// recordResponse records that an upstream has begun to answer.
-func (q *request) recordResponse(instance string) {
-	q.recordRun(instance)
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.firstStage = instance
-}
-
-// recordRefusal records that an upstream has received the request and not run
-// it.
-func (q *request) recordRefusal() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.sent = true
-}
-
-// beginSend records that an attempt is sent to an upstream, which may run the
-// request until its response, or its failure, tells.
-func (q *request) beginSend(instance string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.sentTo = instance
-}
-
-// setHandingOver records whether a running attempt looks for its successor.
-func (q *request) setHandingOver(is bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.handingOver = is
-}
-
-// isHandingOver reports whether a running attempt looks for its successor.
-func (q *request) isHandingOver() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.handingOver
-}
-
-// endSend records that the outcome of an attempt that was sent is recorded.
-func (q *request) endSend() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.sentTo = ""
-}
-
-// countAttempt counts a target that is assigned, and returns its number.
-func (q *request) countAttempt() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.attempts++
-	return q.attempts
-}
-
-// discountAttempt takes back an attempt for which nothing was sent.
-func (q *request) discountAttempt() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.attempts--
-}
-
-// history is what the attempts of a request have shown. An attempt whose response
-// is awaited counts as sent, and its upstream as one that may have run it.
-type history struct {
-	sent       bool
-	ranOn      map[string]bool
-	firstStage string
-	lastEvent  time.Duration
-	attempts   int
-}
-
-// history returns what the attempts have shown so far.
-func (q *request) history() history {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	h := history{sent: q.sent, ranOn: maps.Clone(q.ranOn), firstStage: q.firstStage, lastEvent: q.lastEvent, attempts: q.attempts}
-	if q.sentTo == "" {
-		return h
-	}
-	h.sent = true
-	if h.ranOn == nil {
-		h.ranOn = make(map[string]bool)
-	}
-	h.ranOn[q.sentTo] = true
-	return h
-}
-
 // recordEvent records that a part of the response is passed on. It returns the
 // time since the previous part.
 func (q *request) recordEvent(now time.Duration) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.lastEvent == 0 {
+	last := q.attemptHistory.recordEvent(now)
+	if last == 0 {
 		q.firstEvent = now - q.arrived
-		q.lastEvent = now
 		return 0
 	}
-	pause := now - q.lastEvent
-	q.longestPause = max(q.longestPause, pause)
-	q.lastEvent = now
-	return pause
-}
-
-// mayHaveRun reports whether an upstream may have run the request.
-func (q *request) mayHaveRun() bool { return q.upstreamsRun() > 0 }
-
-// upstreamsRun returns the number of upstreams that may have run the request.
-func (q *request) upstreamsRun() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return len(q.ranOn)
+	q.longestPause = max(q.longestPause, now-last)
+	return now - last
 }
 
 // mayRetry reports whether another attempt is allowed after one that failed. If
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"lovageport.example/internal/coordination/pathfinding"
@@ -103,8 +104,8 @@
 	query.PreferFirst = h.firstStage
 	query.Urgent = h.lastEvent > 0
 	if s.atUpstreamLimit(q) {
-		mayCall := query.MayBeFirst
-		query.MayBeFirst = func(u *fleet.Upstream) bool { return h.ranOn[u.Instance] && mayCall(u) }
+		mayCall, runs := query.MayBeFirst, q.possibleRuns()
+		query.MayBeFirst = func(u *fleet.Upstream) bool { return slices.Contains(runs, u.Instance) && mayCall(u) }
 	}
 	return query
 }
@@ -140,7 +141,7 @@
 // now failed to answer in time, count, since they may still run it.
 func (s *state) atUpstreamLimit(q *request) bool {
 	ran := 0
-	for instance := range q.history().ranOn {
+	for _, instance := range q.possibleRuns() {
 		if s.upstreams[instance] != nil && !s.health.ConfirmedDown(instance) {
 			ran++
 		}
