--- a/internal/transport/drain/listener_test.go
+++ b/internal/transport/drain/listener_test.go
@@ -42,9 +42,11 @@
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { conn.Close() })
 	qt.Assert(t, conn.SetDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
-	return &client{conn, t, bufio.NewReader(conn)}
+	return newClient(t, conn)
 }
 
+func newClient(t *testing.T, conn net.Conn) *client { return &client{conn, t, bufio.NewReader(conn)} }
+
 func (c *client) write(text string) {
 	_, err := c.Write([]byte(text))
 	qt.Assert(c.t, err, qt.IsNil)
