Give a silent attempt up only once another one has begun

Callers of an entry had streams cut although their engines would have gone on: an engine that stood still for longer than 0.7 s had its stream canceled, and only then was another chain asked for. If the others were withdrawn, busy or broke off, or the retry allowance was used up, the stream ended.

Silence is a suspicion now (Stream.SilentStage). While the attempt goes on, the stages are probed; a refused probe shows that the process has ended, and ends the attempt at once as before. Otherwise a chain without the unresponsive stage is asked for, and the attempt is given up only when the response of another one has begun and nothing more has arrived. If no other attempt can begin, the log says "silent attempt kept" and why, and the next try follows 0.7 s later. An upstream that answers no probe is ejected as soon as it is found, kept attempt or not, so that other requests avoid it. A request without a chain is no longer charged to the retry allowance.

Ruled out: a takeover that loses or repeats tokens (the successor counts only if no token has come since it was asked for; TestAnswersNotMixedUpUnderFaults).

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -153,12 +153,12 @@
 	if left := d.Suspicions.Remaining(r.Fingerprint, now); left > 0 {
 		return verdict.RefuseUntil(left, verdict.Quarantined, "this request has crashed upstreams")
 	}
-	if r.IsRetry && !d.budget.Allow(now) {
-		return verdict.RefuseUntil(minRetryAfter, verdict.RetryBudget, "too many retries are under way")
-	}
 	if d.findChain(pool, d.idleState(r, now), nil) == nil {
 		return verdict.RefuseUntil(noChainRetryAfter, verdict.NoChain, "no upstreams in service cover %s", r.Pool)
 	}
+	if r.IsRetry && !d.budget.Allow(now) {
+		return verdict.RefuseUntil(minRetryAfter, verdict.RetryBudget, "too many retries are under way")
+	}
 	return nil
 }
 
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -32,6 +32,9 @@
 	// Exclude holds the names of upstreams that failed this request. They are
 	// not used again.
 	Exclude map[string]bool
+	// Silent is the name of an upstream that is not used for the next attempt,
+	// because it is silent in an attempt that still runs.
+	Silent string
 	// AvoidIfPossible holds the names of upstreams that may have failed this
 	// request. They are used only if the others don't cover all layers.
 	AvoidIfPossible map[string]bool
@@ -50,6 +53,11 @@
 	IsRetry bool
 }
 
+// excludes reports whether the next attempt must not use an upstream.
+func (r *Request) excludes(upstream string) bool {
+	return r.Exclude[upstream] || r.Silent != "" && r.Silent == upstream
+}
+
 // exclude adds an upstream to Exclude.
 func (r *Request) exclude(upstream string) {
 	if r.Exclude == nil {
--- a/internal/coordination/dispatch/status.go
+++ b/internal/coordination/dispatch/status.go
@@ -14,7 +14,7 @@
 	return func(c *catalog.Candidate) route.Occupancy {
 		u := c.Upstream
 		l := d.loadOf(u.Name)
-		if !d.usable(c, l, now) || r.Exclude[u.Name] || now.Before(l.busyUntil) || suspect && l.suspects > 0 {
+		if !d.usable(c, l, now) || r.excludes(u.Name) || now.Before(l.busyUntil) || suspect && l.suspects > 0 {
 			return route.Occupancy{}
 		}
 		others := l.otherRequests * max(0, 1-now.Sub(l.reportedAt).Seconds()/loadReportTTL.Seconds())
@@ -28,7 +28,7 @@
 // flight and no upstreams ejected.
 func (d *Dispatcher) idleState(r *Request, now time.Time) func(*catalog.Candidate) route.Occupancy {
 	return func(c *catalog.Candidate) route.Occupancy {
-		if !d.usable(c, d.loadOf(c.Upstream.Name), now) || r.Exclude[c.Upstream.Name] {
+		if !d.usable(c, d.loadOf(c.Upstream.Name), now) || r.excludes(c.Upstream.Name) {
 			return route.Occupancy{}
 		}
 		return route.Occupancy{Free: float64(c.Upstream.Slots)}
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -69,25 +68,31 @@
 
 // run makes attempts until the answer is complete or a failure is final.
 func (g *generator) run(ctx context.Context) (caller.GenerateResult, error) {
+	var next *attempt
 	for {
-		placement, err := g.placements.acquire(ctx)
-		if err != nil {
-			return caller.GenerateResult{}, g.finalError(err)
+		if next == nil {
+			placement, err := g.placements.acquire(ctx)
+			if err != nil {
+				return caller.GenerateResult{}, g.finalError(err)
+			}
+			next = g.newAttempt(ctx, placement, g.assembler.Tokens())
 		}
-		outcome, err := g.attempt(ctx, placement)
-		g.placements.finish(ctx, placement, outcome)
+		current := next
+		outcome, successor, err := g.runAttempt(ctx, current)
+		g.placements.finish(ctx, current.placement, outcome)
 		if err == nil {
 			return caller.GenerateResult{Tokens: len(g.assembler.Tokens()), FinishReason: string(g.assembler.FinishReason)}, nil
 		}
 		e := verdict.Of(err)
 		g.mayHaveRun = g.mayHaveRun || e.Run != verdict.NotRun
-		g.placements.logFailure(placement, e, zap.Int("tokens", len(g.assembler.Tokens())))
+		g.placements.logFailure(current.placement, e, zap.Int("tokens", len(g.assembler.Tokens())))
 		switch e.Reason {
 		case verdict.CallerGone, verdict.DeadlineExceeded, verdict.Internal:
 			return caller.GenerateResult{}, g.finalError(e)
 		}
 		g.entry.metrics.retries.WithLabelValues(string(e.Reason)).Inc()
-		g.preferSurvivors(placement.Chain, outcome)
+		g.preferSurvivors(current.placement.Chain, outcome)
+		next = successor
 	}
 }
 
@@ -110,44 +115,80 @@
 	g.placements.request.Prefer = prefer
 }
 
-// attempt runs one attempt. If the error is nil, the answer is complete.
-func (g *generator) attempt(ctx context.Context, placement dispatch.Placement) (dispatch.Outcome, error) {
-	abandoned := dispatch.Outcome{Fault: dispatch.Abandoned}
-	run := g.newRunRequest(ctx, placement)
-	if err := g.assembler.StartAttempt(run.Attempt, spans(run.Route)); err != nil {
-		return abandoned, verdict.Refuse(verdict.Internal, "%v", err)
+// attempt is one placement of a request and the stream that runs on it.
+type attempt struct {
+	placement dispatch.Placement
+	run       *engine.RunRequest
+	stream    *upstream.Stream
+	// opened is set once the response has begun.
+	opened bool
+}
+
+// newAttempt returns an attempt that resumes after the given tokens.
+func (g *generator) newAttempt(ctx context.Context, placement dispatch.Placement, resume []string) *attempt {
+	a := &attempt{placement: placement, run: g.newRunRequest(ctx, placement, resume)}
+	a.stream = g.entry.engineClient.NewStream(ctx, a.run)
+	return a
+}
+
+// runAttempt runs one attempt. If the error is nil, the answer is complete;
+// otherwise an attempt that has taken over may be returned.
+func (g *generator) runAttempt(ctx context.Context, a *attempt) (dispatch.Outcome, *attempt, error) {
+	if err := g.assembler.StartAttempt(a.run.Attempt, spans(a.run.Route)); err != nil {
+		a.stream.Close()
+		return dispatch.Outcome{Fault: dispatch.Abandoned}, nil, verdict.Refuse(verdict.Internal, "%v", err)
 	}
-	if placement.Suspect {
-		if outcome, err := g.probeChain(ctx, placement); err != nil {
+	h := g.startHandover(ctx, a)
+	outcome, err := g.forward(ctx, a, h)
+	end := h.stop()
+	switch {
+	case err == nil:
+		a.stream.Finish()
+		g.discard(ctx, end.successor)
+		return outcome, nil, nil
+	case end.gaveUp:
+		outcome, err = end.outcome, end.err
+	}
+	a.stream.Close()
+	return outcome, end.successor, err
+}
+
+// discard ends an attempt that has begun and is not needed.
+func (g *generator) discard(ctx context.Context, a *attempt) {
+	if a == nil {
+		return
+	}
+	a.stream.Close()
+	g.mayHaveRun = true
+	g.placements.finish(ctx, a.placement, dispatch.Outcome{Fault: dispatch.Abandoned})
+}
+
+// open begins an attempt.
+func (g *generator) open(ctx context.Context, a *attempt) (dispatch.Outcome, error) {
+	if a.placement.Suspect {
+		if outcome, err := g.probeChain(ctx, a.placement); err != nil {
 			return outcome, err
 		}
 	}
 	// Checked last, immediately before the first byte is sent.
-	if !g.entry.chainAvailable(placement.Chain) {
-		return abandoned, verdict.Refuse(verdict.UpstreamWithdrawn, "an upstream was withdrawn")
+	if !g.entry.chainAvailable(a.placement.Chain) {
+		return dispatch.Outcome{Fault: dispatch.Abandoned}, verdict.Refuse(verdict.UpstreamWithdrawn, "an upstream was withdrawn")
 	}
-	stream, err := g.entry.engineClient.Run(ctx, run)
-	if err != nil {
-		return g.classifyFailure(ctx, placement, err, false)
+	if err := a.stream.Open(); err != nil {
+		return g.classifyFailure(ctx, a.placement, err, false)
 	}
-	outcome, err := g.readFrames(ctx, placement, stream)
-	if err != nil {
-		stream.Close()
-		return outcome, err
-	}
-	stream.Finish()
-	return outcome, nil
+	a.opened = true
+	return dispatch.Outcome{}, nil
 }
 
-// newRunRequest returns the request to the first engine of the chain. It resumes
-// after the tokens received so far.
-func (g *generator) newRunRequest(ctx context.Context, placement dispatch.Placement) *engine.RunRequest {
+// newRunRequest returns the request to the first engine of the chain.
+func (g *generator) newRunRequest(ctx context.Context, placement dispatch.Placement, resume []string) *engine.RunRequest {
 	run := &engine.RunRequest{
 		Request:   g.request.RequestID,
 		Attempt:   fmt.Sprintf("%s-%d", g.request.RequestID, g.placements.request.Attempts),
 		Model:     g.placements.request.Pool,
 		Prompt:    g.request.Prompt,
-		Resume:    g.assembler.Tokens(),
+		Resume:    resume,
 		MaxTokens: g.assembler.MaxTokens,
 		Priority:  g.request.Account.Priority,
 	}
@@ -171,16 +212,22 @@
 	return all
 }
 
-// readFrames processes the frames of an attempt until it ends.
-func (g *generator) readFrames(ctx context.Context, placement dispatch.Placement, stream *upstream.Stream) (dispatch.Outcome, error) {
+// forward begins an attempt, unless it has begun, and processes its frames until it
+// ends. The result does not count if h has given the attempt up.
+func (g *generator) forward(ctx context.Context, a *attempt, h *handover) (dispatch.Outcome, error) {
+	if !a.opened {
+		if outcome, err := g.open(ctx, a); err != nil {
+			return outcome, err
+		}
+	}
 	received := false
 	for {
-		frame, err := stream.Next()
+		frame, err := a.stream.Next()
 		if err != nil {
-			return g.classifyFailure(ctx, placement, err, received)
+			return g.classifyFailure(ctx, a.placement, err, received)
 		}
 		received = true
-		event, err := g.assembler.Accept(&frame)
+		event, err := h.accept(&frame)
 		if err != nil {
 			return protocolOutcome(err), err
 		}
@@ -189,13 +236,13 @@
 			return dispatch.Outcome{Fault: dispatch.None}, nil
 		case event == generation.Accepted:
 			g.timer.recordToken(len(g.assembler.Tokens()))
-			if err := g.sink(frame.Text, stream.HasBuffered()); err != nil {
+			if err := g.sink(frame.Text, a.stream.HasBuffered()); err != nil {
 				return dispatch.Outcome{Fault: dispatch.Abandoned}, &verdict.Error{Reason: verdict.CallerGone, Err: err}
 			}
 		case event == generation.Reported && frame.Kind == engine.Heartbeat && frame.Load != nil:
 			g.entry.reportLoad(frame.Upstream, frame.Load)
 		case event == generation.Reported && frame.Kind == engine.Failed:
-			return g.classifyFailure(ctx, placement, stageError(&frame), received)
+			return g.classifyFailure(ctx, a.placement, stageError(&frame), received)
 		}
 	}
 }
@@ -216,126 +263,3 @@
 		s.dispatcher.ReportLoad(name, load.Running, load.Leaving, time.Now())
 	})
 }
-
-// stageError converts a fault frame sent by a stage into an error.
-func stageError(f *engine.Frame) error {
-	e := &verdict.Error{Run: verdict.MayHaveRun, Reason: upstream.ReasonOf(f.Fault), Upstream: f.Upstream}
-	if f.NotRun {
-		e.Run = verdict.NotRun
-	}
-	return e
-}
-
-// classifyFailure determines which upstream, if any, is at fault for a failed
-// attempt. Where a connection broke or went silent, it probes on a new connection
-// to distinguish a lost connection from a lost upstream. received reports whether
-// the attempt had delivered frames.
-func (g *generator) classifyFailure(ctx context.Context, placement dispatch.Placement, err error, received bool) (dispatch.Outcome, error) {
-	e := verdict.Of(err)
-	if ended := contextError(ctx, e); ended != nil {
-		return dispatch.Outcome{Fault: dispatch.Abandoned}, ended
-	}
-	outcome := dispatch.Outcome{Upstream: e.Upstream}
-	switch e.Reason {
-	case verdict.UpstreamBusy:
-		outcome.Fault = dispatch.Busy
-	case verdict.UpstreamWithdrawn:
-		outcome.Fault = dispatch.Leaving
-	case verdict.UpstreamProtocol:
-		outcome = protocolOutcome(e)
-	case verdict.UpstreamRefused:
-		outcome.Fault = dispatch.Unreachable
-	case verdict.UpstreamLost:
-		outcome.Fault = g.diagnoseLoss(ctx, placement, e.Upstream, received)
-	case verdict.UpstreamSilent:
-		outcome.Fault, outcome.Upstream = g.findUnresponsiveStage(ctx, placement, e.Upstream)
-		e.Upstream = outcome.Upstream
-		if outcome.Fault == dispatch.ConnectionSilent {
-			e.Reason = verdict.ConnectionSilent
-		}
-	default:
-		outcome.Fault = dispatch.Rejected
-	}
-	return outcome, e
-}
-
-// contextError returns the error to report if ctx, the context of a request,
-// has ended: the deadline passed or the caller disconnected. It returns nil if
-// ctx has not ended. The verdict and the cause are those of e.
-func contextError(ctx context.Context, e *verdict.Error) error {
-	switch ctx.Err() {
-	case nil:
-		return nil
-	case context.DeadlineExceeded:
-		return &verdict.Error{Run: e.Run, Reason: verdict.DeadlineExceeded, Message: "deadline exceeded", RetryAfter: time.Second, Err: e.Err}
-	}
-	return &verdict.Error{Run: e.Run, Reason: verdict.CallerGone, Message: "caller has gone", Err: e.Err}
-}
-
-// diagnoseLoss probes an upstream on a new connection to find out why an existing
-// connection to it broke.
-func (g *generator) diagnoseLoss(ctx context.Context, placement dispatch.Placement, name string, received bool) dispatch.Fault {
-	for _, s := range placement.Chain {
-		if s.Upstream.Name != name {
-			continue
-		}
-		fault := g.probeStage(ctx, s)
-		switch {
-		case fault != dispatch.ConnectionSilent:
-			return fault
-		case received:
-			return dispatch.ConnectionLost
-		}
-		// An idle connection may have been closed just as it was reused.
-		return dispatch.Unattributed
-	}
-	return dispatch.Unattributed
-}
-
-// probeStage probes one upstream. It returns ConnectionSilent if the upstream
-// responds.
-func (g *generator) probeStage(ctx context.Context, s route.Stage) dispatch.Fault {
-	switch g.entry.engineClient.Probe(ctx, s.Upstream.Address) {
-	case upstream.ProbeRefused:
-		return dispatch.Crashed
-	case upstream.ProbeUnanswered:
-		return dispatch.Silent
-	}
-	return dispatch.ConnectionSilent
-}
-
-// probeChain probes all stages before a request that is suspected of crashing
-// upstreams is sent to them. Otherwise an upstream that was lost earlier, for
-// example with its whole availability zone, would be counted as crashed by the
-// request.
-func (g *generator) probeChain(ctx context.Context, placement dispatch.Placement) (dispatch.Outcome, error) {
-	fault, name := g.findUnresponsiveStage(ctx, placement, "")
-	switch fault {
-	case dispatch.ConnectionSilent:
-		return dispatch.Outcome{}, nil
-	case dispatch.Crashed:
-		fault = dispatch.Unreachable
-	}
-	return dispatch.Outcome{Fault: fault, Upstream: name}, &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamRefused, Upstream: name}
-}
-
-// findUnresponsiveStage returns the stage at fault after the upstream called name
-// went silent. That need not be the one called name: a stage that waits for a
-// later one sends nothing either. All stages are probed concurrently, and the
-// first one in chain order that does not respond is at fault. If all respond,
-// the connection failed rather than an upstream, and the fault is
-// ConnectionSilent.
-func (g *generator) findUnresponsiveStage(ctx context.Context, placement dispatch.Placement, name string) (dispatch.Fault, string) {
-	faults := make([]dispatch.Fault, len(placement.Chain))
-	var group sync.WaitGroup
-	for i, s := range placement.Chain {
-		group.Go(func() { faults[i] = g.probeStage(ctx, s) })
-	}
-	group.Wait()
-	for i, fault := range faults {
-		if fault != dispatch.ConnectionSilent {
-			return fault, placement.Chain[i].Upstream.Name
-		}
-	}
-	return dispatch.ConnectionSilent, name
-}
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -88,6 +88,21 @@
 	return dispatch.Placement{}, contextError(ctx, &verdict.Error{Run: verdict.NotRun})
 }
 
+// acquireBeside waits for the placement of an attempt beside one that runs and is
+// silent. It avoids the upstream called silent, unless that is empty.
+func (p *placementClient) acquireBeside(ctx context.Context, silent string) (dispatch.Placement, error) {
+	ran := p.entry.control.Do(func(s *state) {
+		p.request.QueueDeadline = time.Now().Add(p.entry.Settings.Requests.QueueTimeout.Duration)
+		p.request.IsRetry = true
+		p.request.Silent = silent
+	})
+	if !ran {
+		return dispatch.Placement{}, errStopped
+	}
+	defer p.entry.control.Do(func(*state) { p.request.Silent = "" })
+	return p.acquire(ctx)
+}
+
 // submit asks for a placement, unless openAndSubmit has done so. It reports
 // whether the control loop is running.
 func (p *placementClient) submit() bool {
--- /dev/null
+++ b/internal/transport/upstream/probe.go
@@ -0,0 +1,59 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"syscall"
+
+	"lovageport.example/internal/protocol/engine"
+	"lovageport.example/internal/transport/httpclient"
+)
+
+// ProbeResult is the result of a health check on a new connection.
+type ProbeResult uint8
+
+// The probe results.
+const (
+	// ProbeAlive means that the upstream responded.
+	ProbeAlive ProbeResult = iota
+	// ProbeRefused means that the VM refused the connection: the process has
+	// ended.
+	ProbeRefused
+	// ProbeUnanswered means that no response arrived, for example within
+	// [ProbeTimeout].
+	ProbeUnanswered
+)
+
+// Probe checks the health of an engine on a new connection, so that a fault of an
+// existing connection does not affect the result.
+func (e *EngineClient) Probe(ctx context.Context, address string) ProbeResult {
+	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
+	defer cancel()
+	conn, err := e.Dial(ctx, "tcp", address)
+	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return ProbeRefused
+		}
+		return ProbeUnanswered
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+engine.HealthPath, nil)
+	if err != nil {
+		return ProbeUnanswered
+	}
+	request.Close = true
+	if err := request.Write(conn); err != nil {
+		return ProbeUnanswered
+	}
+	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, httpclient.MaxHeaderBytes)), request)
+	if err != nil {
+		return ProbeUnanswered
+	}
+	response.Body.Close()
+	return ProbeAlive
+}
--- a/internal/transport/upstream/untrusted_test.go
+++ b/internal/transport/upstream/untrusted_test.go
@@ -188,11 +188,11 @@
 	run := *testRun
 	run.Route = []engine.Stage{testRun.Route[0]}
 	run.Route[0].Address = address
-	stream, err := c.Run(context.Background(), &run)
-	if err != nil {
+	stream := c.NewStream(context.Background(), &run)
+	defer stream.Close()
+	if err := stream.Open(); err != nil {
 		return err
 	}
-	defer stream.Close()
 	for {
 		frame, err := stream.Next()
 		if err != nil {
