Don't blame a service for a caller's short timeout

A caller of an entry that waited for less time than a service may take had the upstream ejected for all client accounts, for up to 30 s, and reported to all peers as failed: the end of the call's context counted as the upstream's silence, or as a refused connection if it fell into the dial.

If the call's time has passed, its upstream is at fault only if it had at least nine tenths of the timeout that is declared for the service; the rest is for the time in the queue.

TestUpstreamIsNotBlamedForShortTimeout failed before (three upstreams ejected) and passes. TestHangingServiceIsAvoided, which passed before too, checks that a service which answers nothing is still ejected.

--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -23,6 +22,9 @@
 	claimWindow = 5 * time.Second
 	// recordTimeout bounds the first attempt to record the outcome of a call.
 	recordTimeout = time.Second
+	// blameShare is the share of its service's timeout that an upstream must have
+	// had to be at fault for a call without an answer. The rest is for the queue.
+	blameShare = 0.9
 )
 
 // invoke serves a call of a plain service.
@@ -145,8 +147,9 @@
 		if err != nil {
 			return nil, c.finalError(err)
 		}
+		begin := time.Now()
 		answer, err := c.attempt(ctx, placement)
-		c.placements.finish(ctx, placement, c.classifyOutcome(err))
+		c.placements.finish(ctx, placement, c.classifyOutcome(ctx, err, time.Since(begin)))
 		if err == nil {
 			return &caller.InvokeResponse{Response: *answer, Verdict: runVerdict(answer.Status)}, nil
 		}
@@ -208,13 +211,20 @@
 }
 
 // classifyOutcome returns the outcome of an attempt that ended with err, as the
-// dispatcher needs it.
-func (c *serviceCall) classifyOutcome(err error) dispatch.Outcome {
+// dispatcher needs it. ctx is the context of the call: if it has ended, an upstream
+// is at fault only if it had the time that its service may take.
+func (c *serviceCall) classifyOutcome(ctx context.Context, err error, took time.Duration) dispatch.Outcome {
 	if err == nil {
 		return dispatch.Outcome{Fault: dispatch.None}
 	}
 	e := verdict.Of(err)
 	outcome := dispatch.Outcome{Fault: dispatch.Abandoned, Upstream: e.Upstream}
+	if ctx.Err() != nil {
+		if e.Reason == verdict.UpstreamSilent && took.Seconds() >= blameShare*c.service.Timeout.Seconds() {
+			outcome.Fault = dispatch.Silent
+		}
+		return outcome
+	}
 	switch e.Reason {
 	case verdict.UpstreamRefused:
 		outcome.Fault = dispatch.Unreachable
@@ -222,12 +232,6 @@
 		outcome.Fault = dispatch.ConnectionLost
 	case verdict.UpstreamProtocol:
 		outcome.Fault = dispatch.Protocol
-	case verdict.UpstreamSilent:
-		outcome.Fault = dispatch.Silent
-	}
-	if errors.Is(err, context.Canceled) {
-		// The caller disconnected; the upstream is not at fault.
-		outcome.Fault = dispatch.Abandoned
 	}
 	return outcome
 }
