Take only a refused connection as the end of an upstream

A process without descriptors took every upstream for ended, ejected them all and reported them to its peers. A stage that could not reach the next one was believed that it had ended.

A stage that another one calls unreachable is probed. Neither kind is charged to the retry allowance, as nothing was sent.

--- a/internal/coordination/dispatch/outcome.go
+++ b/internal/coordination/dispatch/outcome.go
@@ -70,6 +70,9 @@
 				d.Ejections.RecordUnattributed(name, now)
 			}
 		}
+	case ConnectTimeout:
+		r.avoidIfPossible(outcome.Upstream)
+		d.Ejections.RecordFailure(outcome.Upstream, now)
 	case Rejected:
 		r.exclude(outcome.Upstream)
 	case Unreachable, ConnectionLost, Crashed, Silent, Protocol:
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -117,8 +117,20 @@
 	Unattributed
 	// Rejected means that the upstream can't serve this request.
 	Rejected
+	// ConnectTimeout means that no connection could be made in time. That is no
+	// proof that the upstream has ended.
+	ConnectTimeout
+	// ConnectFailed means that this process could not make a connection, for which
+	// no upstream is at fault.
+	ConnectFailed
 )
 
+// Unsent reports whether an attempt that ended with f has reached no upstream, so
+// that the next one is not charged to the retry budget.
+func (f Fault) Unsent() bool {
+	return f == Unreachable || f == ConnectTimeout || f == ConnectFailed
+}
+
 // Neutral reports whether an attempt that ended with f neither counts as a
 // failure nor adds load: the next attempt is not charged to the retry budget.
 func (f Fault) Neutral() bool {
--- a/internal/entry/diagnosis.go
+++ b/internal/entry/diagnosis.go
@@ -39,7 +39,11 @@
 	case verdict.UpstreamProtocol:
 		outcome = protocolOutcome(e)
 	case verdict.UpstreamRefused:
-		outcome.Fault = dispatch.Unreachable
+		outcome.Fault = g.diagnoseRefusal(ctx, placement, e.Upstream)
+	case verdict.ConnectTimeout:
+		outcome.Fault = dispatch.ConnectTimeout
+	case verdict.ConnectFailed:
+		outcome.Fault = dispatch.ConnectFailed
 	case verdict.UpstreamLost:
 		outcome.Fault = g.diagnoseLoss(ctx, placement, e.Upstream, received)
 	case verdict.UpstreamSilent:
@@ -77,25 +81,47 @@
 // diagnoseLoss probes an upstream on a new connection to find out why an existing
 // connection to it broke.
 func (g *generator) diagnoseLoss(ctx context.Context, placement dispatch.Placement, name string, received bool) dispatch.Fault {
-	for _, s := range placement.Chain {
-		if s.Upstream.Name != name {
-			continue
-		}
-		fault := g.probeStage(ctx, s)
-		switch {
-		case fault != dispatch.ConnectionSilent:
-			return fault
-		case received:
-			return dispatch.ConnectionLost
-		}
-		// An idle connection may have been closed just as it was reused.
+	fault, ok := g.probeNamed(ctx, placement, name)
+	switch {
+	case !ok:
 		return dispatch.Unattributed
+	case fault != dispatch.ConnectionSilent:
+		return fault
+	case received:
+		return dispatch.ConnectionLost
+	}
+	// An idle connection may have been closed just as it was reused.
+	return dispatch.Unattributed
+}
+
+// diagnoseRefusal returns the fault of an upstream that is said to have refused a
+// connection. If another stage says so, the upstream is probed.
+func (g *generator) diagnoseRefusal(ctx context.Context, placement dispatch.Placement, name string) dispatch.Fault {
+	if placement.Chain[0].Upstream.Name == name {
+		return dispatch.Unreachable
+	}
+	switch fault, _ := g.probeNamed(ctx, placement, name); fault {
+	case dispatch.Crashed:
+		return dispatch.Unreachable
+	case dispatch.Silent:
+		return dispatch.ConnectTimeout
 	}
 	return dispatch.Unattributed
 }
 
-// probeStage probes one upstream. It returns ConnectionSilent if the upstream
-// responds.
+// probeNamed probes the stage of an upstream. It reports false if the chain has no
+// such stage.
+func (g *generator) probeNamed(ctx context.Context, placement dispatch.Placement, name string) (dispatch.Fault, bool) {
+	for _, s := range placement.Chain {
+		if s.Upstream.Name == name {
+			return g.probeStage(ctx, s), true
+		}
+	}
+	return dispatch.Unattributed, false
+}
+
+// probeStage probes one upstream. It returns ConnectionSilent unless the probe
+// shows that the upstream does not respond.
 func (g *generator) probeStage(ctx context.Context, s route.Stage) dispatch.Fault {
 	switch g.entry.engineClient.Probe(ctx, s.Upstream.Address) {
 	case upstream.ProbeRefused:
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -228,6 +228,10 @@
 	switch e.Reason {
 	case verdict.UpstreamRefused:
 		outcome.Fault = dispatch.Unreachable
+	case verdict.ConnectTimeout:
+		outcome.Fault = dispatch.ConnectTimeout
+	case verdict.ConnectFailed:
+		outcome.Fault = dispatch.ConnectFailed
 	case verdict.UpstreamLost:
 		outcome.Fault = dispatch.ConnectionLost
 	case verdict.UpstreamProtocol:
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -119,11 +119,10 @@
 	p.entry.control.Do(func(s *state) {
 		now := time.Now()
 		if !outcome.Fault.Neutral() {
-			// The next attempt may wait as long as a new request does. A request
-			// whose upstream was unreachable has not been sent and does not count
-			// as a retry.
+			// The next attempt may wait as long as a new request does. One that
+			// has not been sent does not count as a retry.
 			p.request.QueueDeadline = now.Add(p.entry.Settings.Requests.QueueTimeout.Duration)
-			p.request.IsRetry = outcome.Fault != dispatch.Unreachable
+			p.request.IsRetry = !outcome.Fault.Unsent()
 		}
 		s.dispatcher.Finish(placement.ID, outcome, now)
 	})
--- /dev/null
+++ b/internal/transport/upstream/connect.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+
+	"lovageport.example/pkg/verdict"
+)
+
+// connectError is a failure to connect, which means that no byte was sent.
+type connectError struct {
+	err error
+	// own is set if this process did not run all the time or lacked a resource.
+	own bool
+}
+
+func (e *connectError) Error() string { return "upstream: cannot connect: " + e.err.Error() }
+func (e *connectError) Unwrap() error { return e.err }
+
+// verdict returns the error for a call of an upstream that failed with err because
+// of e. Only a refused connection shows that the upstream has ended.
+func (e *connectError) verdict(upstream string, err error) *verdict.Error {
+	out := &verdict.Error{Run: verdict.NotRun, Reason: verdict.ConnectTimeout, Upstream: upstream, Err: err}
+	switch {
+	case errors.Is(e.err, syscall.ECONNREFUSED):
+		out.Reason = verdict.UpstreamRefused
+	case e.own:
+		out.Reason, out.Upstream = verdict.ConnectFailed, ""
+	}
+	return out
+}
+
+// localErrors are the errors of a dial for which this VM lacks a resource.
+var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL}
+
+func isLocal(err error) bool {
+	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
+}
+
+// limitDial limits the time to connect to [ConnectTimeout] and wraps failures in
+// [connectError]. running returns how much of a span this process ran.
+func limitDial(dial DialFunc, running func(from, to time.Time) time.Duration) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
+		defer cancel()
+		begin := time.Now()
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			missed := ctx.Err() != nil && running(begin, time.Now()) < ConnectTimeout
+			return nil, &connectError{err, missed || isLocal(err)}
+		}
+		return conn, nil
+	}
+}
--- a/internal/transport/upstream/engines.go
+++ b/internal/transport/upstream/engines.go
@@ -49,38 +49,20 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &EngineClient{Dial: dial, client: &http.Client{Transport: &http.Transport{
+	e := &EngineClient{Dial: dial}
+	e.client = &http.Client{Transport: &http.Transport{
 		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
-		DialContext:            limitDial(dial),
+		DialContext:            limitDial(dial, e.running),
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        time.Minute,
 		DisableCompression:     true,
-	}}}
+	}}
+	return e
 }
 
 // Close closes idle connections.
 func (e *EngineClient) Close() { e.client.CloseIdleConnections() }
 
-// connectError is a failure to connect, which means that no byte was sent.
-type connectError struct{ err error }
-
-func (e *connectError) Error() string { return "upstream: cannot connect: " + e.err.Error() }
-func (e *connectError) Unwrap() error { return e.err }
-
-// limitDial limits the time to connect to [ConnectTimeout] and wraps failures in
-// [connectError].
-func limitDial(dial DialFunc) DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
-		defer cancel()
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, &connectError{err}
-		}
-		return conn, nil
-	}
-}
-
 // running returns how much of a span this process ran.
 func (e *EngineClient) running(from, to time.Time) time.Duration {
 	if e.Running == nil {
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"syscall"
+	"time"
 
 	"lovageport.example/internal/protocol/engine"
 	"lovageport.example/internal/transport/httpclient"
@@ -25,6 +26,9 @@
 	// ProbeUnanswered means that no response arrived, for example within
 	// [ProbeTimeout].
 	ProbeUnanswered
+	// ProbeUnknown means that this process could not probe: it did not run all the
+	// time, or lacked a resource.
+	ProbeUnknown
 )
 
 // Probe checks the health of an engine on a new connection, so that a fault of an
@@ -32,10 +36,22 @@
 func (e *EngineClient) Probe(ctx context.Context, address string) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, ProbeTimeout)
 	defer cancel()
+	begin := time.Now()
+	result := e.probe(ctx, address)
+	if result == ProbeUnanswered && ctx.Err() != nil && e.running(begin, time.Now()) < ProbeTimeout {
+		return ProbeUnknown
+	}
+	return result
+}
+
+func (e *EngineClient) probe(ctx context.Context, address string) ProbeResult {
 	conn, err := e.Dial(ctx, "tcp", address)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
 			return ProbeRefused
+		case isLocal(err):
+			return ProbeUnknown
 		}
 		return ProbeUnanswered
 	}
--- a/internal/transport/upstream/services.go
+++ b/internal/transport/upstream/services.go
@@ -57,6 +57,10 @@
 
 // ServiceClient calls plain services.
 type ServiceClient struct {
+	// Running returns how much of a span this process ran. If nil, it ran all of
+	// it.
+	Running func(from, to time.Time) time.Duration
+
 	pooled *http.Client
 	dial   DialFunc
 }
@@ -67,16 +71,24 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &ServiceClient{
-		dial: limitDial(dial),
-		pooled: newServiceClient(&http.Transport{
-			MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
-			DialContext:            limitDial(dial),
-			MaxIdleConnsPerHost:    maxIdlePerHost,
-			IdleConnTimeout:        time.Minute,
-			DisableCompression:     true,
-		}),
+	s := &ServiceClient{}
+	s.dial = limitDial(dial, s.running)
+	s.pooled = newServiceClient(&http.Transport{
+		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
+		DialContext:            s.dial,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+	})
+	return s
+}
+
+// running returns how much of a span this process ran.
+func (s *ServiceClient) running(from, to time.Time) time.Duration {
+	if s.Running == nil {
+		return to.Sub(from)
 	}
+	return s.Running(from, to)
 }
 
 func newServiceClient(transport *http.Transport) *http.Client {
@@ -172,7 +184,7 @@
 func callError(c *ServiceCall, err error) *verdict.Error {
 	var connectErr *connectError
 	if errors.As(err, &connectErr) {
-		return &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamRefused, Upstream: c.Upstream, Err: err}
+		return connectErr.verdict(c.Upstream, err)
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamSilent, Upstream: c.Upstream, Err: err}
--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -204,7 +204,7 @@
 	var connectErr *connectError
 	switch {
 	case errors.As(err, &connectErr):
-		return &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamRefused, Upstream: s.firstStage(), Err: err}
+		return connectErr.verdict(s.firstStage(), err)
 	case s.gaveUp.Load():
 		return s.newError(verdict.UpstreamSilent, s.firstStage(), err)
 	}
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -77,6 +77,8 @@
 	NoChain            Reason = "no_chain"
 	NoUpstream         Reason = "no_upstream"
 	UpstreamRefused    Reason = "upstream_refused"
+	ConnectTimeout     Reason = "connect_timeout"
+	ConnectFailed      Reason = "connect_failed"
 	UpstreamWithdrawn  Reason = "upstream_withdrawn"
 	UpstreamBusy       Reason = "upstream_busy"
 	HeldOff            Reason = "held_off"
