Don't count time in which an entry stood still against upstreams

After a standstill of its process (0.7 s or more) an entry gave streams up whose frames had arrived and were unread: 16 streams took 25 to 32 attempts on three sound engines.

The entry records its standstills with package selfcheck, as the gateway does. Silence is counted in time that the process ran; a connection or a probe that was not answered in time is no evidence if the process did not run all of it; a service is at fault only if the process ran while its timeout passed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/route"
+	"lovageport.example/internal/coordination/selfcheck"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/setting"
 	"lovageport.example/internal/state/catalog"
@@ -58,6 +59,10 @@
 	peerClient     *peer.Client
 	platformClient *objectstore.Client
 	retryQueue     *retryQueue
+	// standstills records when this process did not run, by the time since
+	// startedAt.
+	standstills selfcheck.Monitor
+	startedAt   time.Time
 	// adoptSignal wakes the adopter when a newer configuration may exist.
 	adoptSignal chan struct{}
 	// drainRequested is closed when an operator requests a drain.
@@ -76,6 +81,7 @@
 	if e.Listen == nil {
 		e.Listen = (&net.ListenConfig{}).Listen
 	}
+	e.startedAt = time.Now()
 	e.metrics = newMetrics()
 	e.control = newControlLoop()
 	e.control.onPublish = e.metrics.observeView
@@ -92,7 +98,9 @@
 	e.repository = &configuration.Repository{Objects: e.objects, Nonce: uuid.NewString}
 	e.claims = &claim.Manager{Objects: e.objects, Entry: e.Settings.Name, Nonce: uuid.NewString, RetryLater: e.retryQueue.add}
 	e.engineClient = upstream.NewEngineClient(e.Dial)
+	e.engineClient.Running = e.running
 	e.serviceClient = upstream.NewServiceClient(e.Dial)
+	e.serviceClient.Running = e.running
 	e.peerClient = &peer.Client{Dial: e.Dial, Timeout: peerTimeout}
 	e.prepareState()
 	e.metrics.gauge("lovageport_in_flight", "Requests of callers in flight.", func() float64 { return float64(e.inFlight.Load()) })
@@ -136,6 +144,7 @@
 	var g run.Group
 	loop.AddActor(&g, ctx, e.control.Run)
 	loop.AddActor(&g, ctx, e.control.tick)
+	loop.AddActor(&g, ctx, e.watchStandstills)
 	loop.AddActor(&g, ctx, e.watchHead)
 	loop.AddActor(&g, ctx, e.pollHead)
 	loop.AddActor(&g, ctx, e.runAdopter)
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -149,7 +149,7 @@
 		}
 		begin := time.Now()
 		answer, err := c.attempt(ctx, placement)
-		c.placements.finish(ctx, placement, c.classifyOutcome(ctx, err, time.Since(begin)))
+		c.placements.finish(ctx, placement, c.classifyOutcome(ctx, err, c.entry.running(begin, time.Now())))
 		if err == nil {
 			return &caller.InvokeResponse{Response: *answer, Verdict: runVerdict(answer.Status)}, nil
 		}
@@ -212,7 +212,8 @@
 
 // classifyOutcome returns the outcome of an attempt that ended with err, as the
 // dispatcher needs it. ctx is the context of the call: if it has ended, an upstream
-// is at fault only if it had the time that its service may take.
+// is at fault only if it had the time that its service may take, while this process
+// ran.
 func (c *serviceCall) classifyOutcome(ctx context.Context, err error, took time.Duration) dispatch.Outcome {
 	if err == nil {
 		return dispatch.Outcome{Fault: dispatch.None}
--- a/internal/transport/upstream/untrusted_test.go
+++ b/internal/transport/upstream/untrusted_test.go
@@ -180,7 +180,7 @@
 
 var testRun = &engine.RunRequest{
 	Request: "r", Attempt: "r-1", Model: "m", Prompt: "p", MaxTokens: 2,
-	Route: []engine.Stage{{Span: engine.Span{Upstream: "a", From: 0, To: 4}}},
+	Route: []engine.Stage{{Span: engine.Span{Upstream: "a", From: 0, To: 4}, Address: "10.0.0.1:80"}},
 }
 
 // runOn starts testRun at an address and reads its frames to the end or an error.
