--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -32,6 +32,9 @@
 	// Exclude holds the names of upstreams that failed this request. They are
 	// not used again.
 	Exclude map[string]bool
+	// Silent is the name of an upstream that is not used for the next attempt,
+	// because it is silent in an attempt that still runs.
+	Silent string
 	// AvoidIfPossible holds the names of upstreams that may have failed this
 	// request. They are used only if the others don't cover all layers.
 	AvoidIfPossible map[string]bool
@@ -50,6 +53,11 @@
 	IsRetry bool
 }
 
+// excludes reports whether the next attempt must not use an upstream.
+func (r *Request) excludes(upstream string) bool {
+	return r.Exclude[upstream] || r.Silent != "" && r.Silent == upstream
+}
+
 // exclude adds an upstream to Exclude.
 func (r *Request) exclude(upstream string) {
 	if r.Exclude == nil {
@@ -109,8 +117,20 @@
 	Unattributed
 	// Rejected means that the upstream can't serve this request.
 	Rejected
+	// ConnectTimeout means that no connection could be made in time. That is no
+	// proof that the upstream has ended.
+	ConnectTimeout
+	// ConnectFailed means that this process could not make a connection, for which
+	// no upstream is at fault.
+	ConnectFailed
 )
 
+// Unsent reports whether an attempt that ended with f has reached no upstream, so
+// that the next one is not charged to the retry budget.
+func (f Fault) Unsent() bool {
+	return f == Unreachable || f == ConnectTimeout || f == ConnectFailed
+}
+
 // Neutral reports whether an attempt that ended with f neither counts as a
 // failure nor adds load: the next attempt is not charged to the retry budget.
 func (f Fault) Neutral() bool {
