Ask again if an answer to a report or probe may be another message

A message that answers nothing, on a kept connection before the answer to a report or a health probe, counted as that answer. Streams were then moved away from a sound stage, since a report that could not be read counts as silence; a sound upstream was taken out of use for a failed probe, or until its restart if the message said that it is leaving; an upstream that failed its probes was used again after a stray success; an empty JSON object, or one of any status, counted as a report.

Cause: these calls have no ID that a response could state, and were believed whatever came.

Change: on a connection that has carried other calls, the answer to a report counts with status 200 and an order count, that to a probe with the upstream's instance. Otherwise, or if the connection fails, the call is made once more on a new connection, whose answer counts. Notices (leaving, hold-off) count only from such answers, and from none to an order on a kept connection. Responses to probes are read to their end: their connections were reset after each probe before.

Costs: one more call, on a new connection, for each refusal of a report or probe on a kept connection; if such a refusal asks for a hold-off, that call is made within it. No new connection otherwise (TestKeptConnectionIsEnoughForQuestions).

Open: an earlier report written once more has the form of a report. The status of an answer to an order is believed: 202 in place of a refusal leaves the engine without orders until a status check 5 s later, a refusal in place of 202 is corrected by the engine's order count. By reading, not tested.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,6 +71,10 @@
 	return r.head.Request != c.Request && (r.head.Request != "" || r.Reused)
 }
 
+// isProven reports whether the response, which is not foreign, is shown to be one to
+// c: by its ID, or because nothing before it on its connection was another call's.
+func (r *response) isProven(c *relay.Call) bool { return c.Request != "" || !r.Reused }
+
 func protocolError(message string) *verdict.Error {
 	return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamProtocol, Message: message}
 }
@@ -83,7 +87,8 @@
 
 // exchange sends a call and reads the header of the response. It fails if the
 // response may be another call's: whatever its header says, such as that nothing
-// ran or that the upstream is leaving, is then about that call.
+// ran or that the upstream is leaving, is then about that call. Notices of a response
+// that is not shown to be the call's are not recorded.
 func (g *Gateway) exchange(ctx context.Context, c *relay.Call) (*response, error) {
 	if !g.mayCall(c.Upstream) {
 		return nil, heldOffError()
@@ -108,7 +113,9 @@
 			zap.String("stated", resp.head.Request), zap.Int("status", resp.head.Status), zap.Bool("reused", resp.Reused))
 		return nil, protocolError("answer to another request")
 	}
-	g.recordNotices(c.Upstream, resp.head)
+	if resp.isProven(c) {
+		g.recordNotices(c.Upstream, resp.head)
+	}
 	return resp, nil
 }
 
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,9 +28,6 @@
 	orderTimeout = 500 * time.Millisecond
 )
 
-// maxReportBytes bounds the response to an order or a report call.
-const maxReportBytes = 1 << 20
-
 // placeLayers sends orders to the engines whose layers this gateway places,
 // until ctx is done.
 func (g *Gateway) placeLayers(ctx context.Context) error {
@@ -265,14 +264,20 @@
 func (g *Gateway) fetchReport(ctx context.Context, u *fleet.Upstream) (relay.Report, error) {
 	call := platform.ReportCall(u)
 	call.Timeout = reportTimeout
-	resp, err := g.exchange(ctx, call)
+	head, text, err := g.ask(ctx, call, func(head relay.ResponseHead, text []byte) bool {
+		_, err := decodeReport(head, text)
+		return err == nil
+	})
 	if err != nil {
 		return relay.Report{}, err
 	}
-	defer resp.Close()
-	text, err := resp.ReadAll(ctx, maxReportBytes)
-	if err != nil {
-		return relay.Report{}, err
+	return decodeReport(head, text)
+}
+
+// decodeReport decodes the response to a report call.
+func decodeReport(head relay.ResponseHead, text []byte) (relay.Report, error) {
+	if head.Status != http.StatusOK {
+		return relay.Report{}, protocolError("report has status " + strconv.Itoa(head.Status))
 	}
 	return platform.DecodeReport(text)
 }
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -63,20 +63,19 @@
 	defer cancel()
 	began := g.Now()
 	call := &relay.Call{Upstream: u.Upstream, Method: http.MethodGet, URI: u.healthPath, Host: u.Address, Timeout: probeTimeout}
-	resp, err := g.exchange(ctx, call)
+	head, _, err := g.ask(ctx, call, func(head relay.ResponseHead, _ []byte) bool { return head.Instance == u.Instance })
 	if err != nil {
 		g.recordFailedProbe(u.Upstream, err, began)
 		return
 	}
-	defer resp.Close()
-	healthy := resp.head.Status/100 == 2
+	healthy := head.Status/100 == 2
 	g.control.Do(func(s *state) {
 		if !healthy {
 			s.eject(u.Upstream, health.Silent, g.Now())
 			return
 		}
 		if s.health.RecordProbeSuccess(u.Instance, g.Now()) {
-			g.Log.Info("upstream recovered", zap.String("upstream", u.Instance), zap.Int("status", resp.head.Status))
+			g.Log.Info("upstream recovered", zap.String("upstream", u.Instance), zap.Int("status", head.Status))
 		}
 	})
 }
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -77,6 +77,8 @@
 	// Request is the ID of the request that the response belongs to; empty if
 	// not stated.
 	Request string
+	// Instance is the instance that answers a health probe; empty if not stated.
+	Instance string
 	// FromUpstream reports that the response was made by an upstream and not
 	// by an intermediary, so that it may be forwarded to the caller.
 	FromUpstream bool
