Count the framing of chunks towards the limit of a body

An upstream that sends chunks of one byte without end was read for six times the limit of a body before it was given up, since only data counted: 3.1 MB for a limit of 512 KB. With the race detector and beside load, TestEndlessResponse "chunks" once ran into its deadline of 5 s instead of the limit.

Cause: reading takes the time, not the tester's sending. In a profile with the race detector 2.86 of 2.87 s of the test's goroutine are net/http's chunk reader, one step a byte.

Change: the bytes on the wire are limited to twice the limit of the body, and a buffer, so that framing may take as much as data.

TestFramingCountsTowardsLimit, "chunks": 3,146,847 bytes read before, below 1.1 MB after; TestSmallChunksAreRead guards against a stricter limit. The fuzz target FuzzHead gives its response the connection that all others have.

--- a/internal/transport/http1/body.go
+++ b/internal/transport/http1/body.go
@@ -17,18 +17,22 @@
 type boundedReader struct {
 	source io.Reader
 	// left is how many bytes may still be read while limited is set.
-	left    int
+	left    int64
 	limited bool
-	// read holds the bytes that were read while limited was set and not taken.
-	read []byte
+	// read holds the bytes that were read while keeping was set and not taken.
+	read    []byte
+	keeping bool
 }
 
-func (r *boundedReader) limit(n int) { r.left, r.limited = n, true }
+func (r *boundedReader) limit(n int64) { r.left, r.limited = n, true }
 
-func (r *boundedReader) unlimit() { r.limited, r.read = false, nil }
+func (r *boundedReader) unlimit() { r.limited = false }
 
-// take returns the bytes that were read under the limit, but for the last rest
-// bytes, which the next call returns. They are valid until the next read.
+// keep sets whether the bytes that are read are kept for take.
+func (r *boundedReader) keep(on bool) { r.keeping, r.read = on, nil }
+
+// take returns the bytes that were kept, but for the last rest bytes, which the
+// next call returns. They are valid until the next read.
 func (r *boundedReader) take(rest int) []byte {
 	n := len(r.read) - rest
 	taken := r.read[:n]
@@ -47,9 +51,11 @@
 	if r.reached() {
 		return 0, ErrMalformed
 	}
-	n, err := r.source.Read(p[:min(len(p), r.left)])
-	r.left -= n
-	r.read = append(r.read, p[:n]...)
+	n, err := r.source.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	if r.keeping {
+		r.read = append(r.read, p[:n]...)
+	}
 	return n, err
 }
 
--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -193,9 +193,12 @@
 	return n, bodyError(err)
 }
 
-// ReadAll reads the whole body, which may have at most max bytes. The error is a
-// [verdict.Error].
+// ReadAll reads the whole body, which may have at most max bytes. The framing of
+// chunks, which may be several times as long as their data, may take as many. The
+// error is a [verdict.Error].
 func (r *Response) ReadAll(ctx context.Context, max int64) ([]byte, error) {
+	r.conn.source.limit(2*max + bufferSize)
+	defer r.conn.source.unlimit()
 	body, err := readBody(r, r.ContentLength, max)
 	if err != nil {
 		return nil, exchangeError(ctx, err)
--- a/internal/transport/http1/head.go
+++ b/internal/transport/http1/head.go
@@ -19,6 +19,8 @@
 func (c *connection) readHeader(method string) (*http.Response, error) {
 	c.source.limit(httpclient.MaxHeaderBytes)
 	defer c.source.unlimit()
+	c.source.keep(true)
+	defer c.source.keep(false)
 	for range maxInformational {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil && c.source.reached() {
--- a/internal/transport/http1/limits_test.go
+++ b/internal/transport/http1/limits_test.go
@@ -3,18 +3,22 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"lovageport.example/internal/standin/endless"
+	"lovageport.example/internal/transport/dial"
+	"lovageport.example/internal/transport/httpclient"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -121,6 +125,65 @@
 	}
 }
 
+// countingConn counts the bytes that are read.
+type countingConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// TestFramingCountsTowardsLimit guards against reading several times the limit of a
+// body because its chunks are small.
+func TestFramingCountsTowardsLimit(t *testing.T) {
+	const maxBody = 512 << 10
+	for _, x := range endlessResponses {
+		t.Run(x.name, func(t *testing.T) {
+			s := newTestServer(t, func(s *testServer, conn net.Conn, reader *bufio.Reader) {
+				s.read(reader)
+				endless.WriteUntilError(conn, x.start, x.repeat)
+			})
+			var read atomic.Int64
+			open := dial.New(time.Second, time.Second)
+			pool := &Pool{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := open(ctx, network, address)
+				return countingConn{conn, &read}, err
+			}}
+			resp, err := pool.Do(t.Context(), &Request{Address: s.address, Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+			if err == nil {
+				defer resp.Close()
+				_, err = resp.ReadAll(t.Context(), maxBody)
+			}
+			qt.Check(t, err, qt.IsNotNil)
+			qt.Check(t, read.Load() <= 2*maxBody+httpclient.MaxHeaderBytes, qt.IsTrue, qt.Commentf("%d bytes read", read.Load()))
+		})
+	}
+}
+
+// TestSmallChunksAreRead guards against a limit on framing that is stricter than
+// the size of bodies requires.
+func TestSmallChunksAreRead(t *testing.T) {
+	const maxBody = 3 << 10
+	for _, size := range []int{1, maxBody / 3} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			s := newTestServer(t, func(s *testServer, conn net.Conn, reader *bufio.Reader) {
+				s.read(reader)
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\nx\r\n", size)+"0\r\n\r\n")
+			})
+			resp, err := newPool().Do(t.Context(), &Request{Address: s.address, Method: "GET", URI: "/x", Host: "h", Header: http.Header{}})
+			qt.Assert(t, err, qt.IsNil)
+			defer resp.Close()
+			body, err := resp.ReadAll(t.Context(), maxBody)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, string(body), qt.Equals, strings.Repeat("x", size))
+		})
+	}
+}
+
 // heapBytes returns the size of the allocated heap, including garbage that was
 // not collected yet.
 func heapBytes() uint64 {
@@ -143,7 +206,7 @@
 		if err != nil {
 			return
 		}
-		resp := &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, body: response.Body}
+		resp := &Response{Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, body: response.Body, conn: c}
 		_, _ = resp.ReadAll(t.Context(), 1<<10)
 	})
 }
