--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -106,9 +106,10 @@
 	return err
 }
 
-// startOne starts a system with one gateway and kept connections to it.
-func startOne(t *testing.T, conns int) (*gateway, []*keptConn) {
-	s, err := newSystem(Config{Gateways: 1, Dir: t.TempDir(), BinDir: binDir})
+// startSystem starts a system whose gateways are ready. Its violations fail the test.
+func startSystem(t *testing.T, p Config) *system {
+	p.Dir, p.BinDir = t.TempDir(), binDir
+	s, err := newSystem(p)
 	t.Cleanup(func() {
 		s.close()
 		for _, v := range s.violations {
@@ -117,6 +118,12 @@
 	})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, s.awaitReady(startTimeout), qt.IsTrue)
+	return s
+}
+
+// startOne starts a system with one gateway and kept connections to it.
+func startOne(t *testing.T, conns int) (*gateway, []*keptConn) {
+	s := startSystem(t, Config{Gateways: 1})
 	var kept []*keptConn
 	for i := range conns {
 		k, err := openKeptConn(s.gateways[0], fmt.Sprint("open", i))
