--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"lovageport.example/platform/platformtest"
@@ -23,6 +25,14 @@
 	return k.kind == streamKind && k.status == http.StatusOK && (k.err != nil || k.body != platformtest.EventText(1, k.events))
 }
 
+// describeCut describes a stream that was cut.
+func (s *system) describeCut(k *call) string {
+	since := k.ended.Sub(s.began).Round(time.Millisecond)
+	took := k.ended.Sub(k.sent).Round(time.Millisecond)
+	return fmt.Sprintf("%v %s after %v, %d events of %d, %d executions, beside a configuration: %v, %v",
+		since, k.id, took, strings.Count(k.body, "\n\n"), k.events, k.executions, s.isBeside(k.ended), k.err)
+}
+
 // countCuts counts the streams that were cut from the sending of a configuration
 // until besideMargin after its acknowledgement, and those that were cut at other
 // times.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -123,8 +122,7 @@
 			r.Succeeded++
 		}
 		if k.wasCut() {
-			r.CutStreams = append(r.CutStreams, fmt.Sprintf("%v %s after %v, %d events of %d, %d executions, beside a configuration: %v, %v",
-				k.ended.Sub(s.began).Round(time.Millisecond), k.id, k.ended.Sub(k.sent).Round(time.Millisecond), strings.Count(k.body, "\n\n"), k.events, k.executions, s.isBeside(k.ended), k.err))
+			r.CutStreams = append(r.CutStreams, s.describeCut(k))
 		}
 	}
 	for _, g := range s.gateways {
