Give a silent stream up only when its successor has begun to answer

Callers lost streams whose engine was only silent: the attempt was ended as soon as the next one had its target. If that upstream then refused the request, refused the connection, failed, or was silent as well, the next attempt met the retry allowance or the limit of upstreams, and the stream was cut although its first engine would have gone on.

The next attempt is now made beside the silent one (streamattempt.go), after the last event that was passed on. The silent one ends when the next one's first event, or its end, has been read; if it continues before that, the next one ends instead. If the silent attempt fails while the next one is being made, that one is waited for rather than a third one asked for. Each attempt has its own stall detector, so that a silent successor may have a successor too; the limit of upstreams counts all of them, as before, and each is charged to the allowance.

No event is passed on twice: the place of the stream and the choice of the attempt are under one lock, so that an event of the silent attempt either ends the next one or, once that has begun to answer, is dropped and the place taken back. Each attempt checks the order of its own events. An upstream never gets the request again while it runs it: a successor on the same first stage begins once the attempt has ended, as before.

Changes in other parts: generation.go makes attempts of the new type and takes back the place; the queue deadline of a request is locked, since two detectors may search (request.go, admission.go, notice.go); replacement.go records the new target.

In handover_test.go, stop and accept have other parameters; what they check is the same.

Not done: the failure that a successor answers is not kept for the caller if the first attempt fails later without an answer.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -120,7 +120,7 @@
 		Account:  q.account,
 		Priority: declaration.MaxPriority - min(q.rank, declaration.MaxPriority),
 		Cost:     int(q.tokens),
-		Deadline: bootTime(min(q.queueDeadline, q.deadline)),
+		Deadline: bootTime(q.queueLimit()),
 	}
 	if refusal := s.holdOffRefusal(q, now); refusal != nil {
 		w.reply <- admissionResult{err: refusal}
@@ -147,7 +147,7 @@
 // queueTimeoutReason returns the reason to refuse a request that would not get
 // a target in time. The bool reports whether it should be refused.
 func (s *state) queueTimeoutReason(q *request, item admission.Item, now time.Duration) (verdict.Reason, bool) {
-	if now >= min(q.queueDeadline, q.deadline) {
+	if now >= q.queueLimit() {
 		return verdict.DeadlineUnmeetable, true
 	}
 	ahead := s.queue.Ahead(q.service, item.Priority)
@@ -240,12 +240,29 @@
 
 // setQueueDeadline sets how long a request may wait for its next target.
 func (q *request) setQueueDeadline(now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	q.queueDeadline = now + callQueueTimeout
 	if q.route.Kind == routing.Stream {
 		q.queueDeadline = now + streamQueueTimeout
 	}
 }
 
+// closeQueue ends the time for which a request may wait for its next target.
+func (q *request) closeQueue(now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queueDeadline = now
+}
+
+// queueLimit returns the boot time until which a request may wait for its next
+// target.
+func (q *request) queueLimit() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return min(q.queueDeadline, q.deadline)
+}
+
 // assign returns the target of a request's next attempt and counts it as load,
 // if one is available.
 func (s *state) assign(q *request, now time.Duration) (target, error) {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -10,8 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"lovageport.example/internal/protocol/relay"
-	"lovageport.example/internal/transport/http1"
 	"lovageport.example/pkg/verdict"
 	"lovageport.example/platform"
 )
@@ -33,9 +31,9 @@
 	// events are being copied, sequence is ahead of it.
 	lastEventID string
 	sequence    eventSequence
-	// successor is the target of the next attempt, which was assigned before the
-	// last attempt was given up; nil if there is none.
-	successor *target
+	// successor is the next attempt, which was found before the last one was given
+	// up; nil if there is none.
+	successor *streamAttempt
 }
 
 // generate forwards a generation. If its route allows that, a stream that
@@ -43,7 +41,7 @@
 func (g *Gateway) generate(ctx context.Context, w http.ResponseWriter, q *request) {
 	s := &generation{request: q, g: g, out: w, status: http.StatusOK, lastEventID: q.ResumeAfter}
 	s.sequence.resumeAfter(q.ResumeAfter)
-	defer s.returnSuccessor()
+	defer s.discardSuccessor()
 	for {
 		err := s.attempt(ctx)
 		if err == nil {
@@ -107,52 +105,53 @@
 }
 
 // attempt runs the generation on one chain.
-func (s *generation) attempt(ctx context.Context) error {
-	to, err := s.nextTarget(ctx)
+func (s *generation) attempt(ctx context.Context) (err error) {
+	a, err := s.nextAttempt(ctx)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	detector := newStallDetector(s.g, s.request, to, cancel)
-	defer s.releaseTarget(detector)
-	resp, err := s.g.send(ctx, s.request, to, s.lastEventID)
-	if err != nil {
-		return detector.attribute(err)
-	}
-	defer resp.Close()
-	detector.setResponse(resp)
-	if resp.head.Status != http.StatusOK {
-		return detector.attribute(s.relayResponse(ctx, to, resp))
-	}
-	return detector.attribute(s.copyEvents(ctx, to, resp, detector))
+	defer func() { s.successor = a.end(err) }()
+	return a.detector.attribute(s.run(a))
 }
 
-// nextTarget returns the target of the next attempt.
-func (s *generation) nextTarget(ctx context.Context) (target, error) {
-	if s.successor == nil {
-		return s.g.acquireTarget(ctx, s.request)
+// run passes the response to an attempt on to the caller.
+func (s *generation) run(a *streamAttempt) error {
+	if a.response == nil {
+		if err := a.send(); err != nil {
+			return err
+		}
 	}
-	to := *s.successor
-	s.successor = nil
-	return to, nil
+	if a.response.head.Status != http.StatusOK {
+		return s.relayResponse(a.ctx, a.target, a.response)
+	}
+	return s.copyEvents(a)
 }
 
-// returnSuccessor takes back the target of a next attempt that is not made.
-func (s *generation) returnSuccessor() {
-	if s.successor == nil {
-		return
+// nextAttempt returns the next attempt: the successor of the last one, or one on a
+// target that it waits for.
+func (s *generation) nextAttempt(ctx context.Context) (*streamAttempt, error) {
+	a := s.successor
+	s.successor = nil
+	if a == nil {
+		to, err := s.g.acquireTarget(ctx, s.request)
+		if err != nil {
+			return nil, err
+		}
+		a = newStreamAttempt(s.g, s.request, to)
+	}
+	if !a.begun() {
+		a.begin(ctx, s.lastEventID, s.sequence)
 	}
-	to := *s.successor
-	s.g.control.Send(func(st *state) { st.returnTarget(s.request, to) })
+	s.sequence = a.sequence
+	a.reader.sequence = &s.sequence
+	return a, nil
 }
 
-// releaseTarget stops the stall detector of an attempt and releases its target.
-// The next attempt gets the target that the detector has found, if any.
-func (s *generation) releaseTarget(detector *stallDetector) {
-	to, successor := detector.stop()
-	s.successor = successor
-	s.g.control.Send(func(st *state) { st.release(s.request, to) })
+// discardSuccessor discards the next attempt if it is not needed.
+func (s *generation) discardSuccessor() {
+	if s.successor != nil {
+		s.successor.discard()
+	}
 }
 
 // maxFailureBytes bounds the body of a response that is not a stream.
@@ -185,44 +184,46 @@
 )
 
 // copyEvents passes events to the caller as they arrive.
-func (s *generation) copyEvents(ctx context.Context, to target, resp *response, detector *stallDetector) error {
-	if !resp.head.EventStream {
-		return s.recordBrokenStream(ctx, to, errNoEventStream)
+func (s *generation) copyEvents(a *streamAttempt) error {
+	if !a.response.head.EventStream {
+		return a.recordBrokenStream(s.lastEventID, errNoEventStream)
 	}
-	err := s.passEvents(to, resp, detector)
+	err := s.passEvents(a)
 	s.lastEventID = s.sequence.lastID(s.lastEventID)
 	var gone *verdict.Error
 	switch {
 	case errors.As(err, &gone):
 		return err
 	case err != io.EOF:
-		return s.recordBrokenStream(ctx, to, err)
+		return a.recordBrokenStream(s.lastEventID, err)
 	case s.lastEventID == "":
-		return s.recordBrokenStream(ctx, to, errNoEvent)
+		return a.recordBrokenStream(s.lastEventID, errNoEvent)
 	}
 	// If the caller already has all events the stream is empty, and its header
 	// is still to be written.
-	s.writeHeaderOnce(resp)
+	s.writeHeaderOnce(a.response)
 	return nil
 }
 
 // passEvents passes events to the caller until the stream ends. The error is
 // io.EOF at its end, a [verdict.Error] if the caller has gone, and otherwise that
 // of the stream.
-func (s *generation) passEvents(to target, resp *response, detector *stallDetector) error {
-	reader := eventReader{source: resp, sequence: &s.sequence}
+func (s *generation) passEvents(a *streamAttempt) error {
 	flusher := http.NewResponseController(s.out)
 	for {
-		events, err := reader.next()
+		before := s.sequence
+		events, err := a.nextEvents()
+		if err == errSuperseded {
+			// The successor sends these events.
+			s.sequence = before
+		}
 		if err != nil {
 			return err
 		}
-		now := s.g.Now()
-		detector.recordEvent(now)
-		if pause := s.recordEvent(now); pause > s.slowPause() {
-			s.g.checkPace(to)
+		if pause := s.recordEvent(s.g.Now()); pause > s.slowPause() {
+			s.g.checkPace(a.target)
 		}
-		s.writeHeaderOnce(resp)
+		s.writeHeaderOnce(a.response)
 		if _, err := s.out.Write(events); err != nil {
 			return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.CallerGone, Err: err}
 		}
@@ -259,23 +260,6 @@
 	s.g.writeHeader(s.out, resp)
 }
 
-// recordBrokenStream records a stream that ended early and returns its error.
-func (s *generation) recordBrokenStream(ctx context.Context, to target, err error) error {
-	e := &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamLost, Upstream: to.upstream.Instance, Err: err}
-	if ctx.Err() != nil {
-		return e
-	}
-	s.g.Log.Info("stream broke", zap.String("request", s.ID), zap.Int("attempt", s.history().attempts), zap.String("upstream", to.upstream.Instance),
-		zap.String("last_event", s.lastEventID), zap.Error(err))
-	if errors.Is(err, http1.ErrMalformed) {
-		e.Reason = verdict.UpstreamProtocol
-		s.g.control.Do(func(st *state) { st.attributeFailure(s.request, to, e, relay.ResponseHead{}, s.g.Now()) })
-		return e
-	}
-	s.g.checkCrash(ctx, s.request, to.upstream)
-	return e
-}
-
 // writeHeader writes the header of an upstream's response.
 func (g *Gateway) writeHeader(w http.ResponseWriter, resp *response) {
 	h := w.Header()
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,7 +85,7 @@
 	to, err := h.find(ctx)
 	c.Assert(err, qt.IsNil)
 	c.Check(to.upstream.Instance, qt.Equals, "e2")
-	h.stop()
+	h.stop(false)
 	_, ok = h.begin()
 	c.Check(ok, qt.IsFalse)
 	_, h = handoverGateway(t)
@@ -146,7 +148,7 @@
 			d := &stallDetector{g: g, q: h.q, target: to, cancel: func() { ended = true }, fault: make(chan string, 1), timer: time.NewTimer(time.Hour)}
 			x.change(t, d)
 			d.mu.Lock()
-			d.accept(next, to, 0, 0)
+			d.accept(newStreamAttempt(g, h.q, next), to, 0, 0)
 			d.mu.Unlock()
 			c.Check(ended, qt.Equals, x.used)
 			c.Check(d.successor != nil, qt.Equals, x.used)
@@ -170,3 +172,44 @@
 	_, err = g.acquireTarget(t.Context(), h.q)
 	c.Check(err, qt.IsNil)
 }
+
+// TestEventsAfterHandoverAreNotPassedOn guards against passing on an event of an
+// attempt whose successor has begun to send the same: the place of the stream stays
+// where the successor resumed it.
+func TestEventsAfterHandoverAreNotPassedOn(t *testing.T) {
+	for _, x := range []struct {
+		name       string
+		superseded bool
+		events     string
+		place      string
+	}{
+		{"running", false, "id: 4\ndata: a\n\n", "4"},
+		{"superseded", true, "", "3"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			g, h := handoverGateway(t)
+			g.metrics = newMetrics(g)
+			g.Settings = testSettings()
+			e1 := engine("e1", 10)
+			to := target{upstream: e1, chain: []relay.Stage{{Upstream: e1}}}
+			out := httptest.NewRecorder()
+			s := &generation{request: h.q, g: g, out: out, started: true}
+			s.sequence.resumeAfter("3")
+			s.lastEventID = "3"
+			a := newStreamAttempt(g, h.q, to)
+			a.begin(t.Context(), "3", s.sequence)
+			defer a.discard()
+			a.reader.sequence = &s.sequence
+			a.reader.source = strings.NewReader("id: 4\ndata: a\n\n")
+			a.response = unreadResponse(t)
+			if x.superseded {
+				a.detector.successor = newStreamAttempt(g, h.q, to)
+			}
+			err := s.passEvents(a)
+			c.Check(err == errSuperseded, qt.Equals, x.superseded)
+			c.Check(out.Body.String(), qt.Equals, x.events)
+			c.Check(s.sequence.lastID(""), qt.Equals, x.place)
+		})
+	}
+}
--- a/internal/gateway/invocation.go
+++ b/internal/gateway/invocation.go
@@ -102,7 +102,7 @@
 func (c *invocation) try(ctx, attempts context.Context) (*callResponse, error) {
 	if c.failure != nil {
 		// The caller can be given the failure: do not wait for another target.
-		c.queueDeadline = c.g.Now()
+		c.closeQueue(c.g.Now())
 	}
 	to, err := c.g.acquireTarget(ctx, c.request)
 	if err != nil {
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -248,7 +248,7 @@
 		return nil
 	}
 	at, ok := s.holdOffEnd(p, now)
-	if !ok || at <= min(q.queueDeadline, q.deadline) {
+	if !ok || at <= q.queueLimit() {
 		return nil
 	}
 	return verdict.RefuseUntil(at-now, verdict.HeldOff, "the upstreams of %s want no requests for %v", q.service, at-now)
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -64,6 +64,7 @@
 		return false
 	}
 	d.target = next
+	d.q.setRunning(d, next)
 	d.replaced = true
 	d.schedule(0)
 	return true
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -38,9 +38,6 @@
 	// excluded holds the upstreams that failed the request. It is accessed only
 	// from the control loop.
 	excluded map[string]bool
-	// queueDeadline is the boot time until which the request may be queued;
-	// after that its caller has probably gone.
-	queueDeadline time.Duration
 	// firstEvent is the time from arrival until the first byte of the response
 	// was passed on, and longestPause the longest time between two events.
 	firstEvent, longestPause time.Duration
@@ -48,8 +45,14 @@
 	// mu guards the fields below: while an attempt runs, the control loop may
 	// look for the next one.
 	mu sync.Mutex
+	// queueDeadline is the boot time until which the request may be queued;
+	// after that its caller has probably gone.
+	queueDeadline time.Duration
 	// sent reports whether an attempt has reached an upstream.
 	sent bool
+	// running holds the targets of the generation's attempts that run, by their
+	// detectors.
+	running map[*stallDetector]target
 	// sentTo holds the upstreams whose responses attempts wait for.
 	sentTo []string
 	// handingOver reports whether a running attempt looks for its successor.
@@ -108,6 +111,36 @@
 	q.sentTo = append(q.sentTo, instance)
 }
 
+// setRunning records the target of an attempt that runs.
+func (q *request) setRunning(d *stallDetector, to target) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.running == nil {
+		q.running = make(map[*stallDetector]target)
+	}
+	q.running[d] = to
+}
+
+// removeRunning records that an attempt has ended.
+func (q *request) removeRunning(d *stallDetector) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.running, d)
+}
+
+// runsOn reports whether an attempt runs on an upstream, as its first stage in the
+// case of a chain.
+func (q *request) runsOn(instance string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, to := range q.running {
+		if to.upstream.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
 // setHandingOver records whether a running attempt looks for its successor.
 func (q *request) setHandingOver(is bool) {
 	q.mu.Lock()
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -27,7 +27,7 @@
 // stallDetector monitors a stream and checks its stages when no event arrives.
 // It cancels the attempt only if a stage is found at fault, since an engine may
 // be slow for other reasons, and, unless the stage has ended, only once the next
-// attempt has its target, since a silent stage may still continue.
+// attempt has begun to answer, since a silent stage may still continue.
 type stallDetector struct {
 	g        *Gateway
 	q        *request
@@ -51,16 +51,30 @@
 	// replaced reports whether a stage was replaced since the last event.
 	// Guarded by mu.
 	replaced bool
-	// successor is the target of the next attempt, for which this one was
-	// cancelled; nil if there is none. Guarded by mu.
-	successor *target
+	// successor is the next attempt, for which this one was cancelled; nil if there
+	// is none. Guarded by mu.
+	successor *streamAttempt
+	// resumeAfter is the ID of the event after which the attempt resumed the stream,
+	// and place where the stream is since. Guarded by mu.
+	resumeAfter string
+	place       eventSequence
+	// ended reports whether the attempt has ended and only its successor is waited
+	// for. Guarded by mu.
+	ended bool
 	// lastEventAt is when the last event arrived, and meanInterval the moving
 	// average of the time between events; 0 if unknown. Guarded by mu.
 	lastEventAt, meanInterval time.Duration
 }
 
-func newStallDetector(g *Gateway, q *request, to target, cancel context.CancelFunc) *stallDetector {
-	d := &stallDetector{g: g, q: q, cancel: cancel, fault: make(chan string, 1), target: to, handover: handover{g: g, q: q}}
+// newStallDetector returns the detector of an attempt that begins. The attempts that
+// it makes end with ctx.
+func newStallDetector(ctx context.Context, a *streamAttempt) *stallDetector {
+	d := &stallDetector{
+		g: a.g, q: a.q, cancel: a.cancel, fault: make(chan string, 1), target: a.target,
+		handover:    handover{g: a.g, q: a.q, parent: ctx},
+		resumeAfter: a.resumeAfter, place: a.sequence,
+	}
+	d.q.setRunning(d, a.target)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.timer = time.AfterFunc(d.nextDelay(), d.check)
@@ -87,11 +101,16 @@
 // intervalWeight is the weight of the newest interval in the moving average.
 const intervalWeight = 0.2
 
-// recordEvent restarts the detection after an event. After stop it schedules no
-// further check.
-func (d *stallDetector) recordEvent(now time.Duration) {
+// recordEvent restarts the detection after events, which have moved the stream to a
+// place. It returns false if the next attempt has begun to send them. After stop it
+// schedules no further check.
+func (d *stallDetector) recordEvent(now time.Duration, place eventSequence) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.successor != nil {
+		return false
+	}
+	d.place = place
 	d.target.recordEvent(now)
 	switch {
 	case !d.started:
@@ -103,6 +122,7 @@
 	d.started, d.lastEventAt, d.replaced = true, now, false
 	d.handover.drop()
 	d.schedule(0)
+	return true
 }
 
 // schedule schedules the next check after a number of checks.
@@ -113,14 +133,19 @@
 	}
 }
 
-// stop stops the detector. It returns the stream's last target and that of the
-// next attempt, if one was found.
-func (d *stallDetector) stop() (last target, successor *target) {
-	d.handover.stop()
+// stop stops the detector. It returns the stream's last target and the next
+// attempt, if one was found. If keep is set, a next attempt that has been sent is
+// waited for.
+func (d *stallDetector) stop(keep bool) (last target, successor *streamAttempt) {
+	d.mu.Lock()
+	d.ended = true
+	d.mu.Unlock()
+	d.handover.stop(keep)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.stopped = true
 	d.timer.Stop()
+	d.q.removeRunning(d)
 	return d.target, d.successor
 }
 
@@ -183,7 +208,7 @@
 
 // giveUp ends the attempt because of stage i, or because of no progress since a
 // stage was replaced, unless the stream continues. If the stage has not ended, the
-// attempt continues until the next one has its target.
+// attempt continues until the next one has begun to answer.
 func (d *stallDetector) giveUp(to target, i int, ended bool, lastEventAt time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -206,40 +231,6 @@
 	d.handOver(to, i, lastEventAt)
 }
 
-// handOver ends the attempt because of stage i once the next attempt has its
-// target. The caller holds mu, which is released meanwhile.
-func (d *stallDetector) handOver(to target, i int, lastEventAt time.Duration) {
-	ctx, ok := d.handover.begin()
-	if !ok {
-		d.schedule(d.checks + 1)
-		return
-	}
-	d.mu.Unlock()
-	next, err := d.handover.find(ctx)
-	d.mu.Lock()
-	switch {
-	case err == errAttemptContinues:
-		// An event or the end of the attempt has ended the search.
-	case err != nil:
-		d.logKept(to, i, err)
-		d.schedule(d.checks + 1)
-	default:
-		d.accept(next, to, i, lastEventAt)
-	}
-}
-
-// accept ends the attempt because of stage i, so that the next one gets its
-// target, or returns the target if the attempt has ended or continues. The caller
-// holds mu.
-func (d *stallDetector) accept(next, to target, i int, lastEventAt time.Duration) {
-	if d.stopped || d.continues(lastEventAt) {
-		d.g.control.Send(func(s *state) { s.returnTarget(d.q, next) })
-		return
-	}
-	d.successor = &next
-	d.abort(to, i)
-}
-
 // logKept logs that the attempt continues, because no other one may follow it.
 func (d *stallDetector) logKept(to target, i int, err error) {
 	d.g.metrics.keptStreams.WithLabelValues(string(verdict.Of(err).Reason)).Inc()
