Leave a stream's own attempts out of the load when its successor is searched

A silent stream was not continued elsewhere, and its caller waited until it gave up, although there was room: the search for the successor counted the memory and the slot of the attempt that still ran. On an engine that both chains share, a large request could not get past itself, and the search said that all engines were full.

The search leaves out what the request's running attempts have placed (selection.go, stageQuery), also when stages are searched that replace a lost one, where a complete other chain is compared. While both attempts run, the load of both counts for all other requests. On the engine the new attempt may have to wait for the memory of the old one, which ends with it at the latest when its connections break; until now it was not tried at all.

The place in the queue is still that of any other request.

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -213,3 +213,49 @@
 		})
 	}
 }
+
+// TestOwnAttemptDoesNotCrowdOutSuccessor guards against a silent stream that finds
+// no room on an engine, or no better chain, because of the memory and the slot that it
+// takes there itself.
+func TestOwnAttemptDoesNotCrowdOutSuccessor(t *testing.T) {
+	c := qt.New(t)
+	s := newState(t)
+	s.retryAllowance = retry.Allowance{Slack: 100, Window: 10 * time.Second}
+	upstreams := map[string]*fleet.Upstream{}
+	for name, held := range map[string]fleet.Range{"e1": {To: 5}, "e2": {To: 5}, "e3": {From: 5, To: 10}} {
+		u := engine(name, 10)
+		u.Address, u.Slots, u.Held = name, 192, held
+		upstreams[name] = u
+	}
+	s.replaceUpstreams(upstreamList{upstreams: upstreams, revision: numbered(2), asOf: time.Second}, time.Second)
+	route := &routing.Route{Kind: routing.Stream, Resumable: true, MaxUpstreams: 2}
+	q := &request{service: "llm", tokens: 1, deadline: time.Hour, route: route}
+	for {
+		if _, err := s.selectChain(s.pools["llm"], q, time.Second); err != nil {
+			break
+		}
+		q.tokens *= 1.5
+	}
+	// Half of the memory is free for one request, and two do not fit.
+	q.tokens /= 1.5
+	running, err := s.assign(q, time.Second)
+	c.Assert(err, qt.IsNil)
+	q.setRunning(&stallDetector{}, running)
+	q.recordRun(running.upstream.Instance)
+	q.exclude(running.upstream.Instance)
+
+	other := &request{service: "llm", tokens: q.tokens, deadline: time.Hour, route: route}
+	_, err = s.assign(other, time.Second)
+	c.Check(err, qt.IsNotNil, qt.Commentf("another request must not get the memory"))
+	next, err := s.assign(q, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Check(next.upstream.Instance, qt.Not(qt.Equals), running.upstream.Instance)
+	c.Check(next.chain[1].Upstream.Instance, qt.Equals, "e3")
+
+	// The load of both attempts counts until they end.
+	c.Check(s.loadOf("e3").requests, qt.Equals, 2)
+	s.release(q, next)
+	s.release(q, running)
+	c.Check(s.loadOf("e3").requests, qt.Equals, 0)
+	c.Check(s.loadOf("e3").tokenLayers, qt.Equals, 0.0)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"lovageport.example/internal/coordination/pathfinding"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
@@ -141,6 +142,28 @@
 	return false
 }
 
+// ownLoad returns the load that the attempts that run have placed, by upstream.
+func (q *request) ownLoad() map[string]pathfinding.Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.running) == 0 {
+		return nil
+	}
+	own := make(map[string]pathfinding.Load)
+	for _, to := range q.running {
+		for i, stage := range to.chain {
+			l := own[stage.Upstream.Instance]
+			l.Requests++
+			l.TokenLayers += q.tokens * float64(stage.Layers.Len())
+			if i == 0 {
+				l.Begun++
+			}
+			own[stage.Upstream.Instance] = l
+		}
+	}
+	return own
+}
+
 // setHandingOver records whether a running attempt looks for its successor.
 func (q *request) setHandingOver(is bool) {
 	q.mu.Lock()
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -109,8 +109,10 @@
 	return query
 }
 
-// stageQuery returns the search for stages of a request.
+// stageQuery returns the search for stages of a request. The load of its own attempts
+// that run does not count, since they end once the request continues elsewhere.
 func (s *state) stageQuery(p *servicePool, q *request, excluded map[string]bool, now time.Duration) *pathfinding.Query {
+	own := q.ownLoad()
 	return &pathfinding.Query{
 		Zone:         s.zone,
 		Tokens:       q.tokens,
@@ -119,12 +121,12 @@
 		Link:         func(a, b string) pathfinding.Link { return s.linkState(p, a, b, float64(q.PromptTokens), now) },
 		Suspected:    func(a, b string) bool { return s.linkFaults.Suspected(a, b, now) },
 		Load: func(u *fleet.Upstream) pathfinding.Load {
-			l, others := s.loadOf(u.Instance), s.peerLoad(u.Instance)
+			l, others, mine := s.loadOf(u.Instance), s.peerLoad(u.Instance), own[u.Instance]
 			return pathfinding.Load{
 				Excluded:    excluded[u.Instance] || s.health.Excluded(u.Instance, now),
-				TokenLayers: l.tokenLayers + others.TokenLayers,
-				Requests:    float64(l.requests) + others.Requests,
-				Begun:       float64(l.entering) + others.Begun,
+				TokenLayers: l.tokenLayers - mine.TokenLayers + others.TokenLayers,
+				Requests:    float64(l.requests) - mine.Requests + others.Requests,
+				Begun:       float64(l.entering) - mine.Begun + others.Begun,
 				Reading:     l.prefillRate.At(now) + others.Reading,
 				Backlog:     l.prefillBacklog.At(now),
 				Slowdown:    s.health.Pace(u.Instance) * (1 + failureCost*s.health.FailureRate(u.Instance, now)),
