Check a stage for each stream instead of believing another's finding

All streams on a stage gave up at once when one of them had found it silent: for as long as the stage was excluded, 0.6 s and until a probe, the others took it for lost without a question of their own, as soon as no event had passed it for 90 to 120 ms. One wrong suspicion thus used up the retry allowance for many.

A stage that another stream found silent is now checked like any other quiet stage; the report is one for all streams that ask at the same time. Only a stage that refuses connections is taken for lost at once. What peers exclude never counted as a finding; it still keeps new work, and so successors, away.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -271,8 +271,9 @@
 // findStalledStage returns the index of the stage that a generation waits for,
 // or a negative number if none is found at fault, and whether the stage is known
 // to have ended. Stages that streams have passed recently are taken to be well;
-// the others are checked concurrently. If askFirst is set, the first stage is then
-// asked which stage it waits for.
+// the others are checked concurrently, also if they did not answer another stream,
+// unless one is known to refuse connections. If askFirst is set, the first stage is
+// then asked which stage it waits for.
 func (g *Gateway) findStalledStage(q *request, to target, askFirst bool) (i int, ended bool) {
 	var suspects []int
 	i = -1
@@ -280,7 +281,7 @@
 		suspects, i = s.suspectStages(to, g.Now())
 		ended = i >= 0 && s.health.Refuses(to.chain[i].Upstream.Instance)
 	})
-	if i < 0 {
+	if !ended {
 		i, ended = g.checkStages(to, suspects)
 	}
 	if i < 0 && askFirst {
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -16,6 +16,7 @@
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/internal/transport/http1"
+	"lovageport.example/pkg/verdict"
 )
 
 // TestSecondAbortDoesNotBlock guards against blocking when an attempt is
@@ -158,3 +159,45 @@
 		})
 	}
 }
+
+// TestFindingOfAnotherStreamIsChecked guards against all streams on a stage giving up
+// at once because one of them, wrongly, found it silent. Only a stage that refuses
+// connections needs no further check.
+func TestFindingOfAnotherStreamIsChecked(t *testing.T) {
+	silent := &verdict.Error{Reason: verdict.UpstreamSilent}
+	for _, x := range []struct {
+		name   string
+		fault  health.Fault
+		report error
+		stage  int
+		ended  bool
+	}{
+		{"silent for another stream, answers", health.Stalled, nil, -1, false},
+		{"silent for another stream and this one", health.Stalled, silent, 0, false},
+		{"refuses connections", health.Unreachable, nil, 0, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			g, h := handoverGateway(t)
+			g.Now = func() time.Duration { return time.Minute }
+			g.Settings = testSettings()
+			asked := make(chan struct{})
+			answer := make(chan struct{})
+			go g.reportCalls.Do("e1", func() (any, error) {
+				close(asked)
+				<-answer
+				return relay.Report{}, x.report
+			})
+			<-asked
+			time.AfterFunc(20*time.Millisecond, func() { close(answer) })
+			var to target
+			g.control.Do(func(s *state) {
+				to = s.chainTarget([]relay.Stage{{Upstream: s.upstreams["e1"]}}, 0)
+				s.health.RecordFault("e1", x.fault, g.Now())
+			})
+			i, ended := g.findStalledStage(h.q, to, false)
+			c.Check(i, qt.Equals, x.stage)
+			c.Check(ended, qt.Equals, x.ended)
+		})
+	}
+}
