--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"lovageport.example/internal/coordination/pathfinding"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
@@ -38,14 +39,17 @@
 	// excluded holds the upstreams that failed the request. It is accessed only
 	// from the control loop.
 	excluded map[string]bool
-	// queueDeadline is the boot time until which the request may be queued;
-	// after that its caller has probably gone.
-	queueDeadline time.Duration
 	// firstEvent is the time from arrival until the first byte of the response
 	// was passed on, and longestPause the longest time between two events.
 	firstEvent, longestPause time.Duration
 
 	attemptHistory
+	// queueDeadline is the boot time until which the request may be queued; after
+	// that its caller has probably gone. Guarded by mu of the history.
+	queueDeadline time.Duration
+	// running holds the targets of the generation's attempts that run, by their
+	// detectors. Guarded by mu of the history.
+	running map[*stallDetector]target
 }
 
 func (q *request) exclude(instance string) {
@@ -55,6 +59,58 @@
 	q.excluded[instance] = true
 }
 
+// setRunning records the target of an attempt that runs.
+func (q *request) setRunning(d *stallDetector, to target) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.running == nil {
+		q.running = make(map[*stallDetector]target)
+	}
+	q.running[d] = to
+}
+
+// removeRunning records that an attempt has ended.
+func (q *request) removeRunning(d *stallDetector) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.running, d)
+}
+
+// runsOn reports whether an attempt runs on an upstream, as its first stage in the
+// case of a chain.
+func (q *request) runsOn(instance string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, to := range q.running {
+		if to.upstream.Instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// ownLoad returns the load that the attempts that run have placed, by upstream.
+func (q *request) ownLoad() map[string]pathfinding.Load {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.running) == 0 {
+		return nil
+	}
+	own := make(map[string]pathfinding.Load)
+	for _, to := range q.running {
+		for i, stage := range to.chain {
+			l := own[stage.Upstream.Instance]
+			l.Requests++
+			l.TokenLayers += q.tokens * float64(stage.Layers.Len())
+			if i == 0 {
+				l.Begun++
+			}
+			own[stage.Upstream.Instance] = l
+		}
+	}
+	return own
+}
+
 // recordEvent records that a part of the response is passed on. It returns the
 // time since the previous part.
 func (q *request) recordEvent(now time.Duration) time.Duration {
