Let an accepted request end under the terms it was accepted with

A stream of an entry that had to be resumed was cut if the configuration had changed since: "not served any more" if its model was removed, an internal error if the model has another number of layers now. A call that may be repeated was not tried again once its service was removed, and a request that waited for a place waited in vain until its queue timeout.

A request keeps the pool under which it was accepted. It is used if the configuration in force has none of that name, or one with other layers, and only with upstreams that are still declared at the same address. Withdrawals, leaving VMs and ended loans hold for resumptions as they do for new requests.

Shown to be no fault: removed upstreams, ended loans, removed accounts, revoked keys and shorter answers end no stream.

--- a/internal/coordination/dispatch/dispatcher.go
+++ b/internal/coordination/dispatch/dispatcher.go
@@ -141,7 +141,7 @@
 // checkSubmission returns the error that rules out serving r regardless of the
 // current load, or nil. It charges a retry to the retry budget.
 func (d *Dispatcher) checkSubmission(r *Request, now time.Time) error {
-	pool, ok := d.pool(r.Pool)
+	pool, ok := d.pool(r)
 	switch {
 	case !ok:
 		return verdict.Refuse(verdict.NoChain, "%s is not served any more", r.Pool)
@@ -162,11 +162,26 @@
 	return nil
 }
 
-func (d *Dispatcher) pool(name string) (*catalog.Pool, bool) {
+// pool returns the pool of r in the configuration in force. If that has none any
+// more, or one with another number of layers, it returns the one under which r was
+// accepted, without the upstreams that are not declared any more: a request that
+// was accepted ends under the terms that held then.
+func (d *Dispatcher) pool(r *Request) (*catalog.Pool, bool) {
 	if d.catalog == nil {
 		return nil, false
 	}
-	return d.catalog.Pool(name)
+	current, ok := d.catalog.Pool(r.Pool)
+	if r.Accepted == nil || ok && current.Layers == r.Accepted.Layers {
+		return current, ok
+	}
+	kept := *r.Accepted
+	kept.Candidates = nil
+	for _, c := range r.Accepted.Candidates {
+		if u, ok := d.catalog.Upstream(c.Upstream.Name); ok && u.Address == c.Upstream.Address {
+			kept.Candidates = append(kept.Candidates, c)
+		}
+	}
+	return &kept, true
 }
 
 // refuseUnmeetable refuses the queued request r if its estimated wait exceeds
@@ -245,7 +260,7 @@
 
 // tryPlace places r if a chain has room and reports whether it did.
 func (d *Dispatcher) tryPlace(r *Request, now time.Time) bool {
-	pool, ok := d.pool(r.Pool)
+	pool, ok := d.pool(r)
 	if !ok {
 		return false
 	}
--- a/internal/coordination/dispatch/request.go
+++ b/internal/coordination/dispatch/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lovageport.example/internal/coordination/route"
+	"lovageport.example/internal/state/catalog"
 	"lovageport.example/pkg/declaration"
 )
 
@@ -14,6 +15,9 @@
 	ID string
 	// Pool is the name of the catalog.Pool whose upstreams may serve the request.
 	Pool string
+	// Accepted is that pool in the configuration under which the request was
+	// accepted.
+	Accepted *catalog.Pool
 	// Account is the client account.
 	Account *declaration.Account
 	// Fingerprint identifies the content of the request; see
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -40,6 +40,7 @@
 		placements: e.newPlacementClient(&dispatch.Request{
 			ID:          request.RequestID,
 			Pool:        pool.Name,
+			Accepted:    pool,
 			Account:     request.Account,
 			Fingerprint: quarantine.Fingerprint(request.Account.Name, pool.Name, content),
 			Cost:        maxTokens,
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -54,6 +54,7 @@
 		placements: e.newPlacementClient(&dispatch.Request{
 			ID:          request.RequestID,
 			Pool:        pool.Name,
+			Accepted:    pool,
 			Account:     request.Account,
 			Fingerprint: quarantine.Fingerprint(request.Account.Name, pool.Name, content),
 			Cost:        1,
