--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -109,6 +109,9 @@
 // startSystem starts a system whose gateways are ready. Its violations fail the test.
 func startSystem(t *testing.T, p Config) *system {
 	p.Dir, p.BinDir = t.TempDir(), binDir
+	if *build != "" {
+		p.BinDir = buildCommit(t, *build)
+	}
 	s, err := newSystem(p)
 	t.Cleanup(func() {
 		s.close()
@@ -134,30 +137,37 @@
 	return s.gateways[0], kept
 }
 
+// beforeNoticeEnds is shortly before the notice period of a drain ends.
+const beforeNoticeEnds = drainNotice - 500*time.Millisecond
+
 // TestArrivedRequestsAreAnsweredBeforeTheEnd guards against the loss of requests that
 // had reached a process which stood still while the notice period of its drain ended.
 func TestArrivedRequestsAreAnsweredBeforeTheEnd(t *testing.T) {
 	for _, x := range []struct {
 		name string
+		// from is when the process begins to stand still after SIGTERM, length for
+		// how long it does.
+		from, length time.Duration
 		// begin sends requests while the process stands still, finish the rest of
 		// them when it runs again and the notice period is over.
 		begin, finish func(k *keptConn, id string) error
 	}{
-		{"whole", (*keptConn).send, nil},
-		{"half a body", (*keptConn).sendStart, (*keptConn).sendRest},
-		{"new connection", (*keptConn).sendAnew, nil},
+		{"whole", beforeNoticeEnds, time.Second, (*keptConn).send, nil},
+		{"half a body", beforeNoticeEnds, time.Second, (*keptConn).sendStart, (*keptConn).sendRest},
+		{"new connection", beforeNoticeEnds, time.Second, (*keptConn).sendAnew, nil},
+		{"during the whole notice", 0, drainNotice + 500*time.Millisecond, (*keptConn).send, nil},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
 			g, kept := startOne(t, 64)
 			process := g.process.Command.Process
 			g.signal(syscall.SIGTERM)
-			time.Sleep(drainNotice - 500*time.Millisecond)
+			time.Sleep(x.from)
 			qt.Assert(t, process.Signal(syscall.SIGSTOP), qt.IsNil)
 			for i, k := range kept {
 				qt.Assert(t, x.begin(k, fmt.Sprint("still", i)), qt.IsNil)
 			}
-			time.Sleep(time.Second)
+			time.Sleep(x.length)
 			qt.Assert(t, process.Signal(syscall.SIGCONT), qt.IsNil)
 			if x.finish != nil {
 				time.Sleep(time.Second)
