Show that a stray answer to an order of layers is corrected

A message that answers nothing, before the answer to a placement order on a kept connection, counts as that answer.

Orders that replace a stage of a running stream are not covered: by reading, the stream then waits for the checks that follow a replacement, or is handed over.

--- a/internal/gateway/question_test.go
+++ b/internal/gateway/question_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"lovageport.example/internal/coordination/placement"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/transport/http1"
@@ -31,6 +32,11 @@
 
 // sendStray starts an upstream that answers all requests with answer.
 func sendStray(t *testing.T, stray, answer string) *straySender {
+	return sendStrayBefore(t, stray, func(string) string { return answer })
+}
+
+// sendStrayBefore starts an upstream that answers requests by their path.
+func sendStrayBefore(t *testing.T, stray string, answer func(path string) string) *straySender {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { listener.Close() })
@@ -49,7 +55,7 @@
 	return s
 }
 
-func (s *straySender) serve(conn net.Conn, first bool, stray, answer string) {
+func (s *straySender) serve(conn net.Conn, first bool, stray string, answer func(path string) string) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for n := 0; ; n++ {
@@ -65,7 +71,7 @@
 			// The answer is written once the message was read.
 			time.Sleep(5 * time.Millisecond)
 		}
-		io.WriteString(conn, answer)
+		io.WriteString(conn, answer(r.URL.Path))
 	}
 }
 
@@ -161,3 +167,57 @@
 	qt.Check(t, u.accepted.Load(), qt.Equals, int32(1))
 	qt.Check(t, u.requests.Load(), qt.Equals, int32(7))
 }
+
+// TestStrayMessageAsOrderAnswerIsCorrected checks that an engine gets the next order
+// that it can accept some seconds after a message that answers nothing was taken
+// for the answer to an order, whether it had accepted that one or not.
+func TestStrayMessageAsOrderAnswerIsCorrected(t *testing.T) {
+	for _, accepts := range []bool{false, true} {
+		for _, x := range strayAnswers {
+			t.Run(fmt.Sprintf("%s/accepts=%t", x.name, accepts), func(t *testing.T) {
+				var orders atomic.Int64
+				u := sendStrayBefore(t, x.text, func(path string) string {
+					if path != "/v1/order" {
+						return message(200, "Content-Type: application/json", fmt.Sprintf(`{"seq":%d}`, orders.Load()))
+					}
+					if accepts && orders.CompareAndSwap(0, 1) {
+						return message(202, "X: y", "")
+					}
+					return message(409, "X: y", "")
+				})
+				g := questionGateway(t, u)
+				var now atomic.Int64
+				g.Now = func() time.Duration { return time.Duration(now.Load()) }
+				for passed := time.Duration(0); passed < 8*time.Second; passed += 500 * time.Millisecond {
+					now.Store(int64(time.Minute + passed))
+					g.control.Do(func(s *state) { s.listedAt = g.Now() })
+					for _, due := range g.overdueEngines() {
+						g.refreshHeldLayers(t.Context(), due)
+					}
+					order, ok := nextOrder(g, u.Upstream)
+					if ok && passed > 0 && order.Placement.IfOrders == orders.Load() {
+						t.Logf("order that can be accepted after %v", passed)
+						checkNoNotice(t, g, u.Upstream)
+						return
+					}
+					if ok {
+						g.sendOrder(t.Context(), order)
+					}
+				}
+				t.Error("no order that can be accepted")
+			})
+		}
+	}
+}
+
+// nextOrder returns the order that makes an engine hold other layers, if one is due.
+func nextOrder(g *Gateway, u *fleet.Upstream) (order placement.Order, due bool) {
+	plan := map[string]fleet.Range{u.Instance: {From: 5, To: 10}}
+	g.control.Do(func(s *state) {
+		expected := s.reconciler.Expected([]*fleet.Upstream{u}, g.Now())
+		for _, o := range s.reconciler.IssueOrders(plan, expected, func(string) bool { return false }, g.Now()) {
+			order, due = o, true
+		}
+	})
+	return order, due
+}
