Move the platform's messages of a test to its folder

The test of stray messages before reports, probes and orders spelled the platform's names in internal/gateway, which TestNoWireNameOutside of platform refuses (in part: it finds names that stand alone between quotes). The messages are in platform/platformtest now.

TestNoWireNameOutside failed before and passes.

--- a/internal/gateway/question_test.go
+++ b/internal/gateway/question_test.go
@@ -16,13 +16,9 @@
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/transport/http1"
+	"lovageport.example/platform/platformtest"
 )
 
-// message returns a response with a body and a header field.
-func message(status int, field, body string) string {
-	return fmt.Sprintf("HTTP/1.1 %d Status\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, field, len(body), body)
-}
-
 // straySender is an upstream that writes a message before the second answer on its
 // first connection.
 type straySender struct {
@@ -32,11 +28,11 @@
 
 // sendStray starts an upstream that answers all requests with answer.
 func sendStray(t *testing.T, stray, answer string) *straySender {
-	return sendStrayBefore(t, stray, func(string) string { return answer })
+	return sendStrayBefore(t, stray, func(*http.Request) string { return answer })
 }
 
-// sendStrayBefore starts an upstream that answers requests by their path.
-func sendStrayBefore(t *testing.T, stray string, answer func(path string) string) *straySender {
+// sendStrayBefore starts an upstream that answers requests by a function.
+func sendStrayBefore(t *testing.T, stray string, answer func(*http.Request) string) *straySender {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { listener.Close() })
@@ -55,7 +51,7 @@
 	return s
 }
 
-func (s *straySender) serve(conn net.Conn, first bool, stray string, answer func(path string) string) {
+func (s *straySender) serve(conn net.Conn, first bool, stray string, answer func(*http.Request) string) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for n := 0; ; n++ {
@@ -71,7 +67,7 @@
 			// The answer is written once the message was read.
 			time.Sleep(5 * time.Millisecond)
 		}
-		io.WriteString(conn, answer(r.URL.Path))
+		io.WriteString(conn, answer(r))
 	}
 }
 
@@ -101,28 +97,12 @@
 	})
 }
 
-// strayAnswers are messages that answer nothing the gateway has asked.
-var strayAnswers = []struct{ name, text string }{
-	{"success", message(200, "Origin-Stamp: e1", "answer")},
-	{"empty success", message(200, "X: y", "")},
-	{"JSON", message(200, "Content-Type: application/json", "{}")},
-	{"accepted order", message(202, "X: y", "")},
-	{"refused order", message(409, "Content-Type: application/json", `{"seq":3}`)},
-	{"refusal", message(503, "Not-Executed: 1", "")},
-	{"wrong instance", message(421, "Instance-Id: e9", "")},
-	{"leaving", message(503, "Server-Leaving: 1", "")},
-	{"hold-off", message(503, "Retry-After: 60", "")},
-	{"another request's answer", message(200, "Request-Id: other", "answer")},
-	{"another request's refusal that is leaving", message(503, "Request-Id: other\r\nServer-Leaving: 1", "")},
-	{"cut", "HTTP/1.1 200 OK\r\nContent-"},
-}
-
 // TestStrayMessageIsNoReport guards against taking a message that answers nothing
 // for the report of an engine, and against blaming the engine for it.
 func TestStrayMessageIsNoReport(t *testing.T) {
-	for _, x := range strayAnswers {
-		t.Run(x.name, func(t *testing.T) {
-			u := sendStray(t, x.text, message(200, "Content-Type: application/json", `{"seq":7,"born":5,"layers":{"from":0,"target":10}}`))
+	for _, x := range platformtest.StrayMessages {
+		t.Run(x.Name, func(t *testing.T) {
+			u := sendStray(t, x.Text, platformtest.ReportMessage(7))
 			g := questionGateway(t, u)
 			report, err := g.fetchReport(t.Context(), u.Upstream)
 			qt.Check(t, err, qt.IsNil)
@@ -138,13 +118,9 @@
 // brings it back.
 func TestStrayMessageIsNoProbeResult(t *testing.T) {
 	for _, healthy := range []bool{false, true} {
-		answer := message(503, "X: y", "")
-		if healthy {
-			answer = message(200, "Instance-Id: e1", "")
-		}
-		for _, x := range strayAnswers {
-			t.Run(fmt.Sprintf("%s/healthy=%t", x.name, healthy), func(t *testing.T) {
-				u := sendStray(t, x.text, answer)
+		for _, x := range platformtest.StrayMessages {
+			t.Run(fmt.Sprintf("%s/healthy=%t", x.Name, healthy), func(t *testing.T) {
+				u := sendStray(t, x.Text, platformtest.ProbeMessage("e1", healthy))
 				g := questionGateway(t, u)
 				g.probeUpstream(t.Context(), probeTarget{Upstream: u.Upstream, healthPath: "/healthz"})
 				g.control.Do(func(s *state) { qt.Check(t, s.health.Excluded("e1", g.Now()), qt.Equals, !healthy) })
@@ -157,7 +133,12 @@
 // TestKeptConnectionIsEnoughForQuestions guards against a new connection for each
 // report and probe.
 func TestKeptConnectionIsEnoughForQuestions(t *testing.T) {
-	u := sendStray(t, "", message(200, "Instance-Id: e1\r\nContent-Type: application/json", `{"seq":7}`))
+	u := sendStrayBefore(t, "", func(r *http.Request) string {
+		if r.URL.Path == "/healthz" {
+			return platformtest.ProbeMessage("e1", true)
+		}
+		return platformtest.ReportMessage(7)
+	})
 	g := questionGateway(t, u)
 	for range 3 {
 		_, err := g.fetchReport(t.Context(), u.Upstream)
@@ -173,17 +154,14 @@
 // for the answer to an order, whether it had accepted that one or not.
 func TestStrayMessageAsOrderAnswerIsCorrected(t *testing.T) {
 	for _, accepts := range []bool{false, true} {
-		for _, x := range strayAnswers {
-			t.Run(fmt.Sprintf("%s/accepts=%t", x.name, accepts), func(t *testing.T) {
+		for _, x := range platformtest.StrayMessages {
+			t.Run(fmt.Sprintf("%s/accepts=%t", x.Name, accepts), func(t *testing.T) {
 				var orders atomic.Int64
-				u := sendStrayBefore(t, x.text, func(path string) string {
-					if path != "/v1/order" {
-						return message(200, "Content-Type: application/json", fmt.Sprintf(`{"seq":%d}`, orders.Load()))
-					}
-					if accepts && orders.CompareAndSwap(0, 1) {
-						return message(202, "X: y", "")
+				u := sendStrayBefore(t, x.Text, func(r *http.Request) string {
+					if !platformtest.IsOrder(r) {
+						return platformtest.ReportMessage(orders.Load())
 					}
-					return message(409, "X: y", "")
+					return platformtest.OrderMessage(accepts && orders.CompareAndSwap(0, 1))
 				})
 				g := questionGateway(t, u)
 				var now atomic.Int64
