--- a/internal/coordination/selfcheck/selfcheck.go
+++ b/internal/coordination/selfcheck/selfcheck.go
@@ -70,6 +70,14 @@
 	return longest
 }
 
+// Running returns the time between from and to in which this process ran: all
+// but its standstills.
+func (m *Monitor) Running(from, to time.Duration) time.Duration {
+	running := max(0, to-from)
+	m.each(to, func(s standstill) { running -= s.within(from, to) })
+	return running
+}
+
 // each calls f for each standstill, including one that lasts at now.
 func (m *Monitor) each(now time.Duration, f func(standstill)) {
 	m.mu.Lock()
