--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"slices"
 
 	"lovageport.example/internal/state/fleet"
@@ -80,7 +81,7 @@
 // Get returns the plan that [Plan] computes for the arguments. The caller must
 // not modify them or the plan afterwards.
 func (c *PlanCache) Get(e *fleet.Engine, upstreams []*fleet.Upstream, zones []string) map[string]fleet.Range {
-	if c.target != nil && c.engine == e && slices.Equal(c.zones, zones) && slices.EqualFunc(c.upstreams, upstreams, equalForPlan) {
+	if c.target != nil && reflect.DeepEqual(c.engine, e) && slices.Equal(c.zones, zones) && slices.EqualFunc(c.upstreams, upstreams, equalForPlan) {
 		return c.target
 	}
 	c.engine, c.upstreams, c.zones = e, upstreams, zones
