Do not charge the retry allowance for attempts that arrived nowhere

Streams were cut with the reason retry_budget while upstreams could not be reached: an attempt for which no connection could be opened was counted as a retry, and the next one met an allowance that was used up without a retry having reached an upstream. What the allowance bounds is arrivals at upstreams.

The charge is taken back if nothing was sent. A refusal by the upstream is an arrival and stays charged.

TestAttemptThatArrivedNowhereIsNotCharged: 3 of 5 cases failed without the change.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -230,6 +230,12 @@
 func (s *state) returnTarget(q *request, to target) {
 	s.release(q, to)
 	q.discountAttempt()
+	s.returnRetry(q, to)
+}
+
+// returnRetry takes back the charge for an attempt that has not arrived at an
+// upstream, if it was charged.
+func (s *state) returnRetry(q *request, to target) {
 	if to.retry {
 		s.retryWindow(q.service).Return(s.retryAllowance, s.now())
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -124,8 +124,12 @@
 // fault, and returns its [verdict.Error].
 func (g *Gateway) recordFailure(q *request, to target, err error, head relay.ResponseHead) error {
 	e := verdict.Of(err)
-	if e.Run != verdict.NotRun {
+	switch {
+	case e.Run != verdict.NotRun:
 		q.recordRun(to.upstream.Instance)
+	case head.Status == 0:
+		// Nothing has arrived at an upstream.
+		g.control.Send(func(s *state) { s.returnRetry(q, to) })
 	}
 	if e.Reason == verdict.CallerGone {
 		return e
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -149,3 +149,33 @@
 		})
 	}
 }
+
+// TestAttemptThatArrivedNowhereIsNotCharged guards against a retry allowance that is
+// used up by attempts for which no connection could be opened.
+func TestAttemptThatArrivedNowhereIsNotCharged(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		err     *verdict.Error
+		head    relay.ResponseHead
+		charged float64
+	}{
+		{"no connection in time", &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamSilent}, relay.ResponseHead{}, 0},
+		{"connection refused", &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamRefused}, relay.ResponseHead{}, 0},
+		{"caller gone before", &verdict.Error{Run: verdict.NotRun, Reason: verdict.CallerGone}, relay.ResponseHead{}, 0},
+		{"request refused", &verdict.Error{Run: verdict.NotRun, Reason: verdict.UpstreamBusy}, relay.ResponseHead{Status: http.StatusServiceUnavailable, NotRun: true}, 1},
+		{"may have run", &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamSilent}, relay.ResponseHead{}, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			g, h := handoverGateway(t)
+			g.metrics = newMetrics(g)
+			to, err := g.acquireTarget(t.Context(), h.q)
+			c.Assert(err, qt.IsNil)
+			c.Assert(to.retry, qt.IsTrue)
+			_ = g.recordFailure(h.q, to, x.err, x.head)
+			g.control.Do(func(s *state) {
+				c.Check(s.retryWindow("llm").Counts(s.retryAllowance, g.Now()).Retries, qt.Equals, x.charged)
+			})
+		})
+	}
+}
