Do not use an attempt whose own successor has begun to answer

By reading, not seen: if the first events of an attempt beside a silent one arrived just when its own successor had begun to send them, both would have been passed on, one after the other. Such an attempt is no successor any more; its own successor takes its place. Besides, an attempt is used only if it has resumed the stream where that is now, and logged as an error otherwise.

An attempt that is discarded is ended in the background, so that events of the running one do not wait for that. A successor that ends without an event counts as one without events rather than as one that broke off.

TestSuccessorOfAnotherPlaceIsNotUsed failed before.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -132,6 +132,11 @@
 func (s *generation) nextAttempt(ctx context.Context) (*streamAttempt, error) {
 	a := s.successor
 	s.successor = nil
+	if a != nil && a.begun() && a.resumeAfter != s.lastEventID {
+		s.g.Log.Error("successor resumed elsewhere", zap.String("request", s.ID), zap.String("last_event", s.lastEventID), zap.String("resumed_after", a.resumeAfter))
+		a.discard()
+		a = nil
+	}
 	if a == nil {
 		to, err := s.g.acquireTarget(ctx, s.request)
 		if err != nil {
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -259,3 +259,42 @@
 	c.Check(s.loadOf("e3").requests, qt.Equals, 0)
 	c.Check(s.loadOf("e3").tokenLayers, qt.Equals, 0.0)
 }
+
+// TestSupersededAttemptIsNoSuccessor guards against events that are passed on twice
+// because the first events of an attempt arrive when its own successor has begun to
+// send them.
+func TestSupersededAttemptIsNoSuccessor(t *testing.T) {
+	c := qt.New(t)
+	g, h := handoverGateway(t)
+	e1 := engine("e1", 10)
+	a := newStreamAttempt(g, h.q, target{upstream: e1, chain: []relay.Stage{{Upstream: e1}}})
+	var after eventSequence
+	after.resumeAfter("3")
+	a.begin(t.Context(), "3", after)
+	defer a.discard()
+	a.reader.source = strings.NewReader("id: 4\ndata: a\n\n")
+	a.detector.successor = newStreamAttempt(g, h.q, a.target)
+	c.Check(a.readFirst(), qt.Equals, errSuperseded)
+}
+
+// TestSuccessorOfAnotherPlaceIsNotUsed guards against passing on the events of an
+// attempt that has resumed the stream elsewhere than where it is.
+func TestSuccessorOfAnotherPlaceIsNotUsed(t *testing.T) {
+	for _, x := range []struct {
+		last string
+		used bool
+	}{{"3", true}, {"4", false}} {
+		c := qt.New(t)
+		g, h := handoverGateway(t)
+		e1 := engine("e1", 10)
+		a := newStreamAttempt(g, h.q, target{upstream: e1, chain: []relay.Stage{{Upstream: e1}}})
+		s := &generation{request: h.q, g: g, lastEventID: x.last, successor: a}
+		s.sequence.resumeAfter(x.last)
+		a.begin(t.Context(), "3", s.sequence)
+		got, err := s.nextAttempt(t.Context())
+		c.Assert(err, qt.IsNil)
+		c.Check(got == a, qt.Equals, x.used)
+		c.Check(got.resumeAfter, qt.Equals, x.last)
+		got.discard()
+	}
+}
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -84,17 +84,27 @@
 	case !head.EventStream:
 		return a.recordBrokenStream(a.resumeAfter, errNoEventStream)
 	}
+	return a.readFirst()
+}
+
+// readFirst reads the first events, or the end of a stream of which the caller
+// already has all events. The error is errSuperseded if the next attempt has begun
+// to send them.
+func (a *streamAttempt) readFirst() error {
 	a.first, a.firstErr = a.reader.next()
 	a.hasFirst = true
 	switch {
 	case a.firstErr == nil:
-		a.detector.recordEvent(a.g.Now(), a.sequence)
-		return nil
-	case a.firstErr == io.EOF && a.resumeAfter != "":
-		// The caller already has all events.
+		if !a.detector.recordEvent(a.g.Now(), a.sequence) {
+			return errSuperseded
+		}
 		return nil
+	case a.firstErr != io.EOF:
+		return a.detector.attribute(a.recordBrokenStream(a.resumeAfter, a.firstErr))
+	case a.resumeAfter == "":
+		return a.recordBrokenStream(a.resumeAfter, errNoEvent)
 	}
-	return a.detector.attribute(a.recordBrokenStream(a.resumeAfter, a.firstErr))
+	return nil
 }
 
 // nextEvents returns the next events to be passed on, which are valid until the
@@ -129,15 +139,17 @@
 }
 
 // discard ends an attempt that is not needed. Its target is returned if nothing
-// was sent.
+// was sent. It does not wait for the end.
 func (a *streamAttempt) discard() {
 	if !a.begun() {
 		a.g.control.Send(func(s *state) { s.returnTarget(a.q, a.target) })
 		return
 	}
-	if next := a.end(nil); next != nil {
-		next.discard()
-	}
+	go func() {
+		if next := a.end(nil); next != nil {
+			next.discard()
+		}
+	}()
 }
 
 // recordBrokenStream records a stream that ended early, after the event of an ID,
