Refuse late requests that the end of a drain would cut off

Callers lost streams at the end of a drain: a request that came 5.5 s after SIGTERM was accepted, reached an engine and was cut 2.1 s later.

Cause: a connection on which a stream is at work when the drain begins stays open until the stream has ended and, so that no request is lost that has arrived, for 250 ms more. The head of the stream had been sent before the drain, so that its caller does not know that the connection ends, and sends its next request. That was accepted whatever time was left.

What ends before is served.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -8,6 +8,7 @@
 
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/transport/drain"
+	"lovageport.example/pkg/verdict"
 )
 
 // Timeouts of the graceful shutdown.
@@ -37,6 +38,7 @@
 		return nil
 	}
 	left := g.Settings.Bounds.Grace.Duration - drainMargin - time.Since(start)
+	g.cutOffAt.Store(int64(g.Now() + left))
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	err := callers.Drain(ctx)
@@ -50,6 +52,16 @@
 	return nil
 }
 
+// checkDrain refuses a request that the end of a drain may cut off. Such a request
+// comes over a connection that was in use when the notice period ended.
+func (g *Gateway) checkDrain(q *request) error {
+	cutOff := time.Duration(g.cutOffAt.Load())
+	if cutOff == 0 || q.deadline <= cutOff {
+		return nil
+	}
+	return verdict.RefuseUntil(minRetryAfter, verdict.Draining, "the process ends before the deadline of the request")
+}
+
 // unregisterTimeout bounds the call that removes the gateway's entry at
 // shutdown.
 const unregisterTimeout = 200 * time.Millisecond
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,9 @@
 	zoneIsolated atomic.Bool
 	// draining is set when the graceful shutdown has begun.
 	draining atomic.Bool
+	// cutOffAt is the boot time at which a drain cuts off the requests that are left.
+	// It is set at the end of the notice period; 0 before.
+	cutOffAt atomic.Int64
 	// inFlight is the number of callers' requests being processed.
 	inFlight atomic.Int64
 	// tasks are the calls that run in the background. They end with Run.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -113,7 +113,7 @@
 		return err
 	}
 	q.tokens = expectedTokens(&q.Request, q.accepted)
-	return nil
+	return g.checkDrain(q)
 }
 
 // Timing of the wait for a fresh configuration.
