Ask an upstream again only if a kept connection has failed

A report or probe whose new connection was broken by the upstream was asked again on a second new one, so that an upstream that resets connections beyond its limit got twice as many.

Change: errors of an exchange say whether its connection had carried other requests (http1.OnReused; their texts stay as they are).

--- a/internal/gateway/question.go
+++ b/internal/gateway/question.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/protocol/relay"
+	"lovageport.example/internal/transport/http1"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -15,8 +16,8 @@
 // ask makes a call of the gateway's own, which may be made twice, and reads the
 // response. The call has no ID that the response could state. On a connection that
 // has carried other calls, the response therefore counts only if isAnswer recognizes
-// it; if it does not, or the connection fails, the call is made once more on a new
-// connection. Only a response that counts is taken for a notice of the upstream.
+// it; if it does not, or that connection fails, the call is made once more on a new
+// one. Only a response that counts is taken for a notice of the upstream.
 func (g *Gateway) ask(ctx context.Context, c *relay.Call, isAnswer func(relay.ResponseHead, []byte) bool) (relay.ResponseHead, []byte, error) {
 	resp, body, err := g.exchangeWhole(ctx, c)
 	switch {
@@ -42,8 +43,10 @@
 // connection has carried before, or to the end of that connection.
 func mayBeConnection(err error) bool {
 	switch verdict.Of(err).Reason {
-	case verdict.UpstreamProtocol, verdict.UpstreamLost:
+	case verdict.UpstreamProtocol:
 		return true
+	case verdict.UpstreamLost:
+		return http1.OnReused(err)
 	}
 	return false
 }
--- a/internal/gateway/question_test.go
+++ b/internal/gateway/question_test.go
@@ -31,7 +31,8 @@
 	return sendStrayBefore(t, stray, func(*http.Request) string { return answer })
 }
 
-// sendStrayBefore starts an upstream that answers requests by a function.
+// sendStrayBefore starts an upstream that answers requests by a function, or closes
+// the connection if that returns "".
 func sendStrayBefore(t *testing.T, stray string, answer func(*http.Request) string) *straySender {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -67,13 +68,29 @@
 			// The answer is written once the message was read.
 			time.Sleep(5 * time.Millisecond)
 		}
-		io.WriteString(conn, answer(r))
+		text := answer(r)
+		if text == "" {
+			return
+		}
+		io.WriteString(conn, text)
 	}
 }
 
 // questionGateway returns a gateway that has a kept connection to an upstream,
 // which is listed as e1.
 func questionGateway(t *testing.T, u *straySender) *Gateway {
+	g := listingGateway(t, u)
+	resp, err := g.exchange(t.Context(), &relay.Call{Upstream: u.Upstream, Method: http.MethodGet, URI: "/", Host: "e"})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = resp.ReadAll(t.Context(), maxReportBytes)
+	qt.Assert(t, err, qt.IsNil)
+	resp.Close()
+	return g
+}
+
+// listingGateway returns a gateway that has no connection to an upstream yet,
+// which is listed as e1.
+func listingGateway(t *testing.T, u *straySender) *Gateway {
 	g, _ := handoverGateway(t)
 	g.Settings = testSettings()
 	g.metrics = newMetrics(g)
@@ -81,11 +98,6 @@
 	g.connPool = &http1.Pool{Dial: (&net.Dialer{}).DialContext}
 	t.Cleanup(g.connPool.Close)
 	g.control.Do(func(s *state) { s.upstreams["e1"] = u.Upstream })
-	resp, err := g.exchange(t.Context(), &relay.Call{Upstream: u.Upstream, Method: http.MethodGet, URI: "/", Host: "e"})
-	qt.Assert(t, err, qt.IsNil)
-	_, err = resp.ReadAll(t.Context(), maxReportBytes)
-	qt.Assert(t, err, qt.IsNil)
-	resp.Close()
 	return g
 }
 
@@ -199,3 +211,35 @@
 	})
 	return order, due
 }
+
+// TestLostQuestionIsAskedAgain guards against blaming an upstream for the end of a
+// kept connection, and against a second connection to one that breaks a new one.
+func TestLostQuestionIsAskedAgain(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		kept  bool
+		conns int32
+	}{
+		{"kept connection", true, 2},
+		{"new connection", false, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			var answers atomic.Int32
+			u := sendStrayBefore(t, "", func(*http.Request) string {
+				if answers.Add(1) == 2 || !x.kept {
+					return ""
+				}
+				return platformtest.ReportMessage(7)
+			})
+			g := listingGateway(t, u)
+			if x.kept {
+				_, err := g.fetchReport(t.Context(), u.Upstream)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			report, err := g.fetchReport(t.Context(), u.Upstream)
+			qt.Check(t, u.accepted.Load(), qt.Equals, x.conns)
+			qt.Check(t, err == nil, qt.Equals, x.kept)
+			qt.Check(t, report.Orders == 7, qt.Equals, x.kept)
+		})
+	}
+}
--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -81,7 +81,7 @@
 			p.reduceIdleLimit(r.Address, conn, time.Now())
 		}
 		conn.abort()
-		return exchangeError(ctx, err)
+		return exchangeError(ctx, err, conn.reused)
 	}
 	if _, err := conn.Write(message); err != nil {
 		return nil, fail(err)
@@ -161,9 +161,26 @@
 	return out
 }
 
+// reusedError is the error of an exchange on a connection that has carried other
+// requests before.
+type reusedError struct{ error }
+
+func (e reusedError) Unwrap() error { return e.error }
+
+// OnReused reports whether the error is that of an exchange on a connection that has
+// carried other requests before, so that their upstream may have closed it, or sent
+// what was read, on account of these.
+func OnReused(err error) bool {
+	var e reusedError
+	return errors.As(err, &e)
+}
+
 // exchangeError returns the verdict on an exchange that failed after the
 // request may have been sent.
-func exchangeError(ctx context.Context, err error) *verdict.Error {
+func exchangeError(ctx context.Context, err error, reused bool) *verdict.Error {
+	if reused {
+		err = reusedError{err}
+	}
 	out := &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamLost, Err: err}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -201,7 +218,7 @@
 	defer r.conn.source.unlimit()
 	body, err := readBody(r, r.ContentLength, max)
 	if err != nil {
-		return nil, exchangeError(ctx, err)
+		return nil, exchangeError(ctx, err, r.Reused)
 	}
 	return body, nil
 }
