--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,6 +42,8 @@
 	// that of the other build, if there is one. Guarded by mu.
 	binDir, otherBinDir   string
 	settingsPath, logPath string
+	// seeds are the peers in the settings file. Guarded by mu.
+	seeds []string
 	// variables are added to the environment of the processes.
 	variables []string
 	// report records a violated guarantee.
@@ -92,8 +95,11 @@
 	return g, nil
 }
 
-// writeSettings writes the settings file. seeds are the addresses of peers.
+// writeSettings replaces the settings file. seeds are the addresses of peers.
 func (g *gateway) writeSettings(seeds []string) error {
+	g.mu.Lock()
+	g.seeds = seeds
+	g.mu.Unlock()
 	var b strings.Builder
 	fmt.Fprintf(&b, "Name = %q\nZone = %q\n", g.name, g.zone)
 	fmt.Fprintf(&b, "[Listen]\nCallers = %q\nHealth = %q\nPeers = %q\n", g.callerProxy.target, g.healthAddress, g.peerAddress)
@@ -101,7 +107,25 @@
 	fmt.Fprintf(&b, "[Peers]\nSeeds = [\"%s\"]\n", strings.Join(seeds, "\", \""))
 	fmt.Fprintf(&b, "[Bounds]\nGrace = %q\nRevocation = %q\n", stopGracePeriod, revocationBound)
 	fmt.Fprintf(&b, "RetryShare = %v\nRetrySlack = %d\nRetryWindow = %q\n", retryShare, retrySlack, retryWindow)
-	return os.WriteFile(g.settingsPath, []byte(b.String()), 0o600)
+	// A process may be reading the file.
+	next := g.settingsPath + ".next"
+	if err := os.WriteFile(next, []byte(b.String()), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, g.settingsPath)
+}
+
+// changeSettings changes the order of the peers in the settings file and sends
+// SIGHUP.
+func (g *gateway) changeSettings() {
+	g.mu.Lock()
+	seeds := slices.Clone(g.seeds)
+	g.mu.Unlock()
+	slices.Reverse(seeds)
+	if err := g.writeSettings(seeds); err != nil {
+		g.report("the settings of a gateway can be written", err.Error())
+	}
+	g.signal(syscall.SIGHUP)
 }
 
 // restartDelay is the time between the end of a process and the next start.
--- a/internal/soak/storm.go
+++ b/internal/soak/storm.go
@@ -101,10 +101,10 @@
 	case 0:
 		return "stop " + g.name, func() { g.signal(syscall.SIGTERM) }
 	case 1:
-		return "reload " + g.name, func() { g.signal(syscall.SIGHUP) }
+		return "change the settings of " + g.name, g.changeSettings
 	case 2:
-		return "reload and stop " + g.name, func() {
-			g.signal(syscall.SIGHUP)
+		return "change the settings of and stop " + g.name, func() {
+			g.changeSettings()
 			g.signal(syscall.SIGTERM)
 		}
 	}
