Build the dispatcher's requests and the running time in one place each

Streams and calls filled in the same request, and both clients of upstreams had the same method for the time that the process ran. Behavior is unchanged.

--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -9,7 +9,6 @@
 
 	"lovageport.example/internal/coordination/dispatch"
 	"lovageport.example/internal/coordination/generation"
-	"lovageport.example/internal/coordination/quarantine"
 	"lovageport.example/internal/coordination/route"
 	"lovageport.example/internal/protocol/engine"
 	"lovageport.example/internal/transport/caller"
@@ -32,19 +31,12 @@
 	defer time.AfterFunc(upstream.SilenceTimeout, cancel)
 	content := fmt.Appendf(nil, "%d %s", maxTokens, request.Prompt)
 	gen := &generator{
-		entry:     e,
-		request:   request,
-		sink:      sink,
-		timer:     e.metrics.newTokenTimer(request.Body.Model),
-		assembler: generation.Assembler{Request: request.RequestID, Layers: model.Layers, MaxTokens: maxTokens},
-		placements: e.newPlacementClient(&dispatch.Request{
-			ID:          request.RequestID,
-			Pool:        pool.Name,
-			Accepted:    pool,
-			Account:     request.Account,
-			Fingerprint: quarantine.Fingerprint(request.Account.Name, pool.Name, content),
-			Cost:        maxTokens,
-		}, request.Timeout),
+		entry:      e,
+		request:    request,
+		sink:       sink,
+		timer:      e.metrics.newTokenTimer(request.Body.Model),
+		assembler:  generation.Assembler{Request: request.RequestID, Layers: model.Layers, MaxTokens: maxTokens},
+		placements: e.newPlacementClient(request.RequestID, request.Account, pool, content, maxTokens, request.Timeout),
 	}
 	if err := gen.placements.openAndSubmit(); err != nil {
 		return caller.GenerateResult{}, err
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"lovageport.example/internal/coordination/dispatch"
-	"lovageport.example/internal/coordination/quarantine"
 	"lovageport.example/internal/state/catalog"
 	"lovageport.example/internal/state/claim"
 	"lovageport.example/internal/transport/caller"
@@ -45,20 +44,13 @@
 	timeout := min(request.Timeout, service.Timeout.Duration)
 	content := fmt.Appendf(nil, "%s %s?%s %s", request.Method, request.Path, request.Query, request.Body)
 	c := &serviceCall{
-		entry:     e,
-		callerCtx: ctx,
-		request:   request,
-		service:   service,
-		operation: operation,
-		timeout:   timeout,
-		placements: e.newPlacementClient(&dispatch.Request{
-			ID:          request.RequestID,
-			Pool:        pool.Name,
-			Accepted:    pool,
-			Account:     request.Account,
-			Fingerprint: quarantine.Fingerprint(request.Account.Name, pool.Name, content),
-			Cost:        1,
-		}, timeout),
+		entry:      e,
+		callerCtx:  ctx,
+		request:    request,
+		service:    service,
+		operation:  operation,
+		timeout:    timeout,
+		placements: e.newPlacementClient(request.RequestID, request.Account, pool, content, 1, timeout),
 	}
 	if err := c.placements.open(); err != nil {
 		return nil, err
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -7,7 +7,10 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/dispatch"
+	"lovageport.example/internal/coordination/quarantine"
 	"lovageport.example/internal/coordination/route"
+	"lovageport.example/internal/state/catalog"
+	"lovageport.example/pkg/declaration"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -28,13 +31,22 @@
 	err       error
 }
 
-func (e *Entry) newPlacementClient(r *dispatch.Request, timeout time.Duration) *placementClient {
-	p := &placementClient{entry: e, request: r, results: make(chan placementResult, 1)}
+// newPlacementClient returns a client for a request that is accepted now and asks
+// for cost tokens.
+func (e *Entry) newPlacementClient(id string, account *declaration.Account, pool *catalog.Pool, content []byte, cost int, timeout time.Duration) *placementClient {
+	results := make(chan placementResult, 1)
 	now := time.Now()
-	r.Deadline = now.Add(timeout)
-	r.QueueDeadline = now.Add(min(timeout, e.Settings.Requests.QueueTimeout.Duration))
-	r.Reply = func(placement dispatch.Placement, err error) { p.results <- placementResult{placement, err} }
-	return p
+	return &placementClient{entry: e, results: results, request: &dispatch.Request{
+		ID:            id,
+		Pool:          pool.Name,
+		Accepted:      pool,
+		Account:       account,
+		Fingerprint:   quarantine.Fingerprint(account.Name, pool.Name, content),
+		Cost:          cost,
+		Deadline:      now.Add(timeout),
+		QueueDeadline: now.Add(min(timeout, e.Settings.Requests.QueueTimeout.Duration)),
+		Reply:         func(placement dispatch.Placement, err error) { results <- placementResult{placement, err} },
+	}}
 }
 
 var errStopped = verdict.RefuseUntil(time.Second, verdict.Draining, "entry has stopped")
--- a/internal/transport/upstream/connect.go
+++ b/internal/transport/upstream/connect.go
@@ -11,6 +11,17 @@
 	"lovageport.example/pkg/verdict"
 )
 
+// RunningFunc returns how much of a span this process ran. If it is nil, the
+// process ran all of it.
+type RunningFunc func(from, to time.Time) time.Duration
+
+func (f RunningFunc) of(from, to time.Time) time.Duration {
+	if f == nil {
+		return to.Sub(from)
+	}
+	return f(from, to)
+}
+
 // connectError is a failure to connect, which means that no byte was sent.
 type connectError struct {
 	err error
@@ -42,15 +53,15 @@
 }
 
 // limitDial limits the time to connect to [ConnectTimeout] and wraps failures in
-// [connectError]. running returns how much of a span this process ran.
-func limitDial(dial DialFunc, running func(from, to time.Time) time.Duration) DialFunc {
+// [connectError]. running may be set after the call.
+func limitDial(dial DialFunc, running *RunningFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, ConnectTimeout)
 		defer cancel()
 		begin := time.Now()
 		conn, err := dial(ctx, network, address)
 		if err != nil {
-			missed := ctx.Err() != nil && running(begin, time.Now()) < ConnectTimeout
+			missed := ctx.Err() != nil && running.of(begin, time.Now()) < ConnectTimeout
 			return nil, &connectError{err, missed || isLocal(err)}
 		}
 		return conn, nil
--- a/internal/transport/upstream/engines.go
+++ b/internal/transport/upstream/engines.go
@@ -36,9 +36,8 @@
 type EngineClient struct {
 	// Dial opens the connections of probes.
 	Dial DialFunc
-	// Running returns how much of a span this process ran. If nil, it ran all of
-	// it.
-	Running func(from, to time.Time) time.Duration
+	// Running returns how much of a span this process ran.
+	Running RunningFunc
 
 	client *http.Client
 }
@@ -52,7 +51,7 @@
 	e := &EngineClient{Dial: dial}
 	e.client = &http.Client{Transport: &http.Transport{
 		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
-		DialContext:            limitDial(dial, e.running),
+		DialContext:            limitDial(dial, &e.Running),
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        time.Minute,
 		DisableCompression:     true,
@@ -63,14 +62,6 @@
 // Close closes idle connections.
 func (e *EngineClient) Close() { e.client.CloseIdleConnections() }
 
-// running returns how much of a span this process ran.
-func (e *EngineClient) running(from, to time.Time) time.Duration {
-	if e.Running == nil {
-		return to.Sub(from)
-	}
-	return e.Running(from, to)
-}
-
 // post sends an attempt to the engine at address.
 func (e *EngineClient) post(ctx context.Context, address string, body []byte) (*http.Response, error) {
 	// The type of the body hides from net/http how to rewind it, so that it never
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -38,7 +38,7 @@
 	defer cancel()
 	begin := time.Now()
 	result := e.probe(ctx, address)
-	if result == ProbeUnanswered && ctx.Err() != nil && e.running(begin, time.Now()) < ProbeTimeout {
+	if result == ProbeUnanswered && ctx.Err() != nil && e.Running.of(begin, time.Now()) < ProbeTimeout {
 		return ProbeUnknown
 	}
 	return result
--- a/internal/transport/upstream/services.go
+++ b/internal/transport/upstream/services.go
@@ -57,9 +57,8 @@
 
 // ServiceClient calls plain services.
 type ServiceClient struct {
-	// Running returns how much of a span this process ran. If nil, it ran all of
-	// it.
-	Running func(from, to time.Time) time.Duration
+	// Running returns how much of a span this process ran.
+	Running RunningFunc
 
 	pooled *http.Client
 	dial   DialFunc
@@ -72,7 +71,7 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	s := &ServiceClient{}
-	s.dial = limitDial(dial, s.running)
+	s.dial = limitDial(dial, &s.Running)
 	s.pooled = newServiceClient(&http.Transport{
 		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
 		DialContext:            s.dial,
@@ -83,14 +82,6 @@
 	return s
 }
 
-// running returns how much of a span this process ran.
-func (s *ServiceClient) running(from, to time.Time) time.Duration {
-	if s.Running == nil {
-		return to.Sub(from)
-	}
-	return s.Running(from, to)
-}
-
 func newServiceClient(transport *http.Transport) *http.Client {
 	return &http.Client{
 		Transport: transport,
--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -185,7 +185,7 @@
 	now := time.Now()
 	wait := SilenceTimeout
 	for i, at := range s.lastSeen {
-		left := SilenceTimeout - s.client.running(at, now)
+		left := SilenceTimeout - s.client.Running.of(at, now)
 		if left <= 0 {
 			return s.stage(i), 0
 		}
