--- a/internal/transport/objectstore/untrusted_test.go
+++ b/internal/transport/objectstore/untrusted_test.go
@@ -1,11 +1,9 @@
 package objectstore
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -13,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"lovageport.example/internal/standin/scripted"
 	"lovageport.example/internal/state/store"
 )
 
@@ -22,35 +21,13 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveStore(conn, answer)
-		}
-	}()
+	s := &scripted.Server{Answer: func(n int, r *http.Request) (string, bool) { return answer(n, r), false }}
+	go s.Serve(listener)
 	c := &Client{Address: listener.Addr().String(), Timeout: time.Second}
 	t.Cleanup(func() { c.Close() })
 	return c
 }
 
-func serveStore(conn net.Conn, answer func(n int, r *http.Request) string) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for n := 0; ; n++ {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		if _, err := io.WriteString(conn, answer(n, r)); err != nil || r.Close {
-			return
-		}
-	}
-}
-
 func whole(status, body string) string {
 	return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 }
--- a/internal/transport/upstream/untrusted_test.go
+++ b/internal/transport/upstream/untrusted_test.go
@@ -1,76 +1,31 @@
 package upstream_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"lovageport.example/internal/protocol/engine"
+	"lovageport.example/internal/standin/scripted"
 	"lovageport.example/internal/transport/upstream"
 	"lovageport.example/pkg/verdict"
 )
 
-// scripted is an upstream that answers each request on a connection with bytes.
-type scripted struct {
-	net.Listener
-	// answer returns what to write after the n-th request of a connection,
-	// counted from 0, and whether to end the connection then.
-	answer func(n int, r *http.Request) (text string, end bool)
-	// reset ends connections with a reset.
-	reset bool
-}
-
-func startScripted(t *testing.T, s *scripted) string {
+// startScripted starts an upstream that answers with bytes.
+func startScripted(t *testing.T, s *scripted.Server) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	s.Listener = listener
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
+	go s.Serve(listener)
 	return listener.Addr().String()
 }
 
-func (s *scripted) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for n := 0; ; n++ {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		text, end := s.answer(n, r)
-		if _, err := io.WriteString(conn, text); err != nil {
-			return
-		}
-		if !end {
-			continue
-		}
-		if s.reset {
-			// Otherwise the bytes could be dropped before the client reads them.
-			time.Sleep(time.Millisecond)
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
-		return
-	}
-}
-
 // whole returns an answer with a body, which states an attempt if that is not empty.
 func whole(status, attempt, body string) string {
 	if attempt != "" {
@@ -90,8 +45,8 @@
 	for _, echoes := range []bool{true, false} {
 		for _, status := range []string{"200 OK", "503 Service Unavailable"} {
 			t.Run(fmt.Sprintf("echoes=%t/%s", echoes, status), func(t *testing.T) {
-				s := &scripted{}
-				s.answer = func(n int, r *http.Request) (string, bool) {
+				s := &scripted.Server{}
+				s.Answer = func(n int, r *http.Request) (string, bool) {
 					answer := func(attempt string) string {
 						id := ""
 						if echoes {
@@ -137,7 +92,7 @@
 				t.Run(fmt.Sprintf("%s/reset=%t/repeatable=%t", name, reset, repeatable), func(t *testing.T) {
 					t.Parallel()
 					var end atomic.Int32
-					address := startScripted(t, &scripted{reset: reset, answer: func(int, *http.Request) (string, bool) { return text[:end.Load()], true }})
+					address := startScripted(t, &scripted.Server{Reset: reset, Answer: func(int, *http.Request) (string, bool) { return text[:end.Load()], true }})
 					c := upstream.NewServiceClient(nil)
 					defer c.Close()
 					for cut := range len(text) {
@@ -168,7 +123,7 @@
 		"two attempts":   "HTTP/1.1 200 OK\r\nLovageport-Attempt: a1\r\nLovageport-Attempt: a0\r\nContent-Length: 5\r\n\r\nroses",
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startScripted(t, &scripted{answer: func(int, *http.Request) (string, bool) { return text, true }})
+			address := startScripted(t, &scripted.Server{Answer: func(int, *http.Request) (string, bool) { return text, true }})
 			c := upstream.NewServiceClient(nil)
 			defer c.Close()
 			_, err := c.Do(context.Background(), readCall(address, "a1", true))
@@ -215,7 +170,7 @@
 		t.Run(fmt.Sprintf("reset=%t", reset), func(t *testing.T) {
 			t.Parallel()
 			var end atomic.Int32
-			address := startScripted(t, &scripted{reset: reset, answer: func(int, *http.Request) (string, bool) { return text[:end.Load()], true }})
+			address := startScripted(t, &scripted.Server{Reset: reset, Answer: func(int, *http.Request) (string, bool) { return text[:end.Load()], true }})
 			c := upstream.NewEngineClient(nil)
 			defer c.Close()
 			for cut := range complete {
@@ -243,7 +198,7 @@
 		{"text", `busy`, verdict.MayHaveRun},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			address := startScripted(t, &scripted{answer: func(int, *http.Request) (string, bool) {
+			address := startScripted(t, &scripted.Server{Answer: func(int, *http.Request) (string, bool) {
 				return whole("503 Service Unavailable", "", x.refusal), false
 			}})
 			c := upstream.NewEngineClient(nil)
