Take no empty answer beside a silent attempt for the end that it contradicts

A stream ended as complete after three events although its engine had begun the fourth: the engine then fell silent, the next attempt, made beside it, answered with an empty stream, and what the first one had begun was forgotten as the next attempt's place replaced the stream's. The place keeps what it knows of the end now, and an empty answer that contradicts an earlier run does not end the silent attempt.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -152,7 +152,10 @@
 	if !a.begun() {
 		a.begin(ctx, s.lastEventID, s.sequence)
 	}
+	// The run before may have begun an event since this one began.
+	least := s.sequence.least
 	s.sequence = a.sequence
+	s.sequence.least = max(least, s.sequence.least)
 	a.reader.sequence = &s.sequence
 	return a, nil
 }
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -43,7 +43,11 @@
 func (s *eventSequence) resumeAfter(id string) { s.last, s.known = parseDecimal([]byte(id)) }
 
 // beginRun begins the events of a run.
-func (s *eventSequence) beginRun() { s.holds, s.resumed = false, s.known }
+func (s *eventSequence) beginRun() {
+	// The run before may still wait for what follows its last event.
+	s.breakOff(eventFields{})
+	s.resumed = s.known
+}
 
 // advance moves to the event with the given ID, or holds it. If it returns
 // errLargerStep the event is held, until accept is called or the run is broken off.
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -104,6 +104,8 @@
 		return a.detector.attribute(a.recordBrokenStream(a.resumeAfter, a.firstErr))
 	case a.resumeAfter == "":
 		return a.recordBrokenStream(a.resumeAfter, errNoEvent)
+	case a.sequence.checkEnd() != nil:
+		return a.recordBrokenStream(a.resumeAfter, a.sequence.checkEnd())
 	}
 	return nil
 }
