Count the platform's confirmations from the beginning of the call

An entry used the upstreams of other zones for longer than their loans allow without news of withdrawals: an answer of the platform that lay unread, because it was slow or the process stood still, counted as fresh when it was read. It holds from the beginning of its call on, at the earliest; that is what counts now, for polls, watches and the VM list.

Not covered: a heartbeat of a peer that lay unread here, since it does not say when it was sent.

--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -45,17 +45,18 @@
 	// stored object, or that there is none.
 	var wait time.Duration
 	for ctx.Err() == nil {
+		begin := time.Now()
 		found, err := e.objects.Watch(ctx, key, version, wait)
 		switch {
 		case err == nil && found.Version > version:
-			e.recordPlatformContact()
+			e.recordPlatformContact(begin)
 			if err := apply(found); err != nil {
 				e.Log.Warn("stored object rejected", zap.String("key", key), zap.Error(err))
 			}
 			version = found.Version
 			wait = watchWait
 		case errors.Is(err, store.ErrNotFound):
-			e.recordPlatformContact()
+			e.recordPlatformContact(begin)
 			notFound()
 			wait = watchWait
 		default:
@@ -65,12 +66,14 @@
 	return nil
 }
 
-// recordPlatformContact records that this entry has just reached the platform.
-func (e *Entry) recordPlatformContact() {
-	now := time.Now()
+// recordPlatformContact records that the platform has answered a call that began at
+// begin. Its answer holds from then on: it may have been unread for a while.
+func (e *Entry) recordPlatformContact(begin time.Time) {
 	e.control.Send(func(s *state) {
-		s.platformContactAt = now
-		s.recordConfirmation(0, now)
+		if begin.After(s.platformContactAt) {
+			s.platformContactAt = begin
+		}
+		s.recordConfirmation(0, begin)
 	})
 }
 
@@ -109,11 +112,12 @@
 // reachable.
 func (e *Entry) pollHead(ctx context.Context) error {
 	for loop.Sleep(ctx, headPollInterval) {
+		begin := time.Now()
 		head, err := e.repository.ReadHead(ctx)
 		if err != nil {
 			continue
 		}
-		e.recordPlatformContact()
+		e.recordPlatformContact(begin)
 		e.offerHead(head)
 	}
 	return nil
@@ -265,10 +269,12 @@
 func (e *Entry) pollVMs(ctx context.Context) error {
 	start := time.Now()
 	for {
+		begin := time.Now()
 		list, err := e.objects.VMs(ctx)
 		pause := vmPollInterval
 		e.control.Do(func(s *state) {
 			if err == nil {
+				s.recordConfirmation(0, begin)
 				e.applyVMList(s, list)
 			}
 			s.vmListRead = s.vmListRead || err == nil || len(e.Settings.Peers.Seeds) > 0 || time.Since(start) > vmListTimeout
@@ -287,7 +293,6 @@
 }
 
 func (e *Entry) applyVMList(s *state, list object.VMList) {
-	s.recordConfirmation(0, time.Now())
 	listed := e.seeds()
 	leaving := make(map[string]bool)
 	for _, vm := range list.VMs {
