Check that a peer's answer is an entry's and holds what it was sent

The secret was checked in calls of peers, but not in their answers. A process that listens where an entry has ended could have all upstreams of a system ejected and its entries wait for a configuration that does not exist. And an operator was told that a withdrawal is in force at every entry that had answered, whatever the answer held.

Answers to heartbeats and to exchanges of withdrawals must carry the secret, which every build of an entry sends. An entry counts as applying a withdrawal only if its answer holds it. What the answer to a heartbeat says is true from the call on, as with the platform's answers.

Open: replies with shards carry no secret; an entry asks for them only at addresses whose heartbeats carried it.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -78,7 +78,9 @@
 	p.Generation = reported.Generation
 	p.Withdrawals = reported.Withdrawals
 	p.Draining = reported.Draining
-	p.LastHeard = now
+	if now.After(p.LastHeard) {
+		p.LastHeard = now
+	}
 }
 
 // MarkSynced records that the withdrawals of a peer have been merged or that it
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/subtle"
+	"errors"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"lovageport.example/internal/coordination/quarantine"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
+	"lovageport.example/internal/state/withdrawal"
 	"lovageport.example/internal/transport/peer"
 )
 
@@ -84,13 +87,17 @@
 // withdrawals differ, it exchanges them. A peer that does not answer is marked as
 // synced too, so that readiness does not wait for it.
 func (e *Entry) sendHeartbeat(ctx context.Context, p membership.Peer, heartbeat *peering.Heartbeat) {
+	begin := time.Now()
 	answer, err := e.peerClient.Heartbeat(ctx, p.Address, heartbeat)
+	if err == nil {
+		err = e.checkSecret(answer.Secret)
+	}
 	if err != nil {
 		e.control.Do(func(s *state) { s.members.MarkSynced(p.Name) })
 		e.Log.Debug("peer unreachable", zap.String("peer", p.Name), zap.Error(err))
 		return
 	}
-	if !e.handleHeartbeat(answer) {
+	if !e.handleHeartbeat(answer, begin) {
 		return
 	}
 	if _, err := e.exchangeWithdrawals(ctx, p.Address); err != nil {
@@ -134,12 +141,20 @@
 	return message
 }
 
-// handleHeartbeat records a peer's heartbeat. It reports whether the peer's
-// withdrawals differ from those known here.
-func (e *Entry) handleHeartbeat(heartbeat *peering.Heartbeat) bool {
+// checkSecret returns an error unless the answer of a peer carries the entries'
+// secret. Another process may listen at the address of one that has ended.
+func (e *Entry) checkSecret(secret string) error {
+	if subtle.ConstantTimeCompare([]byte(secret), []byte(e.Settings.Peers.Secret)) != 1 {
+		return peer.ErrWrongSecret
+	}
+	return nil
+}
+
+// handleHeartbeat records a peer's heartbeat, which was true at now or later. It
+// reports whether the peer's withdrawals differ from those known here.
+func (e *Entry) handleHeartbeat(heartbeat *peering.Heartbeat, now time.Time) bool {
 	differs, behind := false, false
 	e.control.Do(func(s *state) {
-		now := time.Now()
 		s.members.Update(membership.Peer{
 			Name:        heartbeat.Entry,
 			Zone:        heartbeat.Zone,
@@ -177,14 +192,25 @@
 	s.dispatcher.Suspicions.Add(suspicion.Fingerprint, crashes, now)
 }
 
+// errNotMerged is returned if the answer of a peer lacks a withdrawal that it was
+// sent.
+var errNotMerged = errors.New("entry: the peer has not merged the withdrawals")
+
 // exchangeWithdrawals sends a peer all withdrawals known here and merges those in
-// its answer. It returns the peer's name.
+// its answer, which must hold what was sent. It returns the peer's name.
 func (e *Entry) exchangeWithdrawals(ctx context.Context, address string) (string, error) {
-	answer, err := e.peerClient.Exchange(ctx, address, e.withdrawalMessage())
+	message := e.withdrawalMessage()
+	answer, err := e.peerClient.Exchange(ctx, address, message)
+	if err == nil {
+		err = e.checkSecret(answer.Secret)
+	}
 	if err != nil {
 		return "", err
 	}
 	e.mergeWithdrawals(answer.Withdrawals)
+	if !withdrawal.Merged(answer.Withdrawals, message.Withdrawals) {
+		return "", errNotMerged
+	}
 	return answer.Entry, nil
 }
 
@@ -204,7 +230,7 @@
 	return &peer.Handler{
 		Secret: e.Settings.Peers.Secret,
 		Heartbeat: func(_ context.Context, message *peering.Heartbeat) (*peering.Heartbeat, error) {
-			e.handleHeartbeat(message)
+			e.handleHeartbeat(message, time.Now())
 			return e.newHeartbeat(), nil
 		},
 		Exchange: func(_ context.Context, message *peering.WithdrawalExchange) (*peering.WithdrawalExchange, error) {
--- a/internal/state/withdrawal/withdrawal.go
+++ b/internal/state/withdrawal/withdrawal.go
@@ -96,6 +96,22 @@
 	return changed
 }
 
+// Merged reports whether all is a set with which sent was merged. It need not hold
+// withdrawals that are lifted, since those are forgotten some day.
+func Merged(all, sent []Withdrawal) bool {
+	held := make(map[string]Withdrawal, len(all))
+	for _, w := range all {
+		held[w.ID] = w
+	}
+	for _, w := range sent {
+		other, ok := held[w.ID]
+		if !ok && !w.Lifted || ok && w.Lifted && !other.Lifted {
+			return false
+		}
+	}
+	return true
+}
+
 // Prune removes the withdrawals that were lifted longer than Retention ago.
 func (s *Set) Prune(now time.Time) {
 	for id, w := range s.byID {
