Close a quiet connection at once when a drain ends it

A connection that a drain ended although nothing was on its way stayed open for reading until the next look of the drain, in the worst case for half a second: a request that crossed the end was discarded, and its caller learnt of that later than needed. Found by reading; TestRequestAfterTheEndIsResetAtOnce passes before too, since a drain mostly looks again after 10 ms.

--- a/internal/transport/drain/conn.go
+++ b/internal/transport/drain/conn.go
@@ -26,9 +26,10 @@
 	// that it has set since it last had no request.
 	deadline  time.Time
 	deadlines int
-	// peerEnded is set when a read has found that the caller has ended the
-	// connection or that it is broken, closed when the server has closed it.
-	peerEnded, closed bool
+	// ended is set when a read has found that the caller has ended the connection,
+	// that it is broken, or that a drain ends it; closed when the server has closed
+	// it.
+	ended, closed bool
 }
 
 // Read implements [io.Reader]. It returns [io.EOF] if a drain ends the connection.
@@ -40,13 +41,14 @@
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.recordPeerEnd()
+			c.recordEnd()
 			return n, err
 		}
 		if !c.wasInterrupted() {
 			return n, err
 		}
 		if c.mayEnd() {
+			c.recordEnd()
 			return 0, io.EOF
 		}
 	}
@@ -58,10 +60,10 @@
 	c.busy = true
 }
 
-func (c *conn) recordPeerEnd() {
+func (c *conn) recordEnd() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peerEnded = true
+	c.ended = true
 }
 
 func (c *conn) recordQuiet() {
@@ -141,15 +143,17 @@
 // Close implements [net.Conn]. It closes the connection for writing and discards what
 // the caller still sends for a while: the kernel resets a connection that is closed
 // with unread data, and a reset destroys what the caller has not read of its answer.
+// A connection that has ended without an answer on its way is closed at once, so that
+// the caller of a request that crosses its end learns of that at once.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	again, peerEnded := c.closed, c.peerEnded
+	again, ended := c.closed, c.ended
 	c.closed = true
 	c.mu.Unlock()
 	switch {
 	case again:
 		return net.ErrClosed
-	case peerEnded || c.CloseWrite() != nil:
+	case ended || c.CloseWrite() != nil:
 		defer c.listener.remove(c)
 		return c.Conn.Close()
 	}
--- a/internal/transport/drain/pipelining_test.go
+++ b/internal/transport/drain/pipelining_test.go
@@ -86,3 +86,24 @@
 	qt.Check(t, len(body), qt.Equals, size)
 	qt.Check(t, <-drained, qt.IsNil)
 }
+
+// TestRequestAfterTheEndIsResetAtOnce guards against a caller whose request crosses the
+// end of its quiet connection and that waits for an answer, because the connection
+// still takes requests that nobody reads.
+func TestRequestAfterTheEndIsResetAtOnce(t *testing.T) {
+	const limit = 250 * time.Millisecond
+	s := serve(t, func(http.ResponseWriter, *http.Request) {})
+	c := s.dial(t)
+	c.write(get)
+	qt.Assert(t, c.answer(), qt.Equals, http.StatusOK)
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(context.Background()) }()
+	_, err := c.reader.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+	began := time.Now()
+	for err = nil; err == nil && time.Since(began) < limit; time.Sleep(time.Millisecond) {
+		_, err = c.Write([]byte(get))
+	}
+	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, <-drained, qt.IsNil)
+}
