--- a/internal/endtoend/stop_test.go
+++ b/internal/endtoend/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -42,6 +44,7 @@
 	signal := func(s syscall.Signal) { qt.Assert(t, e.command.Process.Signal(s), qt.IsNil) }
 	if x.standstill {
 		signal(syscall.SIGSTOP)
+		awaitStopped(t, e)
 		defer signal(syscall.SIGCONT)
 	}
 	for i, s := range x.signals {
@@ -53,6 +56,30 @@
 	}
 }
 
+// awaitStopped waits until all threads of an entry have stopped after SIGSTOP. One that
+// still runs could take a signal, so that the next one is another.
+func awaitStopped(t *testing.T, e *process) {
+	for end := time.Now().Add(startTimeout); !isStopped(t, e.command.Process.Pid); time.Sleep(pollInterval) {
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("entry at %s has not stopped", e.operators))
+	}
+}
+
+// isStopped reports whether all threads of a process are stopped.
+func isStopped(t *testing.T, pid int) bool {
+	stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	qt.Assert(t, err, qt.IsNil)
+	for _, path := range stats {
+		text, err := os.ReadFile(path)
+		qt.Assert(t, err, qt.IsNil)
+		// The state follows the name, which is in parentheses.
+		_, state, _ := strings.Cut(string(text), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(stats) > 0
+}
+
 // awaitNotReady waits until an entry reports that it is not ready.
 func awaitNotReady(t *testing.T, e *process) {
 	for end := time.Now().Add(startTimeout); isReady(e); time.Sleep(pollInterval) {
