Have all upstreams fall silent for a moment in the soak

Runs with standstills now also hold back all data of the upstreams for 0.1 to 0.9 s, which is what a standstill of their machine looks like to the gateways.

Two bounds of the checks took the load of the machine for a fault. A call whose connection no process has accepted was excused if it failed within 200 ms; with 16 gateways and a load average of 44 such calls took up to 0.4 s. The proxy now records the connections that its target refused, so that these calls are excused whatever they took; all others are checked as before. In runs with standstills, which are new, an answer may be later by the longest standstill.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -60,6 +60,8 @@
 	header http.Header
 	body   string
 	err    error
+	// conn is the client's address of the last connection of the call.
+	conn string
 	// executions is the number of requests of the call that reached upstreams. The
 	// checks set it.
 	executions int
@@ -140,11 +142,12 @@
 	return "/" + k.kind + "/" + k.id
 }
 
-// trace returns hooks that record when the client takes another connection for the
-// call than the first.
+// trace returns hooks that record the connection of the call, and when the client
+// takes another one than the first.
 func (k *call) trace() *httptrace.ClientTrace {
 	first := true
-	return &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		k.conn = info.Conn.LocalAddr().String()
 		if !first {
 			k.resent = append(k.resent, time.Now())
 		}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -179,7 +179,7 @@
 	if k.kind != streamKind {
 		limit = plainServiceTimeout
 	}
-	if took > limit+deadlineTolerance {
+	if took > limit+deadlineTolerance+c.system.standstill {
 		c.report("calls are answered by their deadline", k)
 	}
 }
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -99,10 +99,13 @@
 	lateStopStart = 3 * time.Second
 )
 
-// mayBeCut reports whether a long stream may be cut off in planned maintenance: at
-// its deadline, or because the process that served it has to end. Other calls may
-// not, since they end long before either.
+// mayBeCut reports whether a call may be cut off in planned maintenance: if no process
+// accepted its connection, and a long stream also at its deadline or because the
+// process that served it has to end. Other calls end long before either.
 func (c *checker) mayBeCut(k *call) bool {
+	if len(c.executions[k.id]) == 0 && !k.gateway.callerProxy.refusedAt(k.conn).Before(k.sent) {
+		return true
+	}
 	if k.timeout != longCallTimeout {
 		return false
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -36,6 +36,9 @@
 	mu       sync.Mutex
 	faults   map[*ProxyFault]bool
 	conns    map[net.Conn]bool
+	// refused holds when connections were reset because the target refused them, by
+	// the address of their other end.
+	refused map[string]time.Time
 	// changed is closed and replaced when faults changes.
 	changed chan struct{}
 	closed  bool
@@ -53,6 +56,7 @@
 		listener: listener,
 		faults:   make(map[*ProxyFault]bool),
 		conns:    make(map[net.Conn]bool),
+		refused:  make(map[string]time.Time),
 		changed:  make(chan struct{}),
 	}
 	p.running.Go(p.accept)
@@ -141,6 +145,7 @@
 	defer p.untrack(from)
 	to, err := net.Dial("tcp", p.target)
 	if err != nil {
+		p.recordRefused(from)
 		reset(from)
 		return
 	}
@@ -161,6 +166,21 @@
 	copying.Wait()
 }
 
+// recordRefused records that the target has refused a connection.
+func (p *Proxy) recordRefused(from net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused[from.RemoteAddr().String()] = time.Now()
+}
+
+// refusedAt returns when the target refused the last connection from an address, or
+// the zero time.
+func (p *Proxy) refusedAt(address string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused[address]
+}
+
 // track records an open connection. It reports false if the proxy has been
 // closed.
 func (p *Proxy) track(c net.Conn) bool {
--- a/internal/soak/storm.go
+++ b/internal/soak/storm.go
@@ -19,8 +19,10 @@
 	// minUnusedRoutes and maxUnusedRoutes bound the size of a large configuration.
 	minUnusedRoutes, maxUnusedRoutes = 1000, 3000
 	minStandstill, maxStandstill     = 100 * time.Millisecond, 600 * time.Millisecond
-	meanStormInterval                = 2 * time.Second
-	meanStandstillInterval           = 500 * time.Millisecond
+	// maxUpstreamStandstill is below plainServiceTimeout.
+	maxUpstreamStandstill  = 900 * time.Millisecond
+	meanStormInterval      = 2 * time.Second
+	meanStandstillInterval = 500 * time.Millisecond
 	// drainNotice is how long a gateway serves as before after it was told to stop.
 	drainNotice = 2500 * time.Millisecond
 )
@@ -54,8 +56,13 @@
 	return out
 }
 
-// drawStandstill draws a standstill of a process.
+// drawStandstill draws a standstill of a gateway or, more seldom, one of the machine
+// of the upstreams, whose data come late.
 func (s *stormScheduler) drawStandstill() (string, func()) {
+	if s.rng.IntN(6) == 0 {
+		length := s.drawDuration(minStandstill, maxUpstreamStandstill)
+		return fmt.Sprintf("upstreams stand still for %v", length), func() { s.system.silenceUpstreams(length) }
+	}
 	g := s.system.gateways[s.rng.IntN(len(s.system.gateways))]
 	length := s.drawDuration(minStandstill, maxStandstill)
 	return fmt.Sprintf("stand still %s for %v", g.name, length), func() { g.standStill(length) }
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -45,6 +45,8 @@
 	// storms is set if each key has routes of its own and streams may last for
 	// seconds.
 	storms bool
+	// standstill is the longest standstill of a process that a run has.
+	standstill time.Duration
 	// recoveryCalls holds the calls of checkRecovery.
 	recoveryCalls []*call
 }
@@ -107,6 +109,7 @@
 			g.variables = []string{fmt.Sprint("GOMAXPROCS=", p.MaxProcs)}
 		}
 		if p.Standstills {
+			s.standstill = maxStandstill
 			g.drawDrainStandstill = newDrainStandstills(p.Seed, i)
 		}
 		g.report = s.reportViolation
@@ -242,6 +245,14 @@
 	s.markAvailable(upstream)
 }
 
+// silenceUpstreams holds back all data from the upstreams for a time.
+func (s *system) silenceUpstreams(length time.Duration) {
+	for _, p := range s.upstreamProxies {
+		defer p.Inject(ProxyFault{StallFromTarget: true})()
+	}
+	time.Sleep(length)
+}
+
 // crash resets the connections to an upstream for a duration, unless it is
 // unavailable already. Its entry is removed from the store after entryExpiry.
 func (s *system) crash(upstream int, length time.Duration) {
