Refuse the ID of an accepted change with another set

An operator who applied a set under the ID of a change that had been accepted was told that it is accepted, whatever it held, while the earlier one stayed in force. An entry compares the set with the configuration in force, as long as that is the one of the change, and refuses another one as invalid. Once a later change is in force the head does not tell any more what the earlier one held; a repeat is then answered as before.

TestChangeIDWithAnotherSetIsRefused failed before and passes.

--- a/internal/entry/configuration_test.go
+++ b/internal/entry/configuration_test.go
@@ -274,3 +274,16 @@
 		}
 	})
 }
+
+// TestChangeIDWithAnotherSetIsRefused guards against an operator who is told that a
+// change is accepted although it was taken for an earlier one with the same ID.
+func TestChangeIDWithAnotherSetIsRefused(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		f.addAccount("one")
+		f.apply("wien-entry", "second", 1)
+		f.addAccount("two")
+		_, err := f.tryApply("graz-entry", "second", 1)
+		qt.Check(t, connect.CodeOf(err), qt.Equals, connect.CodeInvalidArgument)
+		qt.Check(t, f.apply("graz-entry", "third", 2).Generation, qt.Equals, int64(3))
+	})
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -60,7 +60,7 @@
 }
 
 // apply stores a set as the accepted configuration and waits until it is in force
-// here.
+// here. It refuses the ID of an accepted change with another set.
 func (e *Entry) apply(ctx context.Context, changeID, operatorName string, expected int64, set declaration.Set) (configuration.Change, bool, error) {
 	change, repeated, err := e.repository.Apply(ctx, changeID, operatorName, expected, set, e.control.view.Load().catalog.Snapshot.Head)
 	e.Log.Info("configuration change",
@@ -76,9 +76,19 @@
 	e.control.Do(func(s *state) { s.adopter.ObserveGeneration(change.Generation) })
 	e.wakeAdopter()
 	e.awaitAdopted(ctx, change.Generation)
+	if repeated && !e.holds(change, set) {
+		return configuration.Change{}, false, configuration.ErrChangeReused
+	}
 	return change, repeated, nil
 }
 
+// holds reports whether a change has led to a set, as far as this can be told: once
+// a later change is in force it cannot.
+func (e *Entry) holds(change configuration.Change, set declaration.Set) bool {
+	inForce := e.control.view.Load().catalog.Snapshot
+	return inForce.Head.Generation != change.Generation || len(configuration.Diff(inForce.Set, set)) == 0
+}
+
 // awaitAdopted waits until a generation is in force here, and then notifies the
 // peers of it.
 func (e *Entry) awaitAdopted(ctx context.Context, generation int64) {
--- a/internal/state/configuration/repository.go
+++ b/internal/state/configuration/repository.go
@@ -20,6 +20,10 @@
 // Sending the change again with the same ID is safe and reveals the outcome.
 var ErrUnknownOutcome = errors.New("configuration: outcome unknown; send the same change ID again")
 
+// ErrChangeReused is returned for a change whose ID is that of an accepted change
+// with another set.
+var ErrChangeReused = errors.New("configuration: the change ID was used for another set")
+
 // ConflictError is returned for a change that is based on a generation other
 // than the one in force.
 type ConflictError struct {
--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -166,14 +166,16 @@
 }
 
 // applyError maps an error of Apply to a Connect code that tells the client how
-// to proceed: Aborted to resolve a conflict first, Unknown if the change may have
-// been applied, Unavailable to try again.
+// to proceed: Aborted to resolve a conflict first, InvalidArgument to use another
+// ID, Unknown if the change may have been applied, Unavailable to try again.
 func applyError(err error) error {
 	var conflict *configuration.ConflictError
 	var notSent *store.NotSentError
 	switch {
 	case errors.As(err, &conflict):
 		return connect.NewError(connect.CodeAborted, err)
+	case errors.Is(err, configuration.ErrChangeReused):
+		return connect.NewError(connect.CodeInvalidArgument, err)
 	case errors.Is(err, configuration.ErrUnknownOutcome):
 		return connect.NewError(connect.CodeUnknown, err)
 	case errors.As(err, &notSent):
