Give the test of a drain's end more time between its steps

Beside load the notice period of 200 ms could end before the test stopped the process, 100 ms into it. The entries of this test have a notice period of 1 s, and the process is stopped in its middle.

--- a/internal/endtoend/drain_test.go
+++ b/internal/endtoend/drain_test.go
@@ -61,7 +61,8 @@
 func TestArrivedRequestsAreAnsweredBeforeTheEnd(t *testing.T) {
 	for _, listener := range []string{"callers", "operators"} {
 		t.Run(listener, func(t *testing.T) {
-			s := startSystem(t, 1)
+			const notice = time.Second
+			s := startSystemWithNotice(t, notice, 1)
 			e := s.entries[0]
 			address, path := e.callers, "/v1/models"
 			if listener == "operators" {
@@ -73,12 +74,12 @@
 			}
 			process := e.command.Process
 			qt.Assert(t, process.Signal(syscall.SIGTERM), qt.IsNil)
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(notice / 2)
 			qt.Assert(t, process.Signal(syscall.SIGSTOP), qt.IsNil)
 			for _, k := range kept {
 				qt.Assert(t, k.send(), qt.IsNil)
 			}
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(notice)
 			qt.Assert(t, process.Signal(syscall.SIGCONT), qt.IsNil)
 			lost := 0
 			for _, k := range kept {
--- a/internal/endtoend/process_test.go
+++ b/internal/endtoend/process_test.go
@@ -46,6 +46,8 @@
 	platform  string
 	upstreams []declaration.Upstream
 	entries   []*process
+	// notice is the notice period of a drain.
+	notice time.Duration
 }
 
 // process is a running program. The addresses are set for entries only.
@@ -101,11 +103,19 @@
 	operatorKey = "op-admin"
 )
 
+// drainNotice is the notice period of entries, unless a test needs another.
+const drainNotice = 200 * time.Millisecond
+
 // startSystem starts a platform, an engine for each third of the model, a
 // plain service and entries, and applies the declaration with the command
 // line.
 func startSystem(t testing.TB, entries int, engineArgs ...string) *system {
-	s := &system{t: t, dir: t.TempDir(), platform: freeAddress(t)}
+	return startSystemWithNotice(t, drainNotice, entries, engineArgs...)
+}
+
+// startSystemWithNotice is startSystem with entries that have a given notice period.
+func startSystemWithNotice(t testing.TB, notice time.Duration, entries int, engineArgs ...string) *system {
+	s := &system{t: t, dir: t.TempDir(), platform: freeAddress(t), notice: notice}
 	startProgram(t, "standin", "platform", "--listen", s.platform, "--credential", "vm")
 	for i := range 3 {
 		u := declaration.Upstream{
@@ -149,7 +159,7 @@
 	fmt.Fprintf(&b, "[Platform]\nAddress = %q\nCredential = \"vm\"\n", s.platform)
 	fmt.Fprintf(&b, "[Peers]\nSecret = \"secret\"\n")
 	fmt.Fprintf(&b, "[Operators]\nBootstrapKeyHash = %q\n", catalog.HashKey(operatorKey))
-	fmt.Fprintf(&b, "[Drain]\nNotice = \"200ms\"\n")
+	fmt.Fprintf(&b, "[Drain]\nNotice = %q\n", s.notice.String())
 	for _, other := range s.entries {
 		if other != e {
 			fmt.Fprintf(&b, "[[Peers.Seeds]]\nName = %q\nZone = \"wien\"\nAddress = %q\n", "entry-"+strings.ReplaceAll(other.peers, ":", "-"), other.peers)
