--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -88,8 +88,19 @@
 
 // report records that a call violated a guarantee.
 func (c *checker) report(guarantee string, k *call) {
-	c.system.reportViolation(guarantee, fmt.Sprintf("%s at %s took %v: status %d, error %v, %d executions, key %s, sent %s, body %.80q",
-		k.id, k.gateway.name, k.ended.Sub(k.sent).Round(time.Millisecond), k.status, k.err, len(c.executions[k.id]), k.key, k.sent.Format("15:04:05.000"), k.body))
+	c.system.reportViolation(guarantee, fmt.Sprintf("%s at %s took %v: status %d, error %v, %d executions, key %s, sent %s to process %d%s, body %.80q",
+		k.id, k.gateway.name, k.ended.Sub(k.sent).Round(time.Millisecond), k.status, k.err, len(c.executions[k.id]), k.key, k.sent.Format("15:04:05.000"),
+		k.incarnation, k.sinceStop(), k.body))
+}
+
+// sinceStop tells how long before the call its process had been told to stop, if it
+// had.
+func (k *call) sinceStop() string {
+	stop, ok := k.gateway.stopRequestedOf(k.incarnation)
+	if !ok || stop.After(k.sent) {
+		return ""
+	}
+	return fmt.Sprintf(" (told to stop %v before)", k.sent.Sub(stop).Round(time.Millisecond))
 }
 
 // checkResponse checks that a successful response comes from an upstream and
