Notice an upstream that crashes within the body of its answer to a call

A call that crashes each upstream after the head of its answer was sent to all of them in turn: the check whether the upstream has crashed was made only if no head had arrived, so that the request was never quarantined.

It is made now whenever a call ended early and may have run.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -134,7 +134,7 @@
 	if e.Reason == verdict.CallerGone {
 		return e
 	}
-	if e.Reason == verdict.UpstreamLost && head.Status == 0 {
+	if e.Reason == verdict.UpstreamLost && e.Run == verdict.MayHaveRun {
 		g.checkCrash(context.Background(), q, to.upstream)
 	}
 	g.control.Do(func(s *state) { s.attributeFailure(q, to, e, head, g.Now()) })
