--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -64,48 +64,40 @@
 	return nil
 }
 
-func (h *Handler) heartbeat(ctx context.Context, in *peering.Heartbeat) (*peering.Heartbeat, error) {
-	if err := h.check(in.Secret); err != nil {
-		return nil, err
-	}
-	if h.Heartbeat == nil {
+// answer calls f, or rejects the call if f is nil.
+func answer[In, Out any](ctx context.Context, f func(context.Context, *In) (*Out, error), in *In) (*Out, error) {
+	if f == nil {
 		return nil, ErrUnsupportedCall
 	}
-	return h.Heartbeat(ctx, in)
+	return f(ctx, in)
 }
 
-func (h *Handler) exchange(ctx context.Context, in *peering.WithdrawalExchange) (*peering.WithdrawalExchange, error) {
-	if err := h.check(in.Secret); err != nil {
+// answerWithSecret is like answer for a call that must carry the shared secret.
+func answerWithSecret[In, Out any](ctx context.Context, h *Handler, secret string, f func(context.Context, *In) (*Out, error), in *In) (*Out, error) {
+	if err := h.check(secret); err != nil {
 		return nil, err
 	}
-	if h.Exchange == nil {
-		return nil, ErrUnsupportedCall
-	}
-	return h.Exchange(ctx, in)
+	return answer(ctx, f, in)
+}
+
+func (h *Handler) heartbeat(ctx context.Context, in *peering.Heartbeat) (*peering.Heartbeat, error) {
+	return answerWithSecret(ctx, h, in.Secret, h.Heartbeat, in)
+}
+
+func (h *Handler) exchange(ctx context.Context, in *peering.WithdrawalExchange) (*peering.WithdrawalExchange, error) {
+	return answerWithSecret(ctx, h, in.Secret, h.Exchange, in)
 }
 
 func (h *Handler) shards(ctx context.Context, in *peering.ShardRequest) (*peering.ShardReply, error) {
-	if err := h.check(in.Secret); err != nil {
-		return nil, err
-	}
-	if h.Shards == nil {
-		return nil, ErrUnsupportedCall
-	}
-	return h.Shards(ctx, in)
+	return answerWithSecret(ctx, h, in.Secret, h.Shards, in)
 }
 
 func (h *Handler) news(ctx context.Context, in *peering.News) (*peering.News, error) {
-	if h.News == nil {
-		return nil, ErrUnsupportedCall
-	}
-	return h.News(ctx, in)
+	return answer(ctx, h.News, in)
 }
 
 func (h *Handler) lists(ctx context.Context, in *peering.ListsRequest) (*peering.Lists, error) {
-	if h.Lists == nil {
-		return nil, ErrUnsupportedCall
-	}
-	return h.Lists(ctx, in)
+	return answer(ctx, h.Lists, in)
 }
 
 func (h *Handler) update(ctx context.Context, in *peering.Update) (*peering.Update, error) {
