Do not queue the search for a successor, and blame a stage once per silence

Callers were refused with 503 (deadline_unmeetable) while an upstream was free: one slow call, or silent stream, that looked for another upstream although none was left that it had not excluded was queued, and the queue of its service stopped at it.

A request of which an attempt runs is not queued any more: if no target is free, or others wait, its search fails at once, and the next check asks again.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -105,16 +105,22 @@
 	}
 }
 
-// admit assigns a target to a request, queues it, or refuses it.
+// admit assigns a target to a request, queues it, or refuses it. A request of which
+// an attempt runs is not queued: it would hold up those of which none does.
 func (s *state) admit(w *waiter, now time.Duration) {
 	q := w.q
+	runs := q.isHandingOver()
 	if s.queue.Len(q.service) == 0 {
 		to, err := s.assign(q, now)
-		if err == nil || !mayBeQueued(err) {
+		if err == nil || runs || !mayBeQueued(err) {
 			w.reply <- admissionResult{to, err}
 			return
 		}
 	}
+	if runs {
+		w.reply <- admissionResult{err: verdict.Refuse(verdict.QueueFull, "requests of %s wait of which no attempt runs", q.service)}
+		return
+	}
 	item := admission.Item{
 		Pool:     q.service,
 		Account:  q.account,
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,9 +37,10 @@
 	timer            *time.Timer
 	started, stopped bool
 	checks           int
-	// replaced reports whether a stage was replaced since the last event.
-	// Guarded by mu.
+	// replaced reports whether a stage was replaced since the last event, and blamed
+	// holds the upstreams that were found at fault since. Guarded by mu.
 	replaced bool
+	blamed   []string
 	// successor is the next attempt, for which this one was cancelled; nil if there
 	// is none. Guarded by mu.
 	successor *streamAttempt
@@ -107,7 +109,7 @@
 	default:
 		d.meanInterval += time.Duration(intervalWeight * float64(now-d.lastEventAt-d.meanInterval))
 	}
-	d.started, d.lastEventAt, d.replaced = true, now, false
+	d.started, d.lastEventAt, d.replaced, d.blamed = true, now, false, nil
 	d.handover.drop()
 	d.schedule(0)
 	return true
@@ -191,16 +193,24 @@
 	return true
 }
 
-// attributeStall records that stage i is at fault, unless the stream continues,
-// and reports whether it did.
+// attributeStall records that stage i is at fault, unless the stream continues or has
+// ended, and reports whether it did. A stage is blamed once for a silence: to exclude
+// it at each check would put off the probe that ends its exclusion.
 func (d *stallDetector) attributeStall(to target, i int, lastEventAt time.Duration) bool {
+	instance := to.chain[i].Upstream.Instance
 	d.mu.Lock()
-	continues := d.continues(lastEventAt)
-	d.mu.Unlock()
-	if continues {
+	if d.stopped || d.continues(lastEventAt) {
+		d.mu.Unlock()
 		return false
 	}
-	d.g.control.Do(func(s *state) { s.attributeStall(d.q, to, i, d.g.Now()) })
+	again := slices.Contains(d.blamed, instance)
+	if !again {
+		d.blamed = append(d.blamed, instance)
+	}
+	d.mu.Unlock()
+	if !again {
+		d.g.control.Do(func(s *state) { s.attributeStall(d.q, to, i, d.g.Now()) })
+	}
 	return true
 }
 
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -254,3 +254,34 @@
 	i, _ := g.checkStages(to, []int{0})
 	c.Check(i, qt.Equals, -1)
 }
+
+// TestStageIsBlamedOncePerSilence guards against an exclusion that each check of a
+// stream that is kept renews, so that the probe that ends it is never due.
+func TestStageIsBlamedOncePerSilence(t *testing.T) {
+	c := qt.New(t)
+	g, h := handoverGateway(t)
+	now := time.Minute
+	g.Now = func() time.Duration { return now }
+	e1 := engine("e1", 10)
+	to := target{upstream: e1, chain: []relay.Stage{{Upstream: e1}}}
+	d := &stallDetector{g: g, q: h.q, target: to, timer: time.NewTimer(time.Hour), handover: handover{g: g, q: h.q}}
+	excludedFor := func() (left time.Duration) {
+		g.control.Do(func(s *state) {
+			for _, x := range s.health.Exclusions(now) {
+				left = x.Remaining
+			}
+		})
+		return left
+	}
+	c.Assert(d.attributeStall(to, 0, 0), qt.IsTrue)
+	first := excludedFor()
+	c.Assert(first > 0, qt.IsTrue)
+	now += 100 * time.Millisecond
+	c.Assert(d.attributeStall(to, 0, 0), qt.IsTrue)
+	c.Check(excludedFor(), qt.Equals, first-100*time.Millisecond)
+	d.recordEvent(now, eventSequence{})
+	c.Assert(d.attributeStall(to, 0, now), qt.IsTrue)
+	c.Check(excludedFor(), qt.Equals, first)
+	d.stopped = true
+	c.Check(d.attributeStall(to, 0, now), qt.IsFalse)
+}
