Leave attempts for a stream that breaks after its successors have failed

A stream whose engine was silent for some seconds, went on and then broke was cut with the reason retry_limit: attempts made beside it, which were refused, had used up the eight that a request may have.

Two of them are not available beside a running attempt. TestFailedSuccessorsLeaveAttempts fails without that.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -44,6 +44,10 @@
 // refused.
 const maxAttempts = 8
 
+// reservedAttempts are those that are not made beside a running one, which may break
+// after the others have failed.
+const reservedAttempts = 2
+
 // waiter is a request that asks for a target.
 type waiter struct {
 	q     *request
@@ -282,7 +286,11 @@
 	if pool == nil {
 		return target{}, verdict.Refuse(verdict.NoUpstream, "no upstream of %s is in service", q.service)
 	}
-	if n := q.history().attempts; n >= maxAttempts {
+	limit := maxAttempts
+	if q.isHandingOver() {
+		limit -= reservedAttempts
+	}
+	if n := q.history().attempts; n >= limit {
 		return target{}, verdict.Refuse(verdict.RetryLimit, "given up after %d attempts", n)
 	}
 	if err := s.checkQuarantine(q, now); err != nil {
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -330,3 +330,23 @@
 		})
 	}
 }
+
+// TestFailedSuccessorsLeaveAttempts guards against a stream that is cut when it breaks,
+// because attempts beside it have failed while it was silent.
+func TestFailedSuccessorsLeaveAttempts(t *testing.T) {
+	c := qt.New(t)
+	g, h := handoverGateway(t)
+	for range maxAttempts - reservedAttempts - 1 {
+		h.q.countAttempt()
+	}
+	ctx, ok := h.begin()
+	c.Assert(ok, qt.IsTrue)
+	_, err := h.find(ctx)
+	c.Check(verdict.Of(err).Reason, qt.Equals, verdict.RetryLimit)
+	for range reservedAttempts {
+		_, err = g.acquireTarget(t.Context(), h.q)
+		c.Check(err, qt.IsNil)
+	}
+	_, err = g.acquireTarget(t.Context(), h.q)
+	c.Check(verdict.Of(err).Reason, qt.Equals, verdict.RetryLimit)
+}
