Resume a stream only on engines that hold what they held when its model changed

A stream that was accepted for a model of 10 layers could be resumed on an engine that holds layers 0 to 10 of a model of 20, and counted as complete there: the pool of a former description of a service took all engines whose range fits, also those that had been ordered to load the new model.

The engines of a service are noted when its description changes, and a former pool has only those that were neither restarted nor hold another range since. TestFormerPoolHasNoEngineOfNewModel: three of five cases fail without that. TestServiceNamed expected the former description to be unknown until a request asks for it; it is kept now while accepted requests may run, and unknown after that. TestTableHoldsControlLoopBriefly starts from its own table, so that no other pool is counted.

--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -35,12 +35,39 @@
 // requests that were accepted by that table run on it to their end.
 type formerPool struct {
 	service *routing.Service
+	// upstreams are those of the service when its description changed, by instance.
+	upstreams map[string]*fleet.Upstream
 	// pool is nil if the service has no members.
 	pool *servicePool
 	// until is the latest deadline of these requests, a boot time.
 	until time.Duration
 }
 
+// newFormerPool returns the pool of a service whose description changes now.
+func (s *state) newFormerPool(service *routing.Service, until time.Duration) *formerPool {
+	f := &formerPool{service: service, upstreams: make(map[string]*fleet.Upstream), until: until}
+	for instance, u := range s.upstreams {
+		if u.Service == service.Name {
+			f.upstreams[instance] = u
+		}
+	}
+	return f
+}
+
+// update recomputes the pool from the upstreams that serve. An engine that has
+// been restarted or holds other layers since the change may hold those of the model
+// that the service has now.
+func (f *formerPool) update(serving []*fleet.Upstream) {
+	var members []*fleet.Upstream
+	for _, u := range serving {
+		before := f.upstreams[u.Instance]
+		if f.service.Engine == nil || before != nil && before.Started == u.Started && before.Held == u.Held {
+			members = append(members, u)
+		}
+	}
+	f.pool = newServicePool(f.service, members)
+}
+
 // poolOf returns the pool on which a request may run: that of its service as the
 // request was accepted for it, whatever the table says of it now. It is nil if
 // the service has no members.
@@ -54,9 +81,27 @@
 			return f.pool
 		}
 	}
-	p := newServicePool(q.accepted, s.servingUpstreams()[q.service])
-	s.formerPools = append(s.formerPools, &formerPool{q.accepted, p, q.deadline})
-	return p
+	f := s.newFormerPool(q.accepted, q.deadline)
+	f.update(s.servingUpstreams()[q.service])
+	s.formerPools = append(s.formerPools, f)
+	return f.pool
+}
+
+// retainFormerPools keeps the pools of the services that t describes otherwise than
+// the present table, for as long as requests that were accepted by that may run.
+func (s *state) retainFormerPools(t *routing.Table) {
+	longest := time.Duration(0)
+	for _, r := range s.table.Routes {
+		longest = max(longest, r.Timeout)
+		if r.Timeout <= 0 {
+			longest = max(longest, defaultTimeout)
+		}
+	}
+	for name, service := range s.table.Services {
+		if !service.RunsLike(t.Services[name]) {
+			s.formerPools = append(s.formerPools, s.newFormerPool(service, s.now()+longest))
+		}
+	}
 }
 
 // serviceNamed returns a service as the table describes it, or else as requests
@@ -79,6 +124,9 @@
 	if s.table != nil && t.Version < s.table.Version {
 		return
 	}
+	if s.table != nil && t != nil {
+		s.retainFormerPools(t)
+	}
 	s.table = t
 	s.rebuildPools()
 }
@@ -100,7 +148,7 @@
 		}
 	}
 	for _, f := range s.formerPools {
-		f.pool = newServicePool(f.service, serving[f.service.Name])
+		f.update(serving[f.service.Name])
 	}
 	s.logCoverage(now)
 	live := func(instance string) bool { return s.upstreams[instance] != nil }
--- a/internal/gateway/pools_test.go
+++ b/internal/gateway/pools_test.go
@@ -62,7 +62,39 @@
 	known := s.table.Services["llm"]
 	qt.Check(t, s.serviceNamed("llm"), qt.Equals, known)
 	s.setTable(&routing.Table{Version: 2})
+	qt.Check(t, s.serviceNamed("llm"), qt.Equals, known, qt.Commentf("requests that were accepted before may run"))
+	s.now = func() time.Duration { return time.Second }
+	s.rebuildPools()
 	qt.Check(t, s.serviceNamed("llm"), qt.IsNil)
 	s.poolOf(&request{service: "llm", accepted: known, deadline: time.Minute})
 	qt.Check(t, s.serviceNamed("llm"), qt.Equals, known)
 }
+
+// TestFormerPoolHasNoEngineOfNewModel guards against a stream that is resumed on
+// engines which hold layers of the model that its service has now.
+func TestFormerPoolHasNoEngineOfNewModel(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		change func(u *fleet.Upstream)
+		usable bool
+	}{
+		{"unchanged", func(*fleet.Upstream) {}, true},
+		{"other entry", func(u *fleet.Upstream) { u.Slots++ }, true},
+		{"other layers", func(u *fleet.Upstream) { u.Held = fleet.Range{From: 0, To: 5} }, false},
+		{"restarted", func(u *fleet.Upstream) { u.Started++ }, false},
+		{"new", func(u *fleet.Upstream) { u.Instance = "n" }, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newState(t)
+			q := &request{service: "llm", accepted: s.table.Services["llm"], deadline: time.Minute}
+			s.setTable(&routing.Table{Version: 2, Services: map[string]*routing.Service{"llm": {Name: "llm", Engine: &fleet.Engine{Layers: 20}}}})
+			u := *s.upstreams["e"]
+			x.change(&u)
+			delete(s.upstreams, "e")
+			s.upstreams[u.Instance] = &u
+			s.rebuildPools()
+			c.Check(s.poolOf(q) != nil, qt.Equals, x.usable)
+		})
+	}
+}
--- a/internal/gateway/turn_test.go
+++ b/internal/gateway/turn_test.go
@@ -69,6 +69,8 @@
 	}{{"services as before", 0}, {"a service described in many ways", 30}} {
 		t.Run(x.name, func(t *testing.T) {
 			s := newLargeState(t)
+			s.setTable(newLargeTable(t, 2))
+			s.formerPools = nil
 			for i := range x.former {
 				former := &routing.Service{Name: "llm", Engine: &fleet.Engine{Layers: largeLayers + 1 + i}}
 				s.poolOf(&request{service: "llm", accepted: former, deadline: time.Minute})
