--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -14,6 +14,11 @@
 // response, no second execution of a non-idempotent request and no false
 // refusal.
 //
+// Storms add configurations in series beside signals and leaving upstreams, with
+// streams that last for seconds. Standstills add moments in which a gateway or all
+// upstreams make no progress, as on machines with little processor time; they excuse
+// no cut stream.
+//
 // Gateways call each other directly, so network failures between them are not
 // simulated. Nor are steps of the wall clock, since gateways use only the
 // boot-time clock.
