Count a target towards the limit of upstreams from its assignment

A request could be sent to more upstreams than its route allows: a target that a search had found counted only when its attempt was sent, and another attempt that failed in that moment, as after a standstill of the process, searched again without it.

The upstream of a target counts from the assignment until the header of the response, or until the target is returned. TestAssignedTargetsCountTowardsLimit fails without that.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,6 +23,7 @@
 // send makes one attempt and checks the header of the response. The error is a
 // [verdict.Error] and has been recorded for the upstream at fault.
 func (g *Gateway) send(ctx context.Context, q *request, to target, resumeAfter string) (*response, error) {
+	defer q.endSend(to.upstream.Instance)
 	if !g.maySend(to) {
 		return nil, g.recordFailure(q, to, heldOffError(), relay.ResponseHead{})
 	}
@@ -41,8 +42,6 @@
 		Priority:    q.rank,
 		ResumeAfter: resumeAfter,
 	}
-	q.beginSend(to.upstream.Instance)
-	defer q.endSend(to.upstream.Instance)
 	began := g.Now()
 	resp, err := g.exchange(ctx, call)
 	if err != nil {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -14,7 +14,8 @@
 	mu sync.Mutex
 	// sent reports whether an attempt has reached an upstream.
 	sent bool
-	// sentTo holds the upstreams whose responses attempts wait for.
+	// sentTo holds the upstreams that attempts are sent to, from the assignment of
+	// the target until the header of the response.
 	sentTo []string
 	// handingOver reports whether a running attempt looks for its successor.
 	handingOver bool
@@ -30,7 +31,7 @@
 	attempts int
 }
 
-// beginSend records that an attempt is sent to an upstream, which may run the
+// beginSend records that an attempt is to be sent to an upstream, which may run the
 // request until its response, or its failure, tells.
 func (h *attemptHistory) beginSend(instance string) {
 	h.mu.Lock()
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -350,3 +350,25 @@
 	_, err = g.acquireTarget(t.Context(), h.q)
 	c.Check(verdict.Of(err).Reason, qt.Equals, verdict.RetryLimit)
 }
+
+// TestAssignedTargetsCountTowardsLimit guards against a request that is sent to more
+// upstreams than its route allows, because a target was found before the attempt on
+// the one found earlier was sent.
+func TestAssignedTargetsCountTowardsLimit(t *testing.T) {
+	c := qt.New(t)
+	g, h := handoverGateway(t)
+	g.control.Do(func(s *state) {
+		u := engine("e3", 10)
+		u.Address, u.Slots = "e3", 192
+		s.upstreams["e3"] = u
+		s.rebuildPools()
+	})
+	first, err := g.acquireTarget(t.Context(), h.q)
+	c.Assert(err, qt.IsNil)
+	g.control.Do(func(*state) { h.q.exclude(first.upstream.Instance) })
+	_, err = g.acquireTarget(t.Context(), h.q)
+	c.Check(verdict.Of(err).Reason, qt.Equals, verdict.RetryLimit)
+	g.control.Do(func(s *state) { s.returnTarget(h.q, first) })
+	_, err = g.acquireTarget(t.Context(), h.q)
+	c.Check(err, qt.IsNil)
+}
