--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 
 	"lovageport.example/internal/coordination/route"
 	"lovageport.example/internal/coordination/selfcheck"
+	"lovageport.example/internal/logging"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/setting"
 	"lovageport.example/internal/state/catalog"
@@ -84,6 +85,7 @@
 	e.startedAt = time.Now()
 	e.metrics = newMetrics()
 	e.control = newControlLoop()
+	e.control.OnPanic = func(value any, stack []byte) { logging.LogPanic(e.Log, "control loop panicked", value, stack) }
 	e.control.onPublish = e.metrics.observeView
 	e.adoptSignal = make(chan struct{}, 1)
 	e.drainRequested = make(chan struct{})
@@ -171,6 +173,8 @@
 func (e *Entry) addServer(g *run.Group, listener *drain.Listener, server *http.Server) {
 	server.Handler = e.closeWhileDraining(server.Handler)
 	server.ConnState = drain.Track
+	// The level is valid.
+	server.ErrorLog, _ = zap.NewStdLogAt(e.Log, zap.WarnLevel)
 	stopped := make(chan struct{})
 	g.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/gateway/panic.go
+++ b/internal/gateway/panic.go
@@ -6,15 +6,14 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/logging"
 	"lovageport.example/internal/protocol/relay"
 )
 
 // logLoopPanic logs a panic of the control loop, which ends the process and all its
-// streams, and waits until the line is written.
+// requests.
 func (g *Gateway) logLoopPanic(value any, stack []byte) {
-	g.Log.Error("control loop panicked", zap.Any("panic", value), zap.ByteString("stack", stack), zap.Int64("in_flight", g.inFlight.Load()))
-	// If the line can't be written, the trace of the process is all there is.
-	_ = g.Log.Sync()
+	logging.LogPanic(g.Log.With(zap.Int64("in_flight", g.inFlight.Load())), "control loop panicked", value, stack)
 }
 
 // logPanic logs and counts a panic of the handler of a request, and ends the
--- /dev/null
+++ b/internal/logging/panic.go
@@ -0,0 +1,11 @@
+package logging
+
+import "go.uber.org/zap"
+
+// LogPanic logs the value and the stack of a panic that ends the process, and waits
+// until the line is written.
+func LogPanic(log *zap.Logger, event string, value any, stack []byte) {
+	log.Error(event, zap.Any("panic", value), zap.ByteString("stack", stack))
+	// If the line can't be written, the trace of the process is all there is.
+	_ = log.Sync()
+}
