--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -175,9 +175,6 @@
 func (s *generation) relayResponse(ctx context.Context, to target, resp *response) error {
 	body, err := resp.ReadAll(ctx, maxFailureBytes)
 	if err != nil {
-		if ctx.Err() == nil && verdict.Of(err).Reason == verdict.UpstreamLost {
-			s.g.checkCrash(ctx, s.request, to.upstream)
-		}
 		return s.g.recordFailure(s.request, to, err, resp.head)
 	}
 	switch {
