Log which call brought a configuration and why a retry is refused

'configuration in force' now says how long the call to the store or peer took, the store's revision and how long the control loop took; the refusal of a retry says the counts it was decided by. No decision changes.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -328,8 +328,11 @@
 		}
 		return false, nil
 	}
-	if !w.Allow(s.effectiveAllowance(), s.peerRetryCounts(q.service), s.gatewayCount(), now) {
-		return false, verdict.RefuseUntil(repairRetryAfter, verdict.RetryBudget, "too many retries are under way")
+	allowance, peers := s.effectiveAllowance(), s.peerRetryCounts(q.service)
+	if !w.Allow(allowance, peers, s.gatewayCount(), now) {
+		own := w.Counts(allowance, now)
+		return false, verdict.RefuseUntil(repairRetryAfter, verdict.RetryBudget, "too many retries are under way: %.0f here and %.0f at peers, for %.0f and %.0f requests, %.0f allowed without any",
+			own.Retries, peers.Retries, own.Requests, peers.Requests, allowance.Slack)
 	}
 	return true, nil
 }
--- a/internal/gateway/listsync.go
+++ b/internal/gateway/listsync.go
@@ -136,7 +136,7 @@
 		return
 	}
 	if lists.Table != nil && g.routing.Adopt(lists.Table) {
-		g.applyTable("peer")
+		g.applyTable(tableOrigin{source: "peer", peer: address, sent: sent})
 	}
 	g.Log.Info("lists fetched from peer", zap.String("peer", address), zap.Int64("configuration", lists.InForce), zap.Duration("configuration_age", lists.TableAge),
 		zap.Int64("revision", lists.ListRevision), zap.Duration("list_age", lists.ListAge))
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -184,7 +184,7 @@
 		g.consultPeers(ctx, table.Version)
 	}
 	if g.routing.Adopt(table) {
-		g.applyTable("read")
+		g.applyTable(tableOrigin{source: "read", sent: sent, revision: at})
 	}
 	g.storedVersion = table.Version
 	g.confirmTable(sent)
@@ -200,7 +200,7 @@
 	if changes.Table != nil {
 		g.storedVersion = changes.Table.Version
 		if g.routing.Adopt(changes.Table) {
-			g.applyTable("watch")
+			g.applyTable(tableOrigin{source: "watch", sent: sent, revision: changes.Revision})
 		}
 	}
 	if g.routing.Table() == nil {
@@ -213,13 +213,27 @@
 	return changes.Revision, nil
 }
 
+// tableOrigin is the call that brought a table.
+type tableOrigin struct {
+	// source is "read" or "watch" for calls to the store, or "peer".
+	source string
+	// peer is the address of the peer that answered; empty for the store.
+	peer string
+	// sent is the boot time at which the call was sent.
+	sent time.Duration
+	// revision is that of the store in its answer; zero for a peer's.
+	revision revision.Revision
+}
+
 // applyTable passes a newly adopted table to the control state.
-func (g *Gateway) applyTable(source string) {
+func (g *Gateway) applyTable(from tableOrigin) {
 	table := g.routing.Table()
+	received := g.Now()
+	g.control.Do(func(s *state) { s.setTable(table) })
 	g.metrics.tableVersion.Set(float64(table.Version))
-	g.Log.Info("configuration in force", zap.Int64("configuration", table.Version), zap.String("source", source),
+	g.Log.Info("configuration in force", zap.Int64("configuration", table.Version), zap.String("source", from.source), zap.String("peer", from.peer),
+		zap.Stringer("revision", from.revision), zap.Duration("call_took", received-from.sent), zap.Duration("apply_took", g.Now()-received),
 		zap.Int("routes", len(table.Routes)), zap.Int("accounts", len(table.Accounts)))
-	g.control.Do(func(s *state) { s.setTable(table) })
 }
 
 // recordStoreResult records the result of a read or watch of the store.
