--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -24,8 +24,11 @@
 const usualTokens = 1000
 
 // newState returns the control state of a gateway with one engine.
-func newState(t testing.TB) *state {
-	g := &Gateway{Log: zap.NewNop(), Random: func() float64 { return 0.5 }, Now: func() time.Duration { return 0 }}
+func newState(t testing.TB) *state { return newStateAt(t, 0) }
+
+// newStateAt returns the state of a gateway that starts at a boot time.
+func newStateAt(t testing.TB, start time.Duration) *state {
+	g := &Gateway{Log: zap.NewNop(), Random: func() float64 { return 0.5 }, Now: func() time.Duration { return start }}
 	g.Settings = testSettings()
 	s := &state{}
 	s.init(g)
