Count retries until they leave the window, whoever sent them

Cause: what a gateway had sent was forgotten when it was killed, started again or fell silent, while it still counts for 10 s. Its peers replaced its report by the empty one of its next life, or dropped it; a zone's report was replaced by that of a process that knew nothing yet; the process itself began with an empty window and took its part of the whole allowance. Besides, what a process may send before its peers know was reckoned for a fifth of the window at most; a cut is noticed later than that.

Ruled out, by reading: charges given back for attempts that had arrived. They are given back only if no connection was opened or nothing was sent.

Change: package retry keeps the reports of peers (Reports). A report that reaches less far back than the one before is of another life: the former one counts until it leaves the window. Those that are no longer heard are shared like the allowance. A process that starts asks for nothing and retries nothing until a peer has told what was sent before, unless the settings say that the whole system starts (FirstStart, from the platform's bootstrap). The retries that peers may not know of are those since the oldest report.

--- a/internal/coordination/peerload/peerload.go
+++ b/internal/coordination/peerload/peerload.go
@@ -7,7 +7,6 @@
 
 import (
 	"lovageport.example/internal/coordination/pathfinding"
-	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/protocol/peering"
 )
 
@@ -18,8 +17,6 @@
 	reports map[string]report
 	// loads is the total load of each upstream, by instance.
 	loads map[string]pathfinding.Load
-	// counts holds the totals of requests and retries by service.
-	counts map[string]retry.Counts
 	// pipes holds the total rates in prompt tokens per second.
 	pipes map[pipe]float64
 }
@@ -30,9 +27,8 @@
 
 // report is the load that one source has reported.
 type report struct {
-	loads  []peering.UpstreamLoad
-	counts []peering.ServiceCounts
-	pipes  []peering.PipeUse
+	loads []peering.UpstreamLoad
+	pipes []peering.PipeUse
 }
 
 // Set replaces the report of a source with the load in n.
@@ -40,11 +36,10 @@
 	if t.reports == nil {
 		t.reports = make(map[string]report)
 		t.loads = make(map[string]pathfinding.Load)
-		t.counts = make(map[string]retry.Counts)
 		t.pipes = make(map[pipe]float64)
 	}
 	t.add(t.reports[source], -1)
-	latest := report{n.Loads, n.Services, n.Pipes}
+	latest := report{n.Loads, n.Pipes}
 	t.reports[source] = latest
 	t.add(latest, 1)
 }
@@ -65,9 +60,6 @@
 // Load returns the total load of an upstream.
 func (t *Totals) Load(instance string) pathfinding.Load { return t.loads[instance] }
 
-// Counts returns the total requests and retries of a service.
-func (t *Totals) Counts(service string) retry.Counts { return t.counts[service] }
-
 // PromptTokenRate returns the total rate over a pipe, in prompt tokens per
 // second.
 func (t *Totals) PromptTokenRate(service, name string) float64 { return t.pipes[pipe{service, name}] }
@@ -91,10 +83,4 @@
 		key := pipe{p.Service, p.Pipe}
 		t.pipes[key] = max(0, t.pipes[key]+sign*float64(p.Reading))
 	}
-	for _, c := range r.counts {
-		sum := t.counts[c.Service]
-		sum.Requests = max(0, sum.Requests+sign*float64(c.Requests))
-		sum.Retries = max(0, sum.Retries+sign*float64(c.Repeats))
-		t.counts[c.Service] = sum
-	}
 }
--- a/internal/coordination/peerload/peerload_test.go
+++ b/internal/coordination/peerload/peerload_test.go
@@ -10,7 +10,6 @@
 
 	"lovageport.example/internal/coordination/pathfinding"
 	"lovageport.example/internal/coordination/peerload"
-	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/protocol/peering"
 )
 
@@ -48,14 +47,12 @@
 			n.Loads = append(n.Loads, peering.UpstreamLoad{Upstream: fmt.Sprint("u", i), Requests: 1 + random.IntN(9), TokenLayers: random.Float32() * 1e6})
 		}
 	}
-	n.Services = []peering.ServiceCounts{{Service: "s", Requests: random.Float32() * 100, Repeats: random.Float32()}}
 	return n
 }
 
 func check(t *testing.T, sums *peerload.Totals, last map[string]*peering.News) {
 	t.Helper()
 	loads := make(map[string]pathfinding.Load)
-	var counts retry.Counts
 	for n := range maps.Values(last) {
 		for _, l := range n.Loads {
 			sum := loads[l.Upstream]
@@ -63,10 +60,6 @@
 			sum.TokenLayers += float64(l.TokenLayers)
 			loads[l.Upstream] = sum
 		}
-		for _, c := range n.Services {
-			counts.Requests += float64(c.Requests)
-			counts.Retries += float64(c.Repeats)
-		}
 	}
 	qt.Assert(t, sums.Len(), qt.Equals, len(last))
 	for i := range 5 {
@@ -74,8 +67,6 @@
 		qt.Assert(t, got.Requests, qt.Equals, want.Requests)
 		near(t, got.TokenLayers, want.TokenLayers)
 	}
-	near(t, sums.Counts("s").Requests, counts.Requests)
-	near(t, sums.Counts("s").Retries, counts.Retries)
 }
 
 // near checks that got equals want up to rounding errors.
--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -66,26 +66,44 @@
 	return total
 }
 
-// recentRetries returns the number of retries in the two newest buckets, a tenth
-// to a fifth of the window. Peers may not know of them yet.
-func (w *Window) recentRetries() float64 {
-	return w.buckets[w.newest%windowBuckets].Retries + w.buckets[(w.newest+windowBuckets-1)%windowBuckets].Retries
+// minRecentBuckets is the least number of newest buckets whose retries peers may not
+// know of yet.
+const minRecentBuckets = 2
+
+// recentRetries returns the number of retries since the oldest report of a peer, which
+// has the given age, but at least those in the two newest buckets, a tenth to a fifth
+// of the window. Peers may not know of them yet.
+func (w *Window) recentRetries(a Allowance, age time.Duration) float64 {
+	buckets := max(minRecentBuckets, int64(age/(a.Window/windowBuckets))+minRecentBuckets)
+	var sum float64
+	for i := range min(buckets, windowBuckets) {
+		sum += w.buckets[(w.newest+windowBuckets-i)%windowBuckets].Retries
+	}
+	return sum
+}
+
+// View is what a process knows of the others.
+type View struct {
+	// Counts is the sum of the counts that peers have reported.
+	Counts
+	// Processes is the number of processes, including this one.
+	Processes int
+	// Age is that of the oldest report of a peer.
+	Age time.Duration
 }
 
-// Allow reports whether a retry may be sent and, if so, counts it. The arguments
-// peers and processes are the sum of the counts reported by peers and the number
-// of processes, including this one.
+// Allow reports whether a retry may be sent and, if so, counts it.
 //
 // Until its recent retries are known to the peers, each process may use only a
 // part of the allowance that was left before them, in proportion to its requests.
 // If all processes retry at once, unaware of each other, they use up the allowance
 // but don't exceed it.
-func (w *Window) Allow(a Allowance, peers Counts, processes int, now time.Duration) bool {
+func (w *Window) Allow(a Allowance, peers View, now time.Duration) bool {
 	own := w.Counts(a, now)
-	recent := w.recentRetries()
+	recent := w.recentRetries(a, peers.Age)
 	limit := knownShare * (a.Share*(own.Requests+peers.Requests) + a.Slack)
 	left := limit - (own.Retries - recent) - peers.Retries
-	if recent+1 > left/knownShare*requestShare(own, peers, processes) {
+	if recent+1 > left/knownShare*requestShare(own, peers) {
 		return false
 	}
 	w.advance(a, now).Retries++
@@ -101,6 +119,6 @@
 // requestShare returns the share of a process in the requests of all processes.
 // Each process counts one request more than it has had, so that one whose requests
 // are older than the window has a share too. The shares add up to 1.
-func requestShare(own, peers Counts, processes int) float64 {
-	return (own.Requests + 1) / (own.Requests + peers.Requests + float64(max(1, processes)))
+func requestShare(own Counts, peers View) float64 {
+	return (own.Requests + 1) / (own.Requests + peers.Requests + float64(max(1, peers.Processes)))
 }
--- a/internal/coordination/retry/window_test.go
+++ b/internal/coordination/retry/window_test.go
@@ -59,10 +59,10 @@
 	wanted, allowed := 0, 0
 	for i := range windows {
 		own := windows[i].Counts(allowance, lossAt)
-		peers := Counts{Requests: all.Requests - own.Requests}
+		peers := View{Counts: Counts{Requests: all.Requests - own.Requests}, Processes: processes}
 		for range 2 * load[i] {
 			wanted++
-			if windows[i].Allow(allowance, peers, processes, lossAt) {
+			if windows[i].Allow(allowance, peers, lossAt) {
 				allowed++
 			}
 		}
@@ -112,9 +112,9 @@
 				windows[i].RecordRequest(allowance, now)
 				requests = append(requests, now)
 			}
-			peers := Counts{Requests: all.Requests - reported[i].Requests, Retries: all.Retries - reported[i].Retries}
+			peers := View{Counts: Counts{Requests: all.Requests - reported[i].Requests, Retries: all.Retries - reported[i].Retries}, Processes: o.processes}
 			for range wanted {
-				if windows[i].Allow(allowance, peers, o.processes, now) {
+				if windows[i].Allow(allowance, peers, now) {
 					retries = append(retries, now)
 				}
 			}
@@ -152,10 +152,10 @@
 	c := qt.New(t)
 	allowance := Allowance{Share: 0.2, Slack: 10, Window: 10 * time.Second}
 	var w Window
-	for w.Allow(allowance, Counts{}, 1, time.Second) {
+	for w.Allow(allowance, View{Processes: 1}, time.Second) {
 	}
-	c.Assert(w.Allow(allowance, Counts{}, 1, 5*time.Second), qt.IsFalse)
-	c.Assert(w.Allow(allowance, Counts{}, 1, 12*time.Second), qt.IsTrue)
+	c.Assert(w.Allow(allowance, View{Processes: 1}, 5*time.Second), qt.IsFalse)
+	c.Assert(w.Allow(allowance, View{Processes: 1}, 12*time.Second), qt.IsTrue)
 	w.RecordRequest(allowance, 100*time.Second)
 	c.Assert(w.Counts(allowance, 100*time.Second), qt.Equals, Counts{Requests: 1})
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -244,14 +244,6 @@
 	s.returnRetry(q, to)
 }
 
-// returnRetry takes back the charge for an attempt that has not arrived at an
-// upstream, if it was charged.
-func (s *state) returnRetry(q *request, to target) {
-	if to.retry {
-		s.retryWindow(q.service).Return(s.retryAllowance, s.now())
-	}
-}
-
 // bootTime converts a boot time for packages that take a time of day.
 func bootTime(boot time.Duration) time.Time { return time.Unix(0, int64(boot)) }
 
@@ -317,22 +309,3 @@
 		zap.Float64("tokens", q.tokens), zap.Duration("list_age", now-s.listedAt), zap.Int("peers", s.alivePeers))
 	return to, nil
 }
-
-// chargeRetry counts an attempt against the retry allowance and reports whether
-// it is a retry. It returns an error if the allowance is used up.
-func (s *state) chargeRetry(q *request, now time.Duration) (bool, error) {
-	w := s.retryWindow(q.service)
-	if h := q.history(); !h.sent {
-		if h.attempts == 0 {
-			w.RecordRequest(s.retryAllowance, now)
-		}
-		return false, nil
-	}
-	allowance, peers := s.effectiveAllowance(), s.peerRetryCounts(q.service)
-	if !w.Allow(allowance, peers, s.gatewayCount(), now) {
-		own := w.Counts(allowance, now)
-		return false, verdict.RefuseUntil(repairRetryAfter, verdict.RetryBudget, "too many retries are under way: %.0f here and %.0f at peers, for %.0f and %.0f requests, %.0f allowed without any",
-			own.Retries, peers.Retries, own.Requests, peers.Requests, allowance.Slack)
-	}
-	return true, nil
-}
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -23,8 +23,13 @@
 // usualTokens is the number of tokens of a typical request.
 const usualTokens = 1000
 
-// newState returns the control state of a gateway with one engine.
-func newState(t testing.TB) *state { return newStateAt(t, 0) }
+// newState returns the control state of a gateway with one engine, which has run for
+// some time.
+func newState(t testing.TB) *state {
+	s := newStateAt(t, 0)
+	s.startedAt = -time.Minute
+	return s
+}
 
 // newStateAt returns the state of a gateway that starts at a boot time.
 func newStateAt(t testing.TB, start time.Duration) *state {
--- a/internal/gateway/allowance_test.go
+++ b/internal/gateway/allowance_test.go
@@ -7,10 +7,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/cluster"
 	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/protocol/peering"
+	"lovageport.example/pkg/declaration"
 )
 
 // TestRetryAllowanceOutlivesGateways guards against retries that are forgotten when the
@@ -57,6 +59,35 @@
 	}
 }
 
+// TestFirstRetriesAfterStart guards against a process that retries without knowing what
+// was sent before its start, and against one that may not retry although nothing was.
+func TestFirstRetriesAfterStart(t *testing.T) {
+	const start = time.Minute
+	q := &request{service: "llm"}
+	q.recordRefusal()
+	mayRetry := func(s *state) bool {
+		_, err := s.chargeRetry(q, start+time.Second)
+		return err == nil
+	}
+	qt.Check(t, mayRetry(newStateAt(t, start)), qt.IsFalse)
+
+	s := newStateAt(t, start)
+	g := &Gateway{Log: zap.NewNop(), Settings: testSettings(), Now: func() time.Duration { return start }}
+	g.Settings.FirstStart = true
+	g.Settings.Bounds.RetryWindow = declaration.Span(10 * time.Second)
+	g.Settings.Bounds.RetrySlack = 100
+	first := &state{}
+	first.init(g)
+	qt.Check(t, mayRetry(first), qt.IsTrue, qt.Commentf("nothing was sent before the first start"))
+
+	older := newState(t)
+	older.members.Self = peering.Address{Gateway: "older", Zone: older.zone, Address: "older:1"}
+	older.mergeNews(s.buildNews(&Gateway{}, older.zone, start), start)
+	older.dropSilentPeers(start)
+	s.mergeNews(older.buildNews(&Gateway{}, s.zone, start), start)
+	qt.Check(t, mayRetry(s), qt.IsTrue, qt.Commentf("a peer has told how many were sent"))
+}
+
 // fleetOfStates simulates the exchange of counts between gateways in three zones,
 // and the requests and retries that they admit.
 type fleetOfStates struct {
@@ -99,7 +130,7 @@
 const (
 	simulatedGateways = 9
 	simulatedStep     = 50 * time.Millisecond
-	downTime       = 500 * time.Millisecond
+	downTime          = 500 * time.Millisecond
 	// requestChance is the chance of a request at a gateway in a step.
 	requestChance = 0.45
 )
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -143,9 +143,12 @@
 	case n.Address.Address == s.members.Self.Address:
 	case n.Zone == s.zone && !n.OfZone:
 		s.zonePeers.Set(n.Address.Address, n)
+		s.zoneRetries.Set(n.Address.Address, retryReport(n), s.retryAllowance.Window, now)
 	case n.Zone != s.zone && n.OfZone:
 		s.otherZones.Set(n.Zone, n)
+		s.otherRetries.Set(n.Zone, retryReport(n), s.retryAllowance.Window, now)
 	}
+	s.mergeKnownRetries(n, now)
 }
 
 // mergeFindings merges probe results of a peer of the own zone, which reaches
@@ -199,6 +202,9 @@
 	present := func(source string) bool { return heard[source] }
 	s.zonePeers.Retain(present)
 	s.otherZones.Retain(present)
+	s.zoneRetries.Retain(present, s.retryAllowance.Window, now)
+	s.otherRetries.Retain(present, s.retryAllowance.Window, now)
+	s.startingPeers = s.hasStartingPeer(alive)
 	s.recentPeers = s.members.HeardCount()
 	if s.alivePeers != len(alive) {
 		s.alivePeers = len(alive)
@@ -274,20 +280,6 @@
 	}
 }
 
-// addCounts adds the requests and retries within the retry window.
-func (s *state) addCounts(n *peering.News, now time.Duration) {
-	if s.table == nil {
-		return
-	}
-	for service := range s.table.Services {
-		sum := s.retryWindow(service).Counts(s.retryAllowance, now)
-		if n.OfZone {
-			sum = sum.Add(s.zonePeers.Counts(service))
-		}
-		n.Services = append(n.Services, peering.ServiceCounts{Service: service, Requests: float32(sum.Requests), Repeats: float32(sum.Retries)})
-	}
-}
-
 // maxNamedPeers is how many peers are named in one message. They are picked at
 // random, so that all are named over several messages.
 const maxNamedPeers = 6
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -51,7 +51,7 @@
 		s.loadOf("e").requests = requests
 		s.loadOf("e").tokenLayers = 10 * float64(requests)
 		for range repeats {
-			s.retryWindow("llm").Allow(s.retryAllowance, retry.Counts{}, 1, now)
+			s.retryWindow("llm").Allow(s.retryAllowance, retry.View{Processes: 1}, now)
 		}
 	}
 	g := &Gateway{}
@@ -86,7 +86,7 @@
 func TestRetriesCountAfterLastUpstreamIsRemoved(t *testing.T) {
 	const now = time.Minute
 	s := newState(t)
-	s.retryWindow("llm").Allow(s.retryAllowance, retry.Counts{}, 1, now)
+	s.retryWindow("llm").Allow(s.retryAllowance, retry.View{Processes: 1}, now)
 	s.replaceUpstreams(upstreamList{upstreams: map[string]*fleet.Upstream{}, revision: numbered(1), asOf: now}, now)
 	n := s.buildNews(&Gateway{}, s.zone, now)
 	qt.Assert(t, n.Services, qt.HasLen, 1)
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"lovageport.example/internal/coordination/pathfinding"
-	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
@@ -27,24 +26,6 @@
 	costJitter = 0.15
 )
 
-// gatewayCount returns the number of gateways that are alive, including this
-// one.
-func (s *state) gatewayCount() int { return s.alivePeers + 1 }
-
-// effectiveAllowance returns the retry allowance for the gateways that hear
-// each other. During a partition each side gets its proportion of the whole.
-func (s *state) effectiveAllowance() retry.Allowance {
-	a := s.retryAllowance
-	a.Slack *= float64(s.gatewayCount()) / float64(max(s.recentPeers, s.alivePeers)+1)
-	return a
-}
-
-// peerRetryCounts returns the requests and retries that the peers have counted
-// for a service.
-func (s *state) peerRetryCounts(service string) retry.Counts {
-	return s.zonePeers.Counts(service).Add(s.otherZones.Counts(service))
-}
-
 // peerLoad returns the load that the peers have placed on an upstream.
 func (s *state) peerLoad(instance string) pathfinding.Load {
 	return s.zonePeers.Load(instance).Plus(s.otherZones.Load(instance))
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -69,6 +69,17 @@
 	// by service.
 	dispatchRates map[string]*admission.RateEstimator
 	retryWindows  map[string]*retry.Window
+	// zoneRetries and otherRetries hold the requests and retries reported by the
+	// peers of the own zone, by address, and by other zones, by name.
+	zoneRetries, otherRetries retry.Reports
+	// startedAt is the boot time since which this process counts retries.
+	startedAt time.Duration
+	// beforeStart holds, by service, the retries before startedAt that no report
+	// contains, as peers have told; nil if none has.
+	beforeStart map[string]float64
+	// startingPeers reports whether a peer has not counted retries for a whole
+	// window yet.
+	startingPeers bool
 	reconciler    placement.Reconciler
 	members       cluster.Members
 	// zonePeers sums the load reported by the peers of the own zone, by
@@ -132,6 +143,11 @@
 	s.retryAllowance = g.retryAllowance()
 	s.random = g.Random
 	s.now = g.Now
+	s.startedAt = g.Now()
+	if g.Settings.FirstStart {
+		// Before it there is nothing to know of.
+		s.startedAt -= s.retryAllowance.Window
+	}
 	s.health.Random = g.Random
 	s.suspicions.CrashLimit = crashLimit
 	s.queue.Max = maxQueued
@@ -167,12 +183,3 @@
 	}
 	return l
 }
-
-func (s *state) retryWindow(service string) *retry.Window {
-	w := s.retryWindows[service]
-	if w == nil {
-		w = &retry.Window{}
-		s.retryWindows[service] = w
-	}
-	return w
-}
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -121,6 +121,27 @@
 	// Store is sent beside the other fields, see [Update]. It is the zero value
 	// in news of a build that does not know it.
 	Store StoreNews `cbor:"-"`
+	// Retries is sent like Store.
+	Retries RetryNews `cbor:"-"`
+}
+
+// RetryNews is what a gateway tells of the counts in its news.
+type RetryNews struct {
+	// Reach is how far back the counts go: the gateway knows of nothing that was
+	// sent before its start. 0 if its build does not say.
+	Reach time.Duration
+	// Known holds the retries of all gateways within the window, as far as the
+	// sender knows, for gateways that have just started. A gateway that has itself
+	// just started sends it only if others have told it what was before.
+	Known []ServiceRetries `cbor:",omitempty"`
+}
+
+// ServiceRetries is the number of retries of a service within the window of the
+// retry allowance.
+type ServiceRetries struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Retries float32
 }
 
 // StoreNews is what a gateway knows about restorations of the platform's store.
@@ -143,8 +164,19 @@
 // added to it. The elements of News itself are fixed, since builds that do not know
 // Update exchange them alone.
 type Update struct {
-	News  *News
-	Store StoreNews
+	News    *News
+	Store   StoreNews
+	Retries RetryNews
+}
+
+// NewUpdate returns the message that carries n.
+func NewUpdate(n *News) *Update { return &Update{News: n, Store: n.Store, Retries: n.Retries} }
+
+// Unwrap returns the news with what the message carries beside it. u.News must not be
+// nil.
+func (u *Update) Unwrap() *News {
+	u.News.Store, u.News.Retries = u.Store, u.Retries
+	return u.News
 }
 
 // Check returns an error if u has no valid news or exceeds a limit.
@@ -156,6 +188,8 @@
 		return errors.New("peering: negative era")
 	case len(u.Store.Withheld) > MaxListItems:
 		return errors.New("peering: too many withheld upstreams")
+	case u.Retries.Reach < 0 || len(u.Retries.Known) > MaxListItems:
+		return errors.New("peering: negative reach or too many services")
 	}
 	return u.News.Check()
 }
--- a/internal/protocol/peering/news_test.go
+++ b/internal/protocol/peering/news_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
@@ -24,11 +25,13 @@
 	qt.Assert(t, cbor.Unmarshal(encoded, &elements), qt.IsNil)
 	qt.Check(t, elements, qt.HasLen, newsElements)
 
-	encoded, err = cbor.Marshal(&Update{News: news, Store: news.Store})
+	news.Retries = RetryNews{Reach: time.Second, Known: []ServiceRetries{{Service: "s", Retries: 3}}}
+	encoded, err = cbor.Marshal(NewUpdate(news))
 	qt.Assert(t, err, qt.IsNil)
 	var update Update
 	qt.Assert(t, cbor.Unmarshal(encoded, &update), qt.IsNil)
 	qt.Check(t, update.Store, qt.DeepEquals, news.Store)
+	qt.Check(t, update.Unwrap().Retries, qt.DeepEquals, news.Retries)
 	qt.Check(t, update.Check(), qt.IsNil)
 	// A later build may add fields.
 	encoded, err = cbor.Marshal(map[string]any{"News": news, "Store": news.Store, "Later": 1})
--- a/internal/setting/gateway.go
+++ b/internal/setting/gateway.go
@@ -21,7 +21,10 @@
 	Platform GatewayPlatform
 	Peers    GatewayPeers
 	Bounds   Bounds
-	Log      Log `toml:",omitempty"`
+	// FirstStart states that the whole system starts for the first time, so that
+	// no process has sent anything before.
+	FirstStart bool `toml:",omitempty"`
+	Log        Log  `toml:",omitempty"`
 }
 
 // GatewayListen holds the addresses of the listeners, IP:port.
--- a/internal/soak/drain_test.go
+++ b/internal/soak/drain_test.go
@@ -110,7 +110,7 @@
 func startSystem(t *testing.T, p Config) *system {
 	p.Dir, p.BinDir = t.TempDir(), binDir
 	if *build != "" {
-		p.BinDir = buildCommit(t, *build)
+		p.BinDir, p.EarlierSettings = buildCommit(t, *build), true
 	}
 	s, err := newSystem(p)
 	t.Cleanup(func() {
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -42,6 +42,8 @@
 	// that of the other build, if there is one. Guarded by mu.
 	binDir, otherBinDir   string
 	settingsPath, logPath string
+	// earlierSettings leaves out of the settings what earlier builds do not know.
+	earlierSettings bool
 	// seeds are the peers in the settings file. Guarded by mu.
 	seeds []string
 	// variables are added to the environment of the processes.
@@ -99,9 +101,13 @@
 func (g *gateway) writeSettings(seeds []string) error {
 	g.mu.Lock()
 	g.seeds = seeds
+	first := g.starts == 0 && !g.earlierSettings
 	g.mu.Unlock()
 	var b strings.Builder
 	fmt.Fprintf(&b, "Name = %q\nZone = %q\n", g.name, g.zone)
+	if first {
+		b.WriteString("FirstStart = true\n")
+	}
 	fmt.Fprintf(&b, "[Listen]\nCallers = %q\nHealth = %q\nPeers = %q\n", g.callerProxy.target, g.healthAddress, g.peerAddress)
 	fmt.Fprintf(&b, "[Platform]\nAddress = %q\n", g.storeProxy.Address)
 	fmt.Fprintf(&b, "[Peers]\nSeeds = [\"%s\"]\n", strings.Join(seeds, "\", \""))
@@ -118,9 +124,7 @@
 // changeSettings changes the order of the peers in the settings file and sends
 // SIGHUP.
 func (g *gateway) changeSettings() {
-	g.mu.Lock()
-	seeds := slices.Clone(g.seeds)
-	g.mu.Unlock()
+	seeds := g.currentSeeds()
 	slices.Reverse(seeds)
 	if err := g.writeSettings(seeds); err != nil {
 		g.report("the settings of a gateway can be written", err.Error())
@@ -128,6 +132,13 @@
 	g.signal(syscall.SIGHUP)
 }
 
+// currentSeeds returns a copy of the peers in the settings file.
+func (g *gateway) currentSeeds() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.seeds)
+}
+
 // restartDelay is the time between the end of a process and the next start.
 const restartDelay = 300 * time.Millisecond
 
@@ -189,6 +200,11 @@
 // start starts a process. It returns nil without an error if the gateway has
 // been stopped.
 func (g *gateway) start(out *os.File) (*program.Process, error) {
+	if g.incarnation() == 1 {
+		if err := g.writeSettings(g.currentSeeds()); err != nil {
+			return nil, err
+		}
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.process = nil
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,9 @@
 	// Dir is the directory for settings and logs, BinDir the one of the built
 	// binaries.
 	Dir, BinDir string
+	// EarlierSettings tells that the binaries in BinDir are of an earlier build, which
+	// does not know all settings.
+	EarlierSettings bool
 }
 
 // Report is the outcome of a run.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,7 +55,7 @@
 			p.Restorations = *restorations && !p.MaintenanceOnly
 			p.Storms, p.Standstills, p.MaxProcs = *storms, *standstills, *maxProcs
 			if *build != "" {
-				p.BinDir = buildCommit(t, *build)
+				p.BinDir, p.EarlierSettings = buildCommit(t, *build), true
 			}
 			if *earlier != "" {
 				p.EarlierBinDir = buildCommit(t, *earlier)
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -105,6 +105,7 @@
 		if p.EarlierBinDir != "" {
 			g.binDir, g.otherBinDir = p.EarlierBinDir, p.BinDir
 		}
+		g.earlierSettings = p.EarlierSettings || p.EarlierBinDir != ""
 		if p.MaxProcs > 0 {
 			g.variables = []string{fmt.Sprint("GOMAXPROCS=", p.MaxProcs)}
 		}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -52,15 +52,16 @@
 	return &out, c.call(ctx, address, shardsCall, request, &out)
 }
 
-// News exchanges state updates with the gateway at address. News.Store of the
-// answer is the zero value if the build of that gateway does not know it.
+// News exchanges state updates with the gateway at address. What the
+// answer would carry beside the news is the zero value if the build of that gateway
+// does not know it.
 func (c *Client) News(ctx context.Context, address string, request *peering.News) (*peering.News, error) {
 	if c.isOldBuild(address) {
 		var out peering.News
 		return &out, c.call(ctx, address, newsCall, request, &out)
 	}
 	var out peering.Update
-	err := c.call(ctx, address, updateCall, &peering.Update{News: request, Store: request.Store}, &out)
+	err := c.call(ctx, address, updateCall, peering.NewUpdate(request), &out)
 	switch {
 	case isUnknownCall(err):
 		c.markOldBuild(address)
@@ -68,8 +69,7 @@
 	case err != nil:
 		return nil, err
 	}
-	out.News.Store = out.Store
-	return out.News, nil
+	return out.Unwrap(), nil
 }
 
 // unknownCallText is part of the error text with which drpc answers a call that
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -101,12 +101,11 @@
 }
 
 func (h *Handler) update(ctx context.Context, in *peering.Update) (*peering.Update, error) {
-	in.News.Store = in.Store
-	out, err := h.news(ctx, in.News)
+	out, err := h.news(ctx, in.Unwrap())
 	if err != nil || out == nil {
 		return nil, err
 	}
-	return &peering.Update{News: out, Store: out.Store}, nil
+	return peering.NewUpdate(out), nil
 }
 
 // rpcDescription describes the calls of a [Handler] to drpc.
