Tell peers of retries for services that the configuration no longer names

What callers saw: nothing; a service behind could get more repeats than the users allow.

Cause: the news to peers held the counts of the services of the present configuration only. Requests accepted before a service was removed from it may still be retried there until they end, and each gateway took its part of the allowance without knowing of the others'.

Change: the news holds the services that have counts in the window as well, own or of the zone; windows that are empty are dropped.

TestRetriesOfRemovedServiceAreTold failed before: the counts of the former service were missing from the news.

--- a/internal/coordination/retry/reports.go
+++ b/internal/coordination/retry/reports.go
@@ -127,6 +127,24 @@
 	return sum
 }
 
+// AddServices adds the services with requests or retries to a set.
+func (rs *Reports) AddServices(to map[string]bool) {
+	for _, s := range rs.sources {
+		s.latest.addServices(to)
+		for i := range s.former {
+			s.former[i].addServices(to)
+		}
+	}
+}
+
+func (r *receivedReport) addServices(to map[string]bool) {
+	for service, c := range r.Counts {
+		if c != (Counts{}) {
+			to[service] = true
+		}
+	}
+}
+
 // Age returns the age of the oldest report among the latest of the sources that are
 // heard.
 func (rs *Reports) Age(now time.Duration) time.Duration {
--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -102,7 +102,7 @@
 		return
 	}
 	tellAll := s.startingPeers && s.knowsWholeWindow(now)
-	for service := range s.table.Services {
+	for service := range s.countedServices(now) {
 		own := s.retryWindow(service).Counts(s.retryAllowance, now)
 		sum := own
 		if n.OfZone {
@@ -117,6 +117,28 @@
 	}
 }
 
+// countedServices returns the services that the configuration names and those that have
+// requests or retries in the window although it no longer does. It drops the windows of
+// others.
+func (s *state) countedServices(now time.Duration) map[string]bool {
+	services := make(map[string]bool, len(s.table.Services))
+	for service := range s.table.Services {
+		services[service] = true
+	}
+	for service, w := range s.retryWindows {
+		if services[service] {
+			continue
+		}
+		if w.Counts(s.retryAllowance, now) == (retry.Counts{}) {
+			delete(s.retryWindows, service)
+			continue
+		}
+		services[service] = true
+	}
+	s.zoneRetries.AddServices(services)
+	return services
+}
+
 // retryReport returns the counts in a peer's news.
 func retryReport(n *peering.News) retry.Report {
 	r := retry.Report{Sender: n.Address.Address, Reach: n.Retries.Reach, Counts: make(map[string]retry.Counts, len(n.Services))}
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -93,6 +93,32 @@
 	qt.Check(t, n.Services[0].Repeats, qt.Equals, float32(1))
 }
 
+// TestRetriesOfRemovedServiceAreTold guards against retries that peers are not told of
+// because the configuration no longer names their service: running requests still make
+// them.
+func TestRetriesOfRemovedServiceAreTold(t *testing.T) {
+	const now = time.Minute
+	s := newState(t)
+	s.retryWindow("former").Allow(s.retryAllowance, retry.View{Processes: 1}, now)
+	told := make(map[string]float32)
+	for _, c := range s.buildNews(&Gateway{}, s.zone, now).Services {
+		told[c.Service] = c.Repeats
+	}
+	qt.Check(t, told, qt.DeepEquals, map[string]float32{"llm": 0, "former": 1})
+
+	peer := newState(t)
+	peer.members.Self = peering.Address{Gateway: "peer", Zone: s.zone, Address: "peer:1"}
+	peer.mergeNews(s.buildNews(&Gateway{}, s.zone, now), now)
+	for _, c := range peer.buildNews(&Gateway{}, "other zone", now).Services {
+		told[c.Service] = c.Repeats
+	}
+	qt.Check(t, told["former"], qt.Equals, float32(1), qt.Commentf("in the sums of the zone"))
+
+	const later = now + 2*time.Minute
+	qt.Check(t, s.buildNews(&Gateway{}, s.zone, later).Services, qt.HasLen, 1, qt.Commentf("left the window"))
+	qt.Check(t, s.retryWindows["former"], qt.IsNil)
+}
+
 // TestPartitionedZonesShareRetryAllowance guards against exceeding the retry
 // allowance in total while a partition separates the gateways.
 func TestPartitionedZonesShareRetryAllowance(t *testing.T) {
