--- a/internal/setting/gateway.go
+++ b/internal/setting/gateway.go
@@ -58,6 +58,9 @@
 	Grace declaration.Duration `toml:",omitempty"`
 	// Revocation is how long a removed key may still be accepted.
 	Revocation declaration.Duration `toml:",omitempty"`
+	// Configuration is how long requests may still be served by an older
+	// configuration.
+	Configuration declaration.Duration `toml:",omitempty"`
 	// RetryShare is the number of retries allowed per request, over all
 	// processes. RetrySlack further retries are allowed in each RetryWindow.
 	RetryShare  float64              `toml:",omitempty"`
@@ -70,9 +73,11 @@
 	DefaultStoreTimeout = time.Second
 	DefaultGrace        = 8 * time.Second
 	DefaultRevocation   = 5 * time.Second
-	DefaultRetryShare   = 0.1
-	DefaultRetrySlack   = 50.0
-	DefaultRetryWindow  = 10 * time.Second
+	// DefaultConfiguration is the shortest time that users have asked for.
+	DefaultConfiguration = 2 * time.Second
+	DefaultRetryShare    = 0.1
+	DefaultRetrySlack    = 50.0
+	DefaultRetryWindow   = 10 * time.Second
 )
 
 // LoadGateway reads and checks the settings of a gateway and fills in defaults. The
@@ -116,6 +121,7 @@
 	c.requireNotNegative("Platform", "Timeout", g.Platform.Timeout)
 	c.requireNotNegative("Bounds", "Grace", g.Bounds.Grace)
 	c.requireNotNegative("Bounds", "Revocation", g.Bounds.Revocation)
+	c.requireNotNegative("Bounds", "Configuration", g.Bounds.Configuration)
 	c.requireNotNegative("Bounds", "RetryWindow", g.Bounds.RetryWindow)
 	c.require(g.Bounds.RetryShare >= 0, "Bounds", "RetryShare", "must not be negative")
 	c.require(g.Bounds.RetrySlack >= 0, "Bounds", "RetrySlack", "must not be negative")
@@ -131,6 +137,7 @@
 	setDefault(&g.Platform.Timeout, declaration.Span(DefaultStoreTimeout))
 	setDefault(&g.Bounds.Grace, declaration.Span(DefaultGrace))
 	setDefault(&g.Bounds.Revocation, declaration.Span(DefaultRevocation))
+	setDefault(&g.Bounds.Configuration, declaration.Span(DefaultConfiguration))
 	setDefault(&g.Bounds.RetryShare, DefaultRetryShare)
 	setDefault(&g.Bounds.RetrySlack, DefaultRetrySlack)
 	setDefault(&g.Bounds.RetryWindow, declaration.Span(DefaultRetryWindow))
