Check the age of the configuration before each request

What callers saw: nothing reported for certain.

Cause: a gateway acted on the age of its configuration only once it was 2.2 s old, and denied routes and keys by one of up to 2.8 s; both were constants, while the users' bound is 2 s on the small sites. Peers usually confirm the configuration more often. Without them (the one that reads for the zone was killed, the VM is cut off from the others) a gateway served by an older version for up to 0.4 s past the bound, although the store answered. The class: a bound that is kept by the usual course of events instead of by a check.

Change: the bound is a setting (Bounds.Configuration, from the platform's). A request that arrives when the configuration is as old as the bound, less 100 ms, first has it read, and waits for that for 0.5 s at most (not if the store is known to have failed: then the old one serves what it can; not longer than the read if that confirms nothing). An older configuration does not prove that a route or a key does not exist. Gateways without requests read at that age too.

--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -20,17 +20,17 @@
 	"lovageport.example/platform/platformtest"
 )
 
-// configuration returns a configuration whose route /added/ exists only from version 2
-// on, and whose route /moved/ leads to the service of the version's number.
-func configuration(version int) map[string]any {
-	route := func(name, service string) map[string]any {
-		return map[string]any{"name": name, "host": "h", "path_prefix": "/" + name + "/", "kind": "idempotent", "attempts": 1, "service": service, "public": true}
-	}
-	routes := []any{route("moved", "s"+string(rune('0'+version)))}
+// configure writes a configuration. From version 2 on /look/ leads to another service and
+// /look-added/ exists.
+func configure(store *platformtest.Store, version int) {
+	c := platformtest.Configuration{Version: version, Keys: []string{"key"}}
 	if version > 1 {
-		routes = append(routes, route("added", "s2"))
+		c.Variants = []string{"added"}
+		c.Edit = func(s *platformtest.Specification) {
+			platformtest.Named(s.Routes, "look")["service"] = platformtest.EngineService
+		}
 	}
-	return map[string]any{"version": version, "routes": routes, "services": []any{map[string]any{"name": "s1"}, map[string]any{"name": "s2"}}, "tenants": []any{}, "limits": map[string]any{}}
+	store.Configure(c)
 }
 
 // configuredGateway is a gateway that follows the configuration of a store, on behalf of
@@ -48,7 +48,7 @@
 	g.passed.Store(int64(time.Minute))
 	s := newState(t)
 	settings := testSettings()
-	settings.Bounds.Configuration = declaration.Span(2 * time.Second)
+	settings.Bounds.Configuration, settings.Bounds.Revocation = declaration.Span(2*time.Second), declaration.Span(5*time.Second)
 	g.Gateway = &Gateway{
 		Settings: settings, Log: zap.NewNop(), control: loop.New[state](), metrics: newMetrics(&Gateway{}),
 		Now:   func() time.Duration { return time.Duration(g.passed.Load()) },
@@ -66,7 +66,7 @@
 	close(g.peersTried)
 	// The watch of a gateway that does not read for its zone may lag.
 	g.store.Lag = time.Hour
-	g.store.Put("config", "main", configuration(1))
+	configure(g.store, 1)
 	at, err := g.readTable(ctx)
 	qt.Assert(t, err, qt.IsNil)
 	g.control.Do(func(s *state) {
@@ -79,7 +79,9 @@
 
 // serve has the gateway accept a request.
 func (g *configuredGateway) serve(path string) (*request, error) {
-	q := &request{http: httptest.NewRequest(http.MethodGet, "http://h"+path, nil), arrived: g.Now()}
+	r := httptest.NewRequest(http.MethodGet, "http://"+platformtest.Host+path, nil)
+	r.Header.Set("Authorization", "Bearer key")
+	q := &request{Request: platform.DecodeRequest(r.Header), http: r, arrived: g.Now()}
 	return q, g.accept(httptest.NewRecorder(), q)
 }
 
@@ -88,30 +90,30 @@
 // the store can be read: the gateway that has read for this one has just ended.
 func TestOldConfigurationIsNotServed(t *testing.T) {
 	g := newConfiguredGateway(t)
-	q, err := g.serve("/moved/")
+	q, err := g.serve("/look/")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, q.service, qt.Equals, "s1")
-	_, err = g.serve("/added/")
+	qt.Check(t, q.service, qt.Equals, platformtest.PlainService)
+	_, err = g.serve("/look-added/")
 	qt.Check(t, verdict.Of(err).Reason, qt.Equals, verdict.UnknownRoute)
 
-	g.store.Put("config", "main", configuration(2))
+	configure(g.store, 2)
 	g.passed.Add(int64(2 * time.Second))
-	q, err = g.serve("/added/")
+	q, err = g.serve("/look-added/")
 	qt.Check(t, err, qt.IsNil, qt.Commentf("a route that was added"))
-	q, err = g.serve("/moved/")
+	q, err = g.serve("/look/")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, q.service, qt.Equals, "s2", qt.Commentf("a route that was moved"))
+	qt.Check(t, q.service, qt.Equals, platformtest.EngineService, qt.Commentf("a route that was moved"))
 }
 
 // TestMovedRouteIsServedInTime is like TestOldConfigurationIsNotServed for the first
 // request after the bound, which an older configuration allows too.
 func TestMovedRouteIsServedInTime(t *testing.T) {
 	g := newConfiguredGateway(t)
-	g.store.Put("config", "main", configuration(2))
+	configure(g.store, 2)
 	g.passed.Add(int64(2 * time.Second))
-	q, err := g.serve("/moved/")
+	q, err := g.serve("/look/")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, q.service, qt.Equals, "s2")
+	qt.Check(t, q.service, qt.Equals, platformtest.EngineService)
 }
 
 // TestOldConfigurationServesWithoutStore checks that a gateway without the store serves
@@ -121,9 +123,26 @@
 	g.store.SetDown(true)
 	g.tableWatchFailed.Store(true)
 	g.passed.Add(int64(3 * time.Second))
-	q, err := g.serve("/moved/")
+	q, err := g.serve("/look/")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, q.service, qt.Equals, "s1")
-	_, err = g.serve("/added/")
+	qt.Check(t, q.service, qt.Equals, platformtest.PlainService)
+	_, err = g.serve("/look-added/")
 	qt.Check(t, verdict.Of(err).Reason, qt.Equals, verdict.NotReady)
 }
+
+// TestUnconfirmedConfigurationDelaysNoRequest guards against requests that wait for a
+// confirmation that the store cannot give: it was restored from a copy.
+func TestUnconfirmedConfigurationDelaysNoRequest(t *testing.T) {
+	g := newConfiguredGateway(t)
+	g.control.Do(func(s *state) {
+		s.eras.Observe(1, g.Now())
+		s.eras.Observe(2, g.Now())
+	})
+	g.passed.Add(int64(1900 * time.Millisecond))
+	began := time.Now()
+	for range 5 {
+		_, err := g.serve("/look/")
+		qt.Check(t, err, qt.IsNil)
+	}
+	qt.Check(t, time.Since(began) < refreshTimeout, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,9 @@
 	// tableWatchFailed reports whether the last attempt to read or watch the
 	// configuration failed.
 	tableWatchFailed atomic.Bool
+	// tableReadAt is the boot time at which the last read of the configuration that
+	// has ended was sent.
+	tableReadAt atomic.Int64
 	// reportCalls merges concurrent calls that fetch the report of the same
 	// engine.
 	reportCalls singleflight.Group
--- a/internal/gateway/listsync.go
+++ b/internal/gateway/listsync.go
@@ -14,8 +14,8 @@
 
 // When the configuration and the list of upstreams are fetched from peers.
 const (
-	// staleAge is the age of the configuration or list above which a peer's
-	// fresher knowledge is fetched.
+	// staleAge is the age of the list, or of the configuration if its bound allows
+	// as much, above which a peer's fresher knowledge is fetched.
 	staleAge = 2200 * time.Millisecond
 	// minFreshnessGain is by how much the peer's knowledge must be fresher.
 	minFreshnessGain = 300 * time.Millisecond
@@ -67,7 +67,7 @@
 	tableAge, known := g.routing.Age(now)
 	var wakeTable, wakeList bool
 	g.control.Do(func(s *state) {
-		wakeTable = known && tableAge > staleAge && !s.storeFailed[tableName]
+		wakeTable = known && tableAge > min(staleAge, g.currentAge()) && !s.storeFailed[tableName]
 		wakeList = now-s.listedAt > staleAge && !s.storeFailed[listName]
 	})
 	if wakeTable {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -32,9 +32,9 @@
 // from the check of a key until the request reaches the upstream.
 const revocationMargin = 400 * time.Millisecond
 
-// maxDenyAge is the age of the table above which it does not prove that a route
-// or a key does not exist.
-const maxDenyAge = 2800 * time.Millisecond
+// configurationMargin is the part of the bound on configurations reserved for the time
+// between the arrival of a request and the check of the table's age.
+const configurationMargin = 100 * time.Millisecond
 
 // lowestRank is the least urgent priority of an engine.
 const lowestRank = 9
@@ -70,6 +70,19 @@
 	return g.Settings.Bounds.Revocation.Duration - revocationMargin
 }
 
+// currentAge is the age of the table up to which no newer one can have been
+// acknowledged for as long as the users' bound. An older table does not prove that a
+// route or a key does not exist.
+func (g *Gateway) currentAge() time.Duration {
+	return g.Settings.Bounds.Configuration.Duration - configurationMargin
+}
+
+// tableIsCurrent reports whether the table is young enough to be served by.
+func (g *Gateway) tableIsCurrent() bool {
+	age, known := g.routing.Age(g.Now())
+	return known && age < g.currentAge()
+}
+
 // callerHandler returns the handler of callers' requests.
 func (g *Gateway) callerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -93,16 +106,15 @@
 
 // accept authorizes a request and reads its body.
 func (g *Gateway) accept(w http.ResponseWriter, q *request) error {
-	t := g.routing.Table()
-	if t == nil {
+	if g.routing.Table() == nil {
 		return verdict.RefuseUntil(repairRetryAfter, verdict.NotReady, "no configuration is known yet")
 	}
-	err := g.authorize(q, t, q.arrived)
-	if err != nil && verdict.Of(err).Reason == verdict.NotReady && g.refreshTable(q.http.Context()) {
-		t = g.routing.Table()
-		err = g.authorize(q, t, g.Now())
+	if !g.tableIsCurrent() {
+		// Without the store the old one serves what it can.
+		g.refreshTable(q.http.Context())
 	}
-	if err != nil {
+	t := g.routing.Table()
+	if err := g.authorize(q, t, g.Now()); err != nil {
 		return err
 	}
 	q.service = q.route.Backend(q.ID)
@@ -118,29 +130,27 @@
 
 // Timing of the wait for a fresh configuration.
 const (
-	// refreshTimeout bounds the wait of a request; the store answers within
-	// milliseconds.
-	refreshTimeout  = 250 * time.Millisecond
+	// refreshTimeout bounds the wait of a request. The store answers within
+	// milliseconds; a large configuration takes longer over a slow link.
+	refreshTimeout  = 500 * time.Millisecond
 	refreshInterval = 10 * time.Millisecond
 )
 
-// refreshTable has the configuration confirmed and reports whether it is fresh.
-// It does not try while the store is known to have failed. After a VM was
-// suspended its knowledge is old but can be refreshed at once.
-func (g *Gateway) refreshTable(ctx context.Context) bool {
+// refreshTable has the configuration confirmed and waits for that, or until the store
+// was read although that confirms nothing. It does not try while the store is known to
+// have failed. After a VM was suspended or has lost its peers its knowledge is old but can
+// be refreshed at once.
+func (g *Gateway) refreshTable(ctx context.Context) {
 	if g.tableWatchFailed.Load() {
-		return false
+		return
 	}
+	began := g.Now()
 	g.tableWatcher.wakeUp()
 	for waited := time.Duration(0); waited < refreshTimeout; waited += refreshInterval {
-		if !loop.Sleep(ctx, refreshInterval) {
-			return false
-		}
-		if age, known := g.routing.Age(g.Now()); known && age < maxDenyAge {
-			return true
+		if !loop.Sleep(ctx, refreshInterval) || g.tableIsCurrent() || time.Duration(g.tableReadAt.Load()) >= began {
+			return
 		}
 	}
-	return false
 }
 
 // authorize finds the route of a request and the client account of its key,
@@ -151,7 +161,7 @@
 	// A route or key may be missing from an old table because it was added
 	// later.
 	deny := func(reason verdict.Reason, message string) error {
-		if q.tableAge > maxDenyAge {
+		if q.tableAge > g.currentAge() {
 			return verdict.RefuseUntil(g.readiness().RetryDelay(repairRetryAfter), verdict.NotReady, "the configuration is %v old", q.tableAge)
 		}
 		return verdict.Refuse(reason, "%s", message)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -176,6 +176,7 @@
 
 func (g *Gateway) readTable(ctx context.Context) (revision.Revision, error) {
 	sent := g.Now()
+	defer g.tableReadAt.Store(int64(sent))
 	table, at, err := g.store.Table(ctx)
 	if err != nil {
 		return at, err
