Give a peer's lists more time than its news

What callers saw: nothing. Cause, by reading: a gateway that must have its configuration from a peer had 400 ms for the call, as for news. A large configuration and the list are up to a megabyte, which a link of 20 Mbit/s carries in 400 ms if nothing else uses it; so over a small VM's link they might never arrive, whoever was asked. The call may take 1 s now.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,7 +129,7 @@
 		OnEra:   g.observeEra,
 	}
 	g.store.Open()
-	g.peerClients = &peer.Client{Dial: dialer, Timeout: peerCallTimeout}
+	g.peerClients = &peer.Client{Dial: dialer, Timeout: peerCallTimeout, ListsTimeout: peerListsTimeout}
 	g.registerAgain = make(chan struct{}, 1)
 	g.peersTried = make(chan struct{})
 	g.closePeersTried = sync.OnceFunc(func() { close(g.peersTried) })
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -21,6 +21,9 @@
 	gossipInterval = 50 * time.Millisecond
 	// peerCallTimeout bounds a call to a peer.
 	peerCallTimeout = 400 * time.Millisecond
+	// peerListsTimeout bounds the call that fetches a peer's configuration and list,
+	// up to a megabyte over a link that callers use too.
+	peerListsTimeout = time.Second
 )
 
 // selfAddress returns the address under which this gateway is known to its
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -21,6 +22,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Timeout limits a call, including the time to connect.
 	Timeout time.Duration
+	// ListsTimeout limits a call of Lists, whose answer may be large; Timeout if 0.
+	ListsTimeout time.Duration
 
 	mu sync.Mutex
 	// idleConns holds the connections that no call is using, by address.
@@ -110,13 +113,18 @@
 // Lists requests the configuration and upstream list of the gateway at address.
 func (c *Client) Lists(ctx context.Context, address string, request *peering.ListsRequest) (*peering.Lists, error) {
 	var out peering.Lists
-	return &out, c.call(ctx, address, listsCall, request, &out)
+	return &out, c.callWithin(ctx, cmp.Or(c.ListsTimeout, c.Timeout), address, listsCall, request, &out)
 }
 
-// call makes one call. If the call fails, its connection is closed rather than
-// reused, so that a broken connection fails at most one call.
+// call makes one call within c.Timeout.
 func (c *Client) call(ctx context.Context, address, name string, in, out drpc.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	return c.callWithin(ctx, c.Timeout, address, name, in, out)
+}
+
+// callWithin makes one call. If the call fails, its connection is closed rather than
+// reused, so that a broken connection fails at most one call.
+func (c *Client) callWithin(ctx context.Context, timeout time.Duration, address, name string, in, out drpc.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := c.getConn(ctx, address)
 	if err != nil {
