--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -163,7 +163,7 @@
 		return e
 	}
 	a.g.Log.Info("stream broke", zap.String("request", a.q.ID), zap.Int("attempt", a.q.history().attempts), zap.String("upstream", a.target.upstream.Instance),
-		zap.String("last_event", lastEventID), zap.Error(err))
+		zap.String("last_event", lastEventID), zap.Strings("shared_parts", a.q.SharedParts), zap.Error(err))
 	if errors.Is(err, http1.ErrMalformed) {
 		e.Reason = verdict.UpstreamProtocol
 		a.g.control.Do(func(s *state) { s.attributeFailure(a.q, a.target, e, relay.ResponseHead{}, a.g.Now()) })
--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -25,6 +25,9 @@
 	// ExpectedOutputTokens is the caller's estimate of the length of the
 	// answer; 0 if not stated.
 	ExpectedOutputTokens int
+	// SharedParts are the IDs of the parts of the prompt that other requests may
+	// share, in order. The last part is the request's own and not one of them.
+	SharedParts []string
 	// ResumeAfter is the ID of the last event that the caller has received;
 	// empty if the stream starts at the beginning.
 	ResumeAfter string
