Quarantine the part of a prompt that crashes engines

What callers saw: requests of one kind crashed engines one after the other (BUDGET, 37 engines in a minute on Blütenring), and each crash broke 9 to 67 streams of others; seven of eight card-text requests failed or were refused.

Cause: the quarantine knew whole requests only. No two requests with the bad part are alike, so each was a new suspect, allowed up to three engines; and whoever was in flight at a crash was suspected, also streams that had long been answered. The class: a fault is tied to an identity that its cause doesn't have.

Change: parts that prompts share are tracked (quarantine.Parts). An attempt that breaks before its first events counts against the parts of its prompt; one that is answered clears them. A part under which three attempts have ended one after the other, none answered between, is refused, if attempts without it got through meanwhile: a failure of the service, or several engines that end at once, blames no part. Gateways share crashes and successes by the usual news, at once if a part is suspected more. A quarantine ends after a minute, and twice that after each further crash, with one trial by one gateway. What is refused has not run.

Evidence: in the logs of the incident, 13 of 14 crashes broke one or two streams without an event, the requests with the part, beside 9 to 67 others. Gateway and platform tests pass.

--- a/internal/coordination/cluster/leader.go
+++ b/internal/coordination/cluster/leader.go
@@ -62,3 +62,14 @@
 	}
 	return ineligible
 }
+
+// IsFirst reports whether this gateway is the first by address of the live gateways
+// that are not leaving.
+func (ms *Members) IsFirst(now time.Duration) bool {
+	for _, m := range ms.Alive(now) {
+		if m.Address.Address < ms.Self.Address && !m.News.Draining {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/coordination/cluster/members.go
+++ b/internal/coordination/cluster/members.go
@@ -214,6 +214,15 @@
 	return due
 }
 
+// CallSoon makes the members that are alive due now, for news that must not wait.
+func (ms *Members) CallSoon(now time.Duration) {
+	for _, m := range ms.ordered {
+		if ms.alive(m, now) {
+			m.nextCallAt = min(m.nextCallAt, now)
+		}
+	}
+}
+
 func (ms *Members) nextInterval(m *Member, now time.Duration) time.Duration {
 	switch {
 	case now-max(m.LastHeard, m.addedAt) > lostAfter:
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -54,6 +54,9 @@
 
 // checkQuarantine returns a refusal for a request that has crashed upstreams.
 func (s *state) checkQuarantine(q *request, now time.Duration) error {
+	if err := s.checkParts(q, now); err != nil {
+		return err
+	}
 	if s.suspicions.Empty() {
 		return nil
 	}
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -215,6 +215,7 @@
 	case s.lastEventID == "":
 		return a.recordBrokenStream(s.lastEventID, errNoEvent)
 	}
+	a.recordRead(true)
 	// If the caller already has all events the stream is empty, and its header
 	// is still to be written.
 	s.writeHeaderOnce(a.response)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -142,6 +142,7 @@
 	s.mergeLeaving(n, now)
 	s.mergeWithheld(n)
 	s.mergeSuspicions(n.Suspicions, now)
+	s.mergeParts(n.Parts, now)
 	switch {
 	case n.Address.Address == s.members.Self.Address:
 	case n.Zone == s.zone && !n.OfZone:
@@ -224,6 +225,7 @@
 		n.Faults = append(n.Faults, peering.UpstreamFault{Upstream: o.Instance, Left: o.Remaining})
 	}
 	n.Suspicions = s.suspicionsToSend(now)
+	n.Parts = s.partsToSend(now)
 	n.Peers = s.samplePeers(now)
 	n.OfZone = zone != s.zone
 	s.addNotices(n, now)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -59,6 +59,8 @@
 	// suspicions are the requests that were in flight on upstreams that
 	// crashed.
 	suspicions quarantine.Tracker
+	// parts are the parts of prompts that may crash engines.
+	parts quarantine.Parts
 	// cachedSuspicions are the suspicions for peers, as computed at
 	// suspicionsCachedAt.
 	cachedSuspicions   []peering.Suspicion
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -40,6 +41,11 @@
 	first    []byte
 	firstErr error
 	hasFirst bool
+	// sentAt is the boot time at which the request was sent, and reads how often
+	// events were read. answered is set once they show that the engine answers.
+	sentAt   time.Duration
+	reads    int
+	answered bool
 }
 
 // newStreamAttempt returns an attempt for which nothing was sent yet.
@@ -58,8 +64,10 @@
 
 // send sends the request and waits for the header of the response.
 func (a *streamAttempt) send() error {
+	a.sentAt = a.g.Now()
 	resp, err := a.g.send(a.ctx, a.q, a.target, a.resumeAfter)
 	if err != nil {
+		a.recordUnanswered(err)
 		return err
 	}
 	a.response, a.reader.source = resp, resp
@@ -99,6 +107,7 @@
 		if !a.detector.recordEvent(a.g.Now(), a.sequence) {
 			return errSuperseded
 		}
+		a.recordRead(false)
 		return nil
 	case a.firstErr != io.EOF:
 		return a.detector.attribute(a.recordBrokenStream(a.resumeAfter, a.firstErr))
@@ -125,6 +134,7 @@
 	if !a.detector.recordEvent(a.g.Now(), *a.reader.sequence) {
 		return nil, errSuperseded
 	}
+	a.recordRead(false)
 	return events, nil
 }
 
@@ -164,6 +174,7 @@
 	}
 	a.g.Log.Info("stream broke", zap.String("request", a.q.ID), zap.Int("attempt", a.q.history().attempts), zap.String("upstream", a.target.upstream.Instance),
 		zap.String("last_event", lastEventID), zap.Strings("shared_parts", a.q.SharedParts), zap.Error(err))
+	a.recordUnanswered(err)
 	if errors.Is(err, http1.ErrMalformed) {
 		e.Reason = verdict.UpstreamProtocol
 		a.g.control.Do(func(s *state) { s.attributeFailure(a.q, a.target, e, relay.ResponseHead{}, a.g.Now()) })
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -121,8 +121,32 @@
 	// Store is sent beside the other fields, see [Update]. It is the zero value
 	// in news of a build that does not know it.
 	Store StoreNews `cbor:"-"`
-	// Retries is sent like Store.
-	Retries RetryNews `cbor:"-"`
+	// Retries and Parts are sent like Store.
+	Retries RetryNews       `cbor:"-"`
+	Parts   []PartSuspicion `cbor:"-"`
+}
+
+// PartSuspicion is a part of prompts that may crash the engines that answer them.
+type PartSuspicion struct {
+	_    struct{} `cbor:",toarray"`
+	Part string
+	// Crashes are those since the part's last success.
+	Crashes []PartCrash
+	// ClearedAge is the time since that success; negative if none is known.
+	ClearedAge time.Duration
+	// Blamed reports whether attempts without the part got through where it crashed
+	// engines.
+	Blamed bool
+}
+
+// PartCrash is an attempt that ended, with the engine that ran it, before it had
+// answered anything.
+type PartCrash struct {
+	_ struct{} `cbor:",toarray"`
+	// Attempt identifies the attempt among those of all gateways.
+	Attempt string
+	// Age is the time since its end, and Took how long it ran.
+	Age, Took time.Duration
 }
 
 // RetryNews is what a gateway tells of the counts in its news.
@@ -167,15 +191,18 @@
 	News    *News
 	Store   StoreNews
 	Retries RetryNews
+	Parts   []PartSuspicion `cbor:",omitempty"`
 }
 
 // NewUpdate returns the message that carries n.
-func NewUpdate(n *News) *Update { return &Update{News: n, Store: n.Store, Retries: n.Retries} }
+func NewUpdate(n *News) *Update {
+	return &Update{News: n, Store: n.Store, Retries: n.Retries, Parts: n.Parts}
+}
 
 // Unwrap returns the news with what the message carries beside it. u.News must not be
 // nil.
 func (u *Update) Unwrap() *News {
-	u.News.Store, u.News.Retries = u.Store, u.Retries
+	u.News.Store, u.News.Retries, u.News.Parts = u.Store, u.Retries, u.Parts
 	return u.News
 }
 
@@ -190,10 +217,30 @@
 		return errors.New("peering: too many withheld upstreams")
 	case u.Retries.Reach < 0 || len(u.Retries.Known) > MaxListItems:
 		return errors.New("peering: negative reach or too many services")
+	case len(u.Parts) > MaxListItems:
+		return errors.New("peering: too many parts")
+	}
+	for i := range u.Parts {
+		if err := u.Parts[i].check(); err != nil {
+			return err
+		}
 	}
 	return u.News.Check()
 }
 
+// check returns an error if s lacks its part, has a negative age, or exceeds a limit.
+func (s *PartSuspicion) check() error {
+	if s.Part == "" || len(s.Crashes) > MaxListItems {
+		return errors.New("peering: suspicion without part or with too many crashes")
+	}
+	for _, c := range s.Crashes {
+		if c.Age < 0 || c.Took < 0 {
+			return errors.New("peering: crash with a negative time")
+		}
+	}
+	return nil
+}
+
 // Check returns an error if n has another version, lacks its sender, or exceeds a
 // limit.
 func (n *News) Check() error {
--- a/internal/protocol/peering/news_test.go
+++ b/internal/protocol/peering/news_test.go
@@ -26,12 +26,14 @@
 	qt.Check(t, elements, qt.HasLen, newsElements)
 
 	news.Retries = RetryNews{Reach: time.Second, Known: []ServiceRetries{{Service: "s", Retries: 3}}}
+	news.Parts = []PartSuspicion{{Part: "p", Crashes: []PartCrash{{Attempt: "a", Age: time.Second}}, ClearedAge: -1, Blamed: true}}
 	encoded, err = cbor.Marshal(NewUpdate(news))
 	qt.Assert(t, err, qt.IsNil)
 	var update Update
 	qt.Assert(t, cbor.Unmarshal(encoded, &update), qt.IsNil)
 	qt.Check(t, update.Store, qt.DeepEquals, news.Store)
 	qt.Check(t, update.Unwrap().Retries, qt.DeepEquals, news.Retries)
+	qt.Check(t, update.News.Parts, qt.DeepEquals, news.Parts)
 	qt.Check(t, update.Check(), qt.IsNil)
 	// A later build may add fields.
 	encoded, err = cbor.Marshal(map[string]any{"News": news, "Store": news.Store, "Later": 1})
