Accept a peer's lists that contain an unusable upstream

What callers saw: nothing reported. An entry of the store that describes no usable upstream is kept as unusable, without an address, and the lists for peers contain it. The peers refused the lists as a whole ("upstream without instance or address"), so that a gateway without the store could get neither configuration nor upstreams from them, for as long as the odd entry was there.

TestUnusableUpstreamCostsNoOther failed before.

--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -296,13 +296,13 @@
 }
 
 // Check returns an error if l has another version, a negative age, an upstream
-// without instance or address, or an invalid table. It prepares the table.
+// without instance or, unless it is unusable, address, or an invalid table. It prepares the table.
 func (l *Lists) Check() error {
 	if l.Version != Version || l.TableAge < 0 || l.ListEra < 0 {
 		return errors.New("peering: lists have another version, a negative age or era")
 	}
 	for _, u := range l.Upstreams {
-		if u == nil || u.Instance == "" || u.Address == "" {
+		if u == nil || u.Instance == "" || u.Address == "" && u.State != fleet.Unusable {
 			return errors.New("peering: upstream without instance or address")
 		}
 	}
--- a/internal/protocol/peering/news_test.go
+++ b/internal/protocol/peering/news_test.go
@@ -41,3 +41,13 @@
 	qt.Check(t, cbor.Unmarshal(encoded, &update), qt.IsNil)
 	qt.Check(t, (&Update{}).Check(), qt.IsNotNil)
 }
+
+// TestUnusableUpstreamCostsNoOther guards against lists that a peer refuses as a whole
+// because the store holds an entry that describes no usable upstream.
+func TestUnusableUpstreamCostsNoOther(t *testing.T) {
+	sound := &fleet.Upstream{Instance: "sound", Address: "10.0.0.1:80", State: fleet.Serving}
+	unusable := &fleet.Upstream{Instance: "odd", State: fleet.Unusable}
+	qt.Check(t, (&Lists{Version: Version, Upstreams: []*fleet.Upstream{sound, unusable}}).Check(), qt.IsNil)
+	qt.Check(t, (&Lists{Version: Version, Upstreams: []*fleet.Upstream{{Instance: "a", State: fleet.Serving}}}).Check(), qt.IsNotNil)
+	qt.Check(t, (&Lists{Version: Version, Upstreams: []*fleet.Upstream{{State: fleet.Unusable}}}).Check(), qt.IsNotNil)
+}
