Go on without an odd entry of the VM list

The same fault in internal/entry: a VM without name or address, of another type or nested deeply cost the whole list, and with it the peers and the VMs that leave. Such entries are left out and counted in the log now.

--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -283,8 +283,11 @@
 			}
 			e.control.publish(s)
 		})
-		if err != nil {
+		switch {
+		case err != nil:
 			e.Log.Debug("VM list not read", zap.Error(err))
+		case list.Malformed > 0:
+			e.Log.Warn("entries of the VM list ignored", zap.Int("malformed", list.Malformed))
 		}
 		if !loop.Sleep(ctx, pause) {
 			return nil
--- a/internal/protocol/object/object.go
+++ b/internal/protocol/object/object.go
@@ -2,9 +2,13 @@
 package object
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
+
+	"lovageport.example/internal/protocol/jsontext"
 )
 
 // Paths and limits of the protocol.
@@ -74,17 +78,46 @@
 	RoleUpstream = "upstream"
 )
 
+// Check returns an error if the VM has no name or no address.
+func (v *VM) Check() error {
+	if v.Name == "" || v.Address == "" {
+		return errors.New("object: VM without name or address")
+	}
+	return nil
+}
+
 // VMList is the answer to a request for the VM list.
 type VMList struct {
 	VMs []VM
+	// Malformed is the number of entries that were left out because they could not
+	// be decoded.
+	Malformed int `json:"-"`
 }
 
-// Check returns an error if a VM has no name or no address.
-func (l *VMList) Check() error {
-	for _, v := range l.VMs {
-		if v.Name == "" || v.Address == "" {
-			return errors.New("object: VM without name or address")
+// Decode decodes the text of a list. Entries that describe no VM are left out; the
+// others hold.
+func (l *VMList) Decode(text []byte) error {
+	*l = VMList{}
+	err := json.Unmarshal(text, l)
+	if object, ok := jsontext.Parse(text); ok && jsontext.IsOddEntry(err) {
+		l.decodeApart(object.Entries("VMs"))
+		err = nil
+	}
+	whole := len(l.VMs)
+	l.VMs = slices.DeleteFunc(l.VMs, func(v VM) bool { return v.Check() != nil })
+	l.Malformed += whole - len(l.VMs)
+	return err
+}
+
+// decodeApart decodes the entries of a list one by one.
+func (l *VMList) decodeApart(entries []jsontext.Object) {
+	l.VMs = nil
+	for _, entry := range entries {
+		var v VM
+		if json.Unmarshal(entry.Text(), &v) != nil {
+			l.Malformed++
+			continue
 		}
+		l.VMs = append(l.VMs, v)
 	}
-	return nil
 }
--- a/internal/transport/objectstore/client.go
+++ b/internal/transport/objectstore/client.go
@@ -137,10 +137,8 @@
 
 func (c *Client) vms(ctx context.Context) (object.VMList, error) {
 	var list object.VMList
-	if err := c.call(ctx, http.MethodGet, object.VMsPath, nil, c.Timeout, &list); err != nil {
-		return list, err
-	}
-	return list, list.Check()
+	err := c.call(ctx, http.MethodGet, object.VMsPath, nil, c.Timeout, &list)
+	return list, err
 }
 
 // call makes one call and decodes the response into out, unless out is nil.
@@ -178,7 +176,11 @@
 	case out == nil:
 		return nil
 	}
-	if err := json.Unmarshal(body, out); err != nil {
+	decode := func(text []byte) error { return json.Unmarshal(text, out) }
+	if l, ok := out.(*object.VMList); ok {
+		decode = l.Decode
+	}
+	if err := decode(body); err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
 	return nil
