Answer the requests that are at work when the time of a drain is over

What callers saw: in a planned stop a request that came in the notice period, or was at work before, and took longer than the grace period lost its connection without an answer, a booking too. A body that came slowly held its connection until the same end. With a grace period shorter than the notice period the process was killed in the middle of it. Reported by other operators of systems like the users'.

Cause: the drain waited for connections to end and then cut them.

Change: 0.5 s before the end of the grace period the requests that are left end, with 504 if they may have run and 503 if they have not, and a line each in the log (reason=draining); 0.2 s later what is left of the connections is cut. The notice period takes at most half of the time.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,10 +20,23 @@
 	// acts on two results.
 	drainNoticePeriod = 2500 * time.Millisecond
 	// drainMargin is how long before the end of the grace period the remaining
-	// requests are cut off.
+	// connections are cut off.
 	drainMargin = 300 * time.Millisecond
+	// drainAnswerTime is how long before that the remaining requests end, so that
+	// their callers get an answer.
+	drainAnswerTime = 200 * time.Millisecond
 )
 
+// errProcessEnds is the cause of the end of requests that are at work when the time of a
+// drain is over.
+var errProcessEnds = errors.New("gateway: the process ends")
+
+// drainNotice returns the length of the notice period of a drain that may take as long
+// as grace.
+func drainNotice(grace time.Duration) time.Duration {
+	return min(drainNoticePeriod, (grace-drainMargin-drainAnswerTime)/2)
+}
+
 // drainOnRequest performs the graceful shutdown once Drain is closed: the
 // health check fails first, then new connections are refused, then requests in
 // flight and those that have arrived are completed.
@@ -34,11 +49,13 @@
 	start := time.Now()
 	g.draining.Store(true)
 	g.Log.Info("drain started", zap.Int64("in_flight", g.inFlight.Load()))
-	if !loop.Sleep(ctx, drainNoticePeriod) {
+	grace := g.Settings.Bounds.Grace.Duration
+	defer time.AfterFunc(grace-drainMargin-drainAnswerTime, g.endRequests).Stop()
+	if !loop.Sleep(ctx, drainNotice(grace)) {
 		return nil
 	}
-	left := g.Settings.Bounds.Grace.Duration - drainMargin - time.Since(start)
-	g.cutOffAt.Store(int64(g.Now() + left))
+	left := grace - drainMargin - time.Since(start)
+	g.cutOffAt.Store(int64(g.Now() + left - drainAnswerTime))
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	err := callers.Drain(ctx)
@@ -52,6 +69,34 @@
 	return nil
 }
 
+// endRequests ends the requests that are still at work.
+func (g *Gateway) endRequests() {
+	if n := g.inFlight.Load(); n > 0 {
+		g.Log.Warn("requests ended with the process", zap.Int64("in_flight", n))
+	}
+	g.cancelRequests()
+}
+
+// requestContext returns the context of a request, which ends with its caller, and with
+// the cause errProcessEnds when the time of a drain is over.
+func (g *Gateway) requestContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.requestsEnd, func() { cancel(errProcessEnds) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// limitBodyRead ends the reading of the body of a request when the time of a drain is
+// over, until the returned function is called.
+func (g *Gateway) limitBodyRead(w http.ResponseWriter) (stop func() bool) {
+	return context.AfterFunc(g.requestsEnd, func() {
+		// It fails only if the connection has ended.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+}
+
 // checkDrain refuses a request that the end of a drain may cut off. Such a request
 // comes over a connection that was in use when the notice period ended.
 func (g *Gateway) checkDrain(q *request) error {
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -59,13 +59,15 @@
 	}
 }
 
-// contextError returns the error of a request whose deadline has passed or
-// whose caller has gone.
+// contextError returns the error of a request whose deadline has passed, whose caller
+// has gone, or with which the process ends.
 func contextError(ctx context.Context, q *request) *verdict.Error {
 	e := &verdict.Error{Run: verdict.NotRun, Reason: verdict.DeadlineExceeded, Message: "deadline exceeded", RetryAfter: repairRetryAfter}
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		e.Reason = verdict.CallerGone
-		e.Message = "the caller has gone"
+	switch {
+	case context.Cause(ctx) == errProcessEnds:
+		e.Reason, e.Message, e.RetryAfter = verdict.Draining, "the process ends", minRetryAfter
+	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		e.Reason, e.Message = verdict.CallerGone, "the caller has gone"
 	}
 	if q.mayHaveRun() {
 		e.Run = verdict.MayHaveRun
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -94,7 +94,9 @@
 			g.refuse(w, q, err)
 			return
 		}
-		ctx, cancel := context.WithTimeout(r.Context(), q.deadline-g.Now())
+		ctx, end := g.requestContext(r.Context())
+		defer end()
+		ctx, cancel := context.WithTimeout(ctx, q.deadline-g.Now())
 		defer cancel()
 		if q.route.Kind == routing.Stream {
 			g.generate(ctx, w, q)
@@ -121,7 +123,7 @@
 	q.accepted = t.Services[q.service]
 	q.deadline = q.arrived + requestTimeout(q)
 	q.setQueueDeadline(q.arrived)
-	if err := readBody(w, q, t.Limits.MaxBodyBytes); err != nil {
+	if err := g.readBody(w, q, t.Limits.MaxBodyBytes); err != nil {
 		return err
 	}
 	q.tokens = expectedTokens(&q.Request, q.accepted)
@@ -203,10 +205,11 @@
 
 // readBody reads the complete body, since it may have to be sent more than
 // once.
-func readBody(w http.ResponseWriter, q *request, limit int64) error {
+func (g *Gateway) readBody(w http.ResponseWriter, q *request, limit int64) error {
 	if q.http.ContentLength == 0 {
 		return nil
 	}
+	defer g.limitBodyRead(w)()
 	body := q.http.Body
 	if limit > 0 {
 		body = http.MaxBytesReader(w, body, limit)
@@ -217,6 +220,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return verdict.Refuse(verdict.BodyTooLarge, "body above %d bytes", tooLarge.Limit)
+	case err != nil && g.requestsEnd.Err() != nil:
+		return verdict.RefuseUntil(minRetryAfter, verdict.Draining, "the process ends before the body has arrived")
 	case err != nil:
 		return &verdict.Error{Run: verdict.NotRun, Reason: verdict.CallerGone, Message: "body not read", Err: err}
 	}
@@ -254,7 +259,7 @@
 	switch {
 	case e.Run == verdict.NotRun:
 		return http.StatusServiceUnavailable
-	case e.Reason == verdict.DeadlineExceeded, e.Reason == verdict.UpstreamSilent:
+	case e.Reason == verdict.DeadlineExceeded, e.Reason == verdict.UpstreamSilent, e.Reason == verdict.Draining:
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
