End requests with an answer at the end of an entry's drain

The same fault in internal/entry: requests that were at work when the timeout of a drain passed lost their connections without an answer. They end 0.2 s before it now, with 504 if they may have run and 503 if they have not. What ends them (drain.Requests) serves the gateway too.

TestRequestsAreAnsweredBeforeTheEndOfADrain of internal/entry failed before: no status, no verdict.

--- a/internal/entry/diagnosis.go
+++ b/internal/entry/diagnosis.go
@@ -8,6 +8,7 @@
 	"lovageport.example/internal/coordination/dispatch"
 	"lovageport.example/internal/coordination/route"
 	"lovageport.example/internal/protocol/engine"
+	"lovageport.example/internal/transport/drain"
 	"lovageport.example/internal/transport/upstream"
 	"lovageport.example/pkg/verdict"
 )
@@ -66,9 +67,12 @@
 }
 
 // contextError returns the error to report if ctx, the context of a request,
-// has ended: the deadline passed or the caller disconnected. It returns nil if
-// ctx has not ended. The verdict and the cause are those of e.
+// has ended: the deadline passed, the caller disconnected or the process ends. It
+// returns nil if ctx has not ended. The verdict and the cause are those of e.
 func contextError(ctx context.Context, e *verdict.Error) error {
+	if context.Cause(ctx) == drain.ErrEnded {
+		return endedError(e)
+	}
 	switch ctx.Err() {
 	case nil:
 		return nil
@@ -167,3 +171,13 @@
 	}
 	return dispatch.ConnectionSilent, name
 }
+
+// endedError returns the error of a request with which the process ends.
+func endedError(e *verdict.Error) error {
+	out := &verdict.Error{Run: e.Run, Reason: verdict.Draining, Message: "the process ends", RetryAfter: time.Second, Err: e.Err}
+	if e.Run != verdict.NotRun {
+		// Callers take the status of a drain for a promise that nothing ran.
+		out.Reason = verdict.DeadlineExceeded
+	}
+	return out
+}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -15,6 +15,10 @@
 // drainPollInterval is how often a drain checks whether all requests have ended.
 const drainPollInterval = 20 * time.Millisecond
 
+// drainAnswerTime is how long before the end of a drain the requests that are left end,
+// so that their callers get an answer.
+const drainAnswerTime = 200 * time.Millisecond
+
 // errUnfinished is returned for a drain whose timeout passed while requests of
 // callers that have disconnected were still at work.
 var errUnfinished = errors.New("entry: requests are still at work")
@@ -42,7 +46,9 @@
 	if !loop.Sleep(ctx, e.Settings.Drain.Notice.Duration) {
 		return nil
 	}
-	limited, cancel := context.WithTimeout(ctx, e.Settings.Drain.Timeout.Duration)
+	timeout := e.Settings.Drain.Timeout.Duration
+	defer time.AfterFunc(max(timeout/2, timeout-drainAnswerTime), e.endRequests).Stop()
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	err := errors.Join(callers.Drain(limited), e.awaitRequests(limited))
 	e.retryQueue.flush(ctx)
@@ -53,6 +59,14 @@
 	return nil
 }
 
+// endRequests ends the requests that are still at work.
+func (e *Entry) endRequests() {
+	if n := e.inFlight.Load(); n > 0 {
+		e.Log.Warn("requests ended with the process", zap.Int64("in_flight", n))
+	}
+	e.requests.End()
+}
+
 // awaitRequests waits until no request is at work. One that may not be repeated
 // goes on after its caller has disconnected.
 func (e *Entry) awaitRequests(ctx context.Context) error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,6 +69,8 @@
 	// drainRequested is closed when an operator requests a drain.
 	drainRequested chan struct{}
 	drainStarted   atomic.Bool
+	// requests ends the requests that are at work when the time of a drain is over.
+	requests drain.Requests
 	// inFlight counts the callers' requests being processed, including those
 	// that continue after their caller has disconnected.
 	inFlight atomic.Int64
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -25,10 +25,14 @@
 		return caller.GenerateResult{}, verdict.Refuse(verdict.UnknownModel, "no model %q", request.Body.Model)
 	}
 	maxTokens := min(request.MaxTokens, model.MaxOutputTokens)
+	ctx, end := e.requests.Context(ctx)
 	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
 	// The engine client reads the rest of a complete response's body in the
 	// background, so the context must outlive this call.
-	defer time.AfterFunc(upstream.SilenceTimeout, cancel)
+	defer time.AfterFunc(upstream.SilenceTimeout, func() {
+		cancel()
+		end()
+	})
 	content := fmt.Appendf(nil, "%d %s", maxTokens, request.Prompt)
 	gen := &generator{
 		entry:      e,
--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -56,15 +56,18 @@
 		return nil, err
 	}
 	defer c.placements.close()
+	if !operation.Repeatable {
+		// Once sent, such a call continues even if its caller disconnects, so
+		// that its answer can be replayed when the caller repeats it.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, end := e.requests.Context(ctx)
+	defer end()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	if operation.Repeatable {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
 		return c.run(ctx)
 	}
-	// Once sent, such a call continues even if its caller disconnects, so that
-	// its answer can be replayed when the caller repeats it.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
-	defer cancel()
 	return c.runClaimed(ctx)
 }
 
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"connectrpc.com/connect"
 	qt "github.com/frankban/quicktest"
 
+	"lovageport.example/internal/setting"
 	"lovageport.example/pkg/declaration"
 	operatorv1 "lovageport.example/pkg/operatorapi/v1"
 	"lovageport.example/pkg/verdict"
@@ -259,6 +261,27 @@
 	})
 }
 
+// TestRequestsAreAnsweredBeforeTheEndOfADrain guards against requests that are still at
+// work when the time of a drain is over, and are then cut off without an answer.
+func TestRequestsAreAnsweredBeforeTheEndOfADrain(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		began := time.Now()
+		results := make(chan callResult, 1)
+		go func() {
+			results <- f.generate(generateRequest{entry: "wien-entry", prompt: "long", tokens: 4000, timeout: "60s"})
+		}()
+		time.Sleep(100 * time.Millisecond)
+		close(f.entries["wien-entry"].drain)
+		got := <-results
+		qt.Check(t, got.err, qt.IsNil)
+		qt.Check(t, got.status, qt.Equals, http.StatusGatewayTimeout)
+		qt.Check(t, got.verdict, qt.Equals, verdict.MayHaveRun.String())
+		<-f.entries["wien-entry"].done
+		delete(f.entries, "wien-entry")
+		qt.Check(t, time.Since(began) <= setting.DefaultDrainNotice+setting.DefaultDrainTimeout+time.Second, qt.IsTrue)
+	})
+}
+
 // isReady reports whether the readiness endpoint of an entry answers 200.
 func (f *fleet) isReady(entry string) bool {
 	response, err := f.client().Get("http://" + address(entry, 2) + "/readyz")
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -27,10 +26,6 @@
 	drainAnswerTime = 200 * time.Millisecond
 )
 
-// errProcessEnds is the cause of the end of requests that are at work when the time of a
-// drain is over.
-var errProcessEnds = errors.New("gateway: the process ends")
-
 // drainNotice returns the length of the notice period of a drain that may take as long
 // as grace.
 func drainNotice(grace time.Duration) time.Duration {
@@ -74,24 +69,13 @@
 	if n := g.inFlight.Load(); n > 0 {
 		g.Log.Warn("requests ended with the process", zap.Int64("in_flight", n))
 	}
-	g.cancelRequests()
-}
-
-// requestContext returns the context of a request, which ends with its caller, and with
-// the cause errProcessEnds when the time of a drain is over.
-func (g *Gateway) requestContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(g.requestsEnd, func() { cancel(errProcessEnds) })
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
+	g.requests.End()
 }
 
 // limitBodyRead ends the reading of the body of a request when the time of a drain is
 // over, until the returned function is called.
 func (g *Gateway) limitBodyRead(w http.ResponseWriter) (stop func() bool) {
-	return context.AfterFunc(g.requestsEnd, func() {
+	return g.requests.AfterEnd(func() {
 		// It fails only if the connection has ended.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,9 +101,8 @@
 	// cutOffAt is the boot time at which a drain cuts off the requests that are left.
 	// It is set at the end of the notice period; 0 before.
 	cutOffAt atomic.Int64
-	// requestsEnd ends, by cancelRequests, when requests that are at work must end.
-	requestsEnd    context.Context
-	cancelRequests context.CancelFunc
+	// requests ends the requests that are at work when the time of a drain is over.
+	requests drain.Requests
 	// inFlight is the number of callers' requests being processed.
 	inFlight atomic.Int64
 	// tasks are the calls that run in the background. They end with Run.
@@ -133,7 +132,6 @@
 	}
 	g.store.Open()
 	g.peerClients = &peer.Client{Dial: dialer, Timeout: peerCallTimeout, ListsTimeout: peerListsTimeout}
-	g.requestsEnd, g.cancelRequests = context.WithCancel(context.Background())
 	g.registerAgain = make(chan struct{}, 1)
 	g.peersTried = make(chan struct{})
 	g.closePeersTried = sync.OnceFunc(func() { close(g.peersTried) })
@@ -153,7 +151,6 @@
 // Run serves until ctx is done or a drain has completed.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.prepare()
-	defer g.cancelRequests()
 	defer g.store.Close()
 	defer g.connPool.Close()
 	defer g.peerClients.Close()
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"lovageport.example/internal/transport/drain"
 	"lovageport.example/pkg/verdict"
 	"lovageport.example/platform"
 )
@@ -64,7 +65,7 @@
 func contextError(ctx context.Context, q *request) *verdict.Error {
 	e := &verdict.Error{Run: verdict.NotRun, Reason: verdict.DeadlineExceeded, Message: "deadline exceeded", RetryAfter: repairRetryAfter}
 	switch {
-	case context.Cause(ctx) == errProcessEnds:
+	case context.Cause(ctx) == drain.ErrEnded:
 		e.Reason, e.Message, e.RetryAfter = verdict.Draining, "the process ends", minRetryAfter
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.Reason, e.Message = verdict.CallerGone, "the caller has gone"
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -94,7 +94,7 @@
 			g.refuse(w, q, err)
 			return
 		}
-		ctx, end := g.requestContext(r.Context())
+		ctx, end := g.requests.Context(r.Context())
 		defer end()
 		ctx, cancel := context.WithTimeout(ctx, q.deadline-g.Now())
 		defer cancel()
@@ -220,7 +220,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return verdict.Refuse(verdict.BodyTooLarge, "body above %d bytes", tooLarge.Limit)
-	case err != nil && g.requestsEnd.Err() != nil:
+	case err != nil && g.requests.Ended():
 		return verdict.RefuseUntil(minRetryAfter, verdict.Draining, "the process ends before the body has arrived")
 	case err != nil:
 		return &verdict.Error{Run: verdict.NotRun, Reason: verdict.CallerGone, Message: "body not read", Err: err}
