--- a/internal/coordination/quarantine/parts.go
+++ b/internal/coordination/quarantine/parts.go
@@ -112,7 +112,7 @@
 // outcomes counts the attempts that ended in a second.
 type outcomes struct {
 	second             int64
-	answered, unstable int
+	answered, failed int
 }
 
 // record counts the outcome of an attempt.
@@ -125,7 +125,7 @@
 	if answered {
 		o.answered++
 	} else {
-		o.unstable++
+		o.failed++
 	}
 }
 
@@ -136,7 +136,7 @@
 	for _, o := range p.outcomes {
 		if now.Unix()-o.second < int64(len(p.outcomes)) {
 			answered += o.answered
-			failed += o.unstable
+			failed += o.failed
 		}
 	}
 	failed = max(0, failed)
--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -9,6 +9,7 @@
 	"lovageport.example/pkg/verdict"
 )
 
+// retryWindow returns this gateway's requests and retries of a service.
 func (s *state) retryWindow(service string) *retry.Window {
 	w := s.retryWindows[service]
 	if w == nil {
