--- a/internal/coordination/quarantine/parts.go
+++ b/internal/coordination/quarantine/parts.go
@@ -111,7 +111,7 @@
 
 // outcomes counts the attempts that ended in a second.
 type outcomes struct {
-	second             int64
+	second           int64
 	answered, failed int
 }
 
