--- a/internal/gateway/freshness_test.go
+++ b/internal/gateway/freshness_test.go
@@ -98,7 +98,7 @@
 
 	configure(g.store, 2)
 	g.passed.Add(int64(2 * time.Second))
-	q, err = g.serve("/look-added/")
+	_, err = g.serve("/look-added/")
 	qt.Check(t, err, qt.IsNil, qt.Commentf("a route that was added"))
 	q, err = g.serve("/look/")
 	qt.Assert(t, err, qt.IsNil)
