Send a large configuration to few peers at once

Cause: gateways that hear of a newer version fetch it from a peer, all from the one that had it first. 27 answers of some 360 KB did not fit its link of 20 Mbit/s within the timeout; all calls failed, and were made again 0.15 s later, for 2.5 s. Connecting timed out too.

Change: a gateway sends 8,000 routes a second to peers and refuses other calls at once; who was refused, or got no answer, asks that peer again after 0.3 to 0.6 s and others meanwhile. Whoever has got the configuration passes it on.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
+	"golang.org/x/time/rate"
 
 	"lovageport.example/internal/clock"
 	"lovageport.example/internal/coordination/retry"
@@ -84,6 +85,8 @@
 	// tableReadAt is the boot time at which the last read of the configuration that
 	// has ended was sent.
 	tableReadAt atomic.Int64
+	// listLimiter limits the configurations that are sent to peers.
+	listLimiter *rate.Limiter
 	// reportCalls merges concurrent calls that fetch the report of the same
 	// engine.
 	reportCalls singleflight.Group
@@ -132,6 +135,7 @@
 	}
 	g.store.Open()
 	g.peerClients = &peer.Client{Dial: dialer, Timeout: peerCallTimeout, ListsTimeout: peerListsTimeout}
+	g.listLimiter = newListLimiter()
 	g.registerAgain = make(chan struct{}, 1)
 	g.peersTried = make(chan struct{})
 	g.closePeersTried = sync.OnceFunc(func() { close(g.peersTried) })
--- a/internal/gateway/listsync.go
+++ b/internal/gateway/listsync.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"lovageport.example/internal/coordination/cluster"
 	"lovageport.example/internal/loop"
@@ -21,16 +23,38 @@
 	minFreshnessGain = 300 * time.Millisecond
 	// peerSyncInterval is the least time between two such calls.
 	peerSyncInterval = 150 * time.Millisecond
+	// minListSourcePause and maxListSourcePause bound the time for which a peer is
+	// not asked again that could not answer.
+	minListSourcePause = 300 * time.Millisecond
+	maxListSourcePause = 600 * time.Millisecond
 )
 
+// Limits on the configurations that are sent to peers. A route takes about 200 bytes,
+// and small VMs have 20 Mbit/s, which callers use too. Whoever has got the configuration
+// passes it on.
+const (
+	listRoutesPerSecond = 8000
+	listRoutesBurst     = 4000
+)
+
+// errListsBusy is returned to a peer that should ask another one or later.
+var errListsBusy = errors.New("gateway: the configuration is being sent to others")
+
+// newListLimiter returns the limiter of the routes that are sent to peers.
+func newListLimiter() *rate.Limiter { return rate.NewLimiter(listRoutesPerSecond, listRoutesBurst) }
+
 // buildLists returns the configuration, if it is newer than the one that the
-// peer has, and the list of upstreams.
-func (g *Gateway) buildLists(req *peering.ListsRequest) *peering.Lists {
+// peer has, and the list of upstreams. It fails while too many peers get the
+// configuration.
+func (g *Gateway) buildLists(req *peering.ListsRequest) (*peering.Lists, error) {
 	out := &peering.Lists{Version: peering.Version, ListAge: -1}
 	if t := g.routing.Table(); t != nil {
 		out.InForce = t.Version
 		out.TableAge, _ = g.routing.Age(g.Now())
 		if t.Version > req.Table {
+			if !g.listLimiter.AllowN(bootTime(g.Now()), min(len(t.Routes), listRoutesBurst)) {
+				return nil, errListsBusy
+			}
 			out.Table = t
 		}
 	}
@@ -42,7 +66,7 @@
 		out.ListRevision, out.ListEra = s.listRevision.Number, s.listRevision.Era
 		out.Upstreams = s.listForPeer()
 	})
-	return out
+	return out, nil
 }
 
 // syncWithPeers fetches the configuration and the list of upstreams from peers
@@ -104,7 +128,7 @@
 // the own ones; 0 means of no use.
 func (s *state) listSourceRank(g *Gateway, m *cluster.Member, age, now time.Duration) int {
 	n := &m.News
-	if n.ListAge < 0 || n.Table == 0 {
+	if n.ListAge < 0 || n.Table == 0 || now < s.listSourcesLeft[m.Address.Address] {
 		return 0
 	}
 	at, known := s.peerRevision(n.Store.ListEra, n.ListRevision)
@@ -122,6 +146,18 @@
 	return 1
 }
 
+// leaveListSource has a peer that could not answer left alone for a while, which differs
+// between gateways.
+func (s *state) leaveListSource(address string, now time.Duration) {
+	for a, until := range s.listSourcesLeft {
+		if now >= until {
+			delete(s.listSourcesLeft, a)
+		}
+	}
+	pause := minListSourcePause + time.Duration(s.random()*float64(maxListSourcePause-minListSourcePause))
+	s.listSourcesLeft[address] = now + pause
+}
+
 // fetchLists takes over the configuration and the list of upstreams of a peer if
 // they are newer.
 func (g *Gateway) fetchLists(ctx context.Context, address string) {
@@ -133,6 +169,7 @@
 	lists, err := g.peerClients.Lists(ctx, address, req)
 	if err != nil {
 		g.Log.Info("fetching lists from peer failed", zap.String("peer", address), zap.Error(err))
+		g.control.Do(func(s *state) { s.leaveListSource(address, g.Now()) })
 		return
 	}
 	if lists.Table != nil && g.routing.Adopt(lists.Table) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -310,7 +310,7 @@
 			return reply, nil
 		},
 		Lists: func(_ context.Context, req *peering.ListsRequest) (*peering.Lists, error) {
-			return g.buildLists(req), nil
+			return g.buildLists(req)
 		},
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -104,6 +104,9 @@
 	// keptDraining holds, by instance, the list revision at which the upstreams
 	// were known to drain that a later list of a peer shows as serving.
 	keptDraining map[string]revision.Revision
+	// listSourcesLeft holds, by address, until when peers are not asked for their
+	// lists.
+	listSourcesLeft map[string]time.Duration
 	// leaving holds the upstreams that have announced their shutdown, with the
 	// time at which they were last listed.
 	leaving map[fleet.Incarnation]time.Duration
@@ -157,6 +160,7 @@
 	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*upstreamLoad)
 	s.linkLimiters = make(map[linkKey]*pathfinding.LinkLimiter)
+	s.listSourcesLeft = make(map[string]time.Duration)
 	s.leaving = make(map[fleet.Incarnation]time.Duration)
 	s.retained = make(map[string]time.Duration)
 	s.removals = make(map[string]removal)
