--- a/internal/coordination/retry/reports.go
+++ b/internal/coordination/retry/reports.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Report is what a process tells its peers of its requests and retries, or of those
 // of all processes in its zone.
@@ -63,20 +66,21 @@
 		latest.since = now - r.Reach
 	}
 	s := rs.sources[source]
-	switch {
-	case s == nil:
+	if s == nil {
 		if rs.sources == nil {
 			rs.sources = make(map[string]*reportSource)
 		}
 		rs.sources[source] = &reportSource{latest: latest}
 		return
-	case !latest.knowsLess(&s.latest):
-	case r.Sender != s.latest.Sender && now-s.latest.at < reportLife:
+	}
+	sameSender := r.Sender == s.latest.Sender
+	switch {
+	case latest.knowsLess(&s.latest) && !sameSender && now-s.latest.at < reportLife:
 		return
-	default:
+	case latest.knowsLess(&s.latest):
 		s.former = append(s.former, s.latest)
-	}
-	if r.Sender == s.latest.Sender && !latest.knowsLess(&s.latest) && latest.since > 0 {
+	case sameSender:
+		// A report that took longer makes its sender seem to have started later.
 		latest.since = min(latest.since, s.latest.since)
 	}
 	s.latest, s.silent = latest, false
@@ -88,13 +92,7 @@
 	expired := func(r receivedReport) bool { return now-r.at >= window }
 	for name, s := range rs.sources {
 		s.silent = !present(name)
-		kept := s.former[:0]
-		for _, r := range s.former {
-			if !expired(r) {
-				kept = append(kept, r)
-			}
-		}
-		s.former = kept
+		s.former = slices.DeleteFunc(s.former, expired)
 		if s.silent && expired(s.latest) && len(s.former) == 0 {
 			delete(rs.sources, name)
 		}
