Log connections of callers that end without an answer

Callers of Ceylon saw a request end with neither an answer nor a refusal. The log could not show that: a request is logged once its header is read, and a stream that is cut has a line, but a connection that ends before an answer has none. Now its end is logged: by whom, why, bytes read, requests served, at most 2 a second with a count of those left out.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/transport/drain"
@@ -64,6 +68,31 @@
 	return nil
 }
 
+// Limits of the log of connections that end without an answer.
+const (
+	endsPerSecond = 2
+	endsBurst     = 20
+)
+
+// newEndLogger returns a function that logs the end of a caller's connection on which a
+// request was begun and not answered. It leaves out those above a rate, and logs how many.
+func (g *Gateway) newEndLogger() func(drain.End) {
+	limiter := rate.NewLimiter(endsPerSecond, endsBurst)
+	var skipped atomic.Int64
+	return func(e drain.End) {
+		if !limiter.Allow() {
+			skipped.Add(1)
+			return
+		}
+		by := "caller"
+		if e.Cause == nil || errors.Is(e.Cause, os.ErrDeadlineExceeded) {
+			by = "gateway"
+		}
+		g.Log.Info("caller connection ended", zap.String("by", by), zap.NamedError("why", e.Cause), zap.Stringer("caller", e.Caller),
+			zap.Int64("bytes_read", e.Read), zap.Int("requests_served", e.Served), zap.Bool("draining", g.draining.Load()), zap.Int64("skipped", skipped.Swap(0)))
+	}
+}
+
 // endRequests ends the requests that are still at work.
 func (g *Gateway) endRequests() {
 	if n := g.inFlight.Load(); n > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,6 +184,7 @@
 		return fmt.Errorf("gateway: %w", err)
 	}
 	callers := drain.NewListener(callerListener)
+	callers.OnUnanswered = g.newEndLogger()
 	g.addServer(&group, callers, &http.Server{Handler: g.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: drain.Track})
 	servers := []struct {
 		address string
--- a/internal/transport/drain/conn.go
+++ b/internal/transport/drain/conn.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -30,6 +31,13 @@
 	// that it is broken, or that a drain ends it; closed when the server has closed
 	// it.
 	ended, closed bool
+	// read counts the bytes that were read, and served the requests after which the
+	// server has waited for the next one. answering is set once the server has
+	// written of an answer since. cause is the error of the last read that failed.
+	read      int64
+	served    int
+	answering bool
+	cause     error
 }
 
 // Read implements [io.Reader]. It returns [io.EOF] if a drain ends the connection.
@@ -37,39 +45,57 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
-			c.recordRequest()
+			c.recordRequest(n)
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.recordEnd()
+			c.recordEnd(err)
 			return n, err
 		}
 		if !c.wasInterrupted() {
 			return n, err
 		}
 		if c.mayEnd() {
-			c.recordEnd()
+			c.recordEnd(nil)
 			return 0, io.EOF
 		}
 	}
 }
 
-func (c *conn) recordRequest() {
+// Write implements [io.Writer].
+func (c *conn) Write(p []byte) (int, error) {
+	if !bytes.HasPrefix(p, interim) {
+		c.mu.Lock()
+		c.answering = true
+		c.mu.Unlock()
+	}
+	return c.Conn.Write(p)
+}
+
+// interim begins the only response of the server that is no answer.
+var interim = []byte("HTTP/1.1 100 ")
+
+func (c *conn) recordRequest(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
+	c.read += int64(n)
 }
 
-func (c *conn) recordEnd() {
+// recordEnd records that a read has failed with an error, or that a drain ends the
+// connection if cause is nil.
+func (c *conn) recordEnd(cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = true
+	c.ended, c.cause = true, cause
 }
 
 func (c *conn) recordQuiet() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy, c.quietSince, c.deadlines = false, time.Now(), 0
+	c.served++
+	c.answering = false
 }
 
 // isQuiet reports whether the connection has had no request for quietPeriod. The
@@ -149,7 +175,11 @@
 	c.mu.Lock()
 	again, ended := c.closed, c.ended
 	c.closed = true
+	end, unanswered := c.unanswered()
 	c.mu.Unlock()
+	if report := c.listener.OnUnanswered; report != nil && unanswered && !again {
+		report(end)
+	}
 	switch {
 	case again:
 		return net.ErrClosed
@@ -161,6 +191,30 @@
 	return nil
 }
 
+// End describes the end of a connection on which a request was begun and not answered.
+type End struct {
+	Caller net.Addr
+	// Cause is the error by which the caller or the network has ended the
+	// connection. If the server has, it is [os.ErrDeadlineExceeded] if the request
+	// had not arrived in time, and nil otherwise.
+	Cause error
+	// Read is the number of bytes that were read on the connection, and Served that
+	// of the requests that were answered before.
+	Read   int64
+	Served int
+}
+
+// unanswered returns the end of the connection, and whether a request was begun and
+// nothing of its answer was written. The caller holds mu.
+func (c *conn) unanswered() (End, bool) {
+	e := End{c.RemoteAddr(), c.cause, c.read, c.served}
+	// The server aborts reads by a deadline long ago.
+	if e.Cause == nil && c.deadline.Unix() > 1 && c.deadline.Before(time.Now()) {
+		e.Cause = os.ErrDeadlineExceeded
+	}
+	return e, c.busy && c.read > 0 && !c.answering
+}
+
 // linger closes the connection once the caller has closed it, or after lingerTime.
 func (c *conn) linger() {
 	defer c.listener.remove(c)
--- a/internal/transport/drain/listener.go
+++ b/internal/transport/drain/listener.go
@@ -30,6 +30,9 @@
 // connections to [Track].
 type Listener struct {
 	net.Listener
+	// OnUnanswered is called when the server closes a connection on which a request
+	// was begun and not answered, if not nil. It is set before the server starts.
+	OnUnanswered func(End)
 	// stopped is closed when Accept has returned an error.
 	stopped      chan struct{}
 	closeStopped func()
