Keep an exchange whose upstream is quiet when one keep-alive probe is lost

Callers lost a stream that may not be resumed, without its end, or got 502 for a booking, at about 7 s: their upstream was sound and quiet for longer than 5 s, and its host or the network was silent for a moment then.

Cause: with TCP_USER_TIMEOUT the kernel ends a connection at the first keep-alive timer after a probe without an answer, whatever the count that is set. The timeout of 1.5 s, made for connections to dead hosts, so held for what was in flight too. During an exchange it is now as long as all probes take, 11 s; for idle connections it stays 1.5 s. A host that dies is found by the checks of silent streams and calls, and at last by the probes.

Whether this is what the users saw is not shown.

--- a/internal/transport/dial/dial.go
+++ b/internal/transport/dial/dial.go
@@ -27,14 +27,33 @@
 	return dialer.DialContext
 }
 
-// Parameters of TCP keep-alive probes. An idle connection to a dead host fails
-// after about ten seconds.
+// Parameters of TCP keep-alive probes.
 const (
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
 )
 
+// KeepAliveTime is how long a connection to a host that has died lives if all keep-alive
+// probes are waited for.
+const KeepAliveTime = keepAliveIdle + keepAliveCount*keepAliveInterval
+
+// LimitSilence has a connection fail once sent data stays unacknowledged for silence. The
+// kernel counts keep-alive probes as such data, whatever their number: one that is lost
+// ends a connection that was quiet for longer than silence. It has no effect on what is no
+// socket of the kernel.
+func LimitSilence(conn net.Conn, silence time.Duration) error {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw, silence)
+}
+
 // setUserTimeout sets the socket option TCP_USER_TIMEOUT, the time after which a
 // connection with unacknowledged data fails.
 func setUserTimeout(raw syscall.RawConn, silence time.Duration) error {
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -23,7 +23,10 @@
 	// idleMargin is how much earlier than the upstream this side closes an idle
 	// connection, so that no request is sent while the upstream closes it.
 	idleMargin = 500 * time.Millisecond
-	bufferSize = 4 << 10
+	// idleSilence is how long an idle connection may leave a keep-alive probe without
+	// an answer.
+	idleSilence = 1500 * time.Millisecond
+	bufferSize  = 4 << 10
 	// idleLimitTTL is how long a reduced idle limit applies to an upstream that
 	// has silently dropped an idle connection.
 	idleLimitTTL = 10 * time.Second
@@ -84,6 +87,7 @@
 		}
 		c.idleFor = now.Sub(c.idleSince)
 		if now.Before(c.idleUntil) && c.idleFor <= maxIdle && c.quiet() {
+			c.limitSilence(dial.KeepAliveTime)
 			return c, nil
 		}
 		c.Close()
@@ -96,7 +100,9 @@
 		p.OnDial()
 	}
 	source := &boundedReader{source: conn}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(source, bufferSize), source: source}, nil
+	c := &connection{Conn: conn, reader: bufio.NewReaderSize(source, bufferSize), source: source}
+	c.limitSilence(dial.KeepAliveTime)
+	return c, nil
 }
 
 // pop removes and returns the most recently used idle connection, or nil,
@@ -150,6 +156,7 @@
 		c.Close()
 		return
 	}
+	c.limitSilence(idleSilence)
 	p.idle[address] = append(p.idle[address], c)
 }
 
@@ -188,6 +195,14 @@
 	p.idle = nil
 }
 
+// limitSilence sets for how long what is sent may stay without an acknowledgement. During
+// an exchange that is as long as all keep-alive probes take, since an exchange with an
+// upstream that is quiet for long must not end because one of them was lost.
+func (c *connection) limitSilence(silence time.Duration) {
+	// It fails only if the connection has ended.
+	_ = dial.LimitSilence(c.Conn, silence)
+}
+
 // abort resets the connection rather than closing it, so that data still delayed
 // in the network is not delivered, and a request run, long after the exchange was
 // abandoned.
