Allow each gateway one retry from the start

Cause: until its own retries are known to its peers, a gateway may use a share of the allowance by its requests. With 1 request of 707 that share is below one retry. Each gateway now has one, and its share of the rest by requests; the parts still add up to the allowance.

--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -97,13 +97,14 @@
 // Until its recent retries are known to the peers, each process may use only a
 // part of the allowance that was left before them, in proportion to its requests.
 // If all processes retry at once, unaware of each other, they use up the allowance
-// but don't exceed it.
+// but don't exceed it. A process may always send one retry if that leaves one to each
+// of the others: few requests, as after its start, must not keep it from any.
 func (w *Window) Allow(a Allowance, peers View, now time.Duration) bool {
 	own := w.Counts(a, now)
 	recent := w.recentRetries(a, peers.Age)
 	limit := knownShare * (a.Share*(own.Requests+peers.Requests) + a.Slack)
 	left := limit - (own.Retries - recent) - peers.Retries
-	if recent+1 > left/knownShare*requestShare(own, peers) {
+	if recent+1 > processShare(left/knownShare, own, peers) {
 		return false
 	}
 	w.advance(a, now).Retries++
@@ -116,6 +117,16 @@
 	newest.Retries = max(0, newest.Retries-1)
 }
 
+// processShare returns the part of an allowance that a process may use: one retry, and
+// of the rest its share of the requests. The parts add up to the allowance.
+func processShare(left float64, own Counts, peers View) float64 {
+	base := float64(max(1, peers.Processes))
+	if left < base {
+		return left * requestShare(own, peers)
+	}
+	return 1 + (left-base)*requestShare(own, peers)
+}
+
 // requestShare returns the share of a process in the requests of all processes.
 // Each process counts one request more than it has had, so that one whose requests
 // are older than the window has a share too. The shares add up to 1.
