Take the latest of the former descriptions of a service

A stream that was accepted for a service that is described otherwise now could find no engine for its next attempt and was cut, although one held its layers: after two changes there and back, the pool of the first time was taken, without the engines that had restarted or moved layers since. Found by reading, not seen in a play.

TestLatestFormerPoolCounts fails before. TestWaitEndsWhateverChanges, 36 pairs of changes within one wait, passes before and now: each wait ends with a target or a refusal that says not-run.

--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -75,7 +75,8 @@
 	if q.accepted == nil || s.table != nil && q.accepted.RunsLike(s.table.Services[q.service]) {
 		return s.pools[q.service]
 	}
-	for _, f := range s.formerPools {
+	// The latest one knows the engines as they were last for this description.
+	for _, f := range slices.Backward(s.formerPools) {
 		if f.service.Name == q.service && f.service.RunsLike(q.accepted) {
 			f.until = max(f.until, q.deadline)
 			return f.pool
