Let a begun stream wait for its next engine

Cause: an estimate of the wait, from as few as two requests that left the queue, refused the next attempt at once.

TestBegunStreamIsNotCutByEstimate fails before.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -160,6 +160,10 @@
 	if now >= q.queueLimit() {
 		return verdict.DeadlineUnmeetable, true
 	}
+	if q.history().lastEvent > 0 {
+		// Its caller has a part of the stream, which an estimate must not cut.
+		return "", false
+	}
 	ahead := s.queue.Ahead(q.service, item.Priority)
 	wait, known := s.dispatchRate(q.service).EstimateWait(ahead+1, bootTime(now))
 	if ahead > 0 && known && bootTime(now).Add(wait).After(item.Deadline) {
