--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	Log *zap.Logger
 	// Dropped returns the number of dropped log lines; it may be nil.
 	Dropped func() int64
+	// DialUpstream opens direct connections to upstreams; if nil, over the network.
+	DialUpstream dial.Func
 	// Listen opens the listeners; if nil, they are opened on the network.
 	Listen func(ctx context.Context, network, address string) (net.Listener, error)
 	// Random returns a pseudo-random number in [0, 1).
@@ -125,7 +127,11 @@
 	g.Log = g.Log.With(zap.String("gateway", g.Settings.Name))
 	g.metrics = newMetrics(g)
 	dialer := dial.New(connectTimeout, unackedTimeout)
-	g.connPool = &http1.Pool{Dial: dialer, OnDial: g.metrics.connections.Inc}
+	dialUpstream := g.DialUpstream
+	if dialUpstream == nil {
+		dialUpstream = dialer
+	}
+	g.connPool = &http1.Pool{Dial: dialUpstream, OnDial: g.metrics.connections.Inc}
 	g.store = &platform.Store{
 		Address: g.Settings.Platform.Address,
 		Timeout: g.Settings.Platform.Timeout.Duration,
