Put what a gateway sees itself before what its peers say

Cause: a gateway told its peers of each upstream that gave it no answer, and they excluded it, whatever their own calls saw. A process's view of its own link was passed on as the state of the other end.

Now a peer's fault counts for nothing if the upstream has answered here since; otherwise it excludes it until a probe, requested at once, or a call is answered. A fault is told with its age, silence only once a probe has confirmed it, and none but answers by a gateway that at least three upstreams, and half of those it called, leave without an answer: the fault is then probably its own.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -76,10 +76,15 @@
 	// observation alone. Such observations are ignored until
 	// distrustPeersUntil.
 	restoredByPeerAt, distrustPeersUntil time.Duration
-	// probeRequested is set while a probe is to be sent at once. Further requests
-	// are ignored until nextProbeRequestAt.
-	probeRequested     bool
-	nextProbeRequestAt time.Duration
+	// probeRequested is set while a probe is to be sent at probeRequestedFor.
+	// Further requests are ignored until nextProbeRequestAt.
+	probeRequested                        bool
+	probeRequestedFor, nextProbeRequestAt time.Duration
+	// faultAt is when the upstream last had a fault here. refusedUntil is the end of
+	// the exclusion for faults that are answers.
+	faultAt, refusedUntil time.Duration
+	// heardAt is when the upstream last answered this gateway anything.
+	heardAt time.Duration
 	// peerExcludedUntil is the end of the exclusion reported by peers. It is not
 	// forwarded: peers that repeated each other would never end it.
 	peerExcludedUntil time.Duration
@@ -133,7 +138,10 @@
 		end += t.stagger(rec, now)
 		rec.recordUnanswered(now)
 		rec.awaitingProbe = true
+	} else {
+		rec.refusedUntil = max(rec.refusedUntil, end)
 	}
+	rec.faultAt = now
 	rec.unreachable = rec.unreachable || f == Unreachable
 	rec.stalled = rec.stalled || f == Stalled
 	rec.excludedUntil = max(rec.excludedUntil, end)
@@ -145,11 +153,15 @@
 func (t *Tracker) RequestProbe(instance string, now time.Duration) {
 	rec := t.record(instance)
 	if !rec.awaitingProbe && now >= rec.nextProbeRequestAt {
-		rec.probeRequested = true
-		rec.nextProbeRequestAt = now + probeInterval
+		rec.requestProbe(now, now)
 	}
 }
 
+func (rec *record) requestProbe(at, now time.Duration) {
+	rec.probeRequested, rec.probeRequestedFor = true, at
+	rec.nextProbeRequestAt = now + probeInterval
+}
+
 // DueProbes returns the upstreams to probe now, in order, and schedules the next
 // probe of each.
 func (t *Tracker) DueProbes(now time.Duration) []string {
@@ -158,7 +170,7 @@
 		if now < rec.holdOff.Calls {
 			continue
 		}
-		if rec.probeRequested || rec.awaitingProbe && now >= rec.excludedUntil {
+		if rec.probeRequested && now >= rec.probeRequestedFor || rec.awaitingProbe && now >= rec.excludedUntil {
 			rec.scheduleNextProbe(now, t.stagger(rec, now))
 			due = append(due, instance)
 		}
@@ -168,7 +180,7 @@
 }
 
 func (rec *record) scheduleNextProbe(now, stagger time.Duration) {
-	if rec.probeRequested {
+	if rec.probeRequested && now >= rec.probeRequestedFor {
 		rec.probeRequested = false
 		return
 	}
@@ -215,6 +227,7 @@
 func (t *Tracker) RecordProbeSuccess(instance string, now time.Duration) bool {
 	rec := t.record(instance)
 	rec.answeredAt = now
+	rec.recordAnswer(now)
 	return rec.restore(now)
 }
 
@@ -243,13 +256,6 @@
 	return rec != nil && (rec.awaitingProbe || now < max(rec.excludedUntil, rec.peerExcludedUntil))
 }
 
-// RecordPeerExclusion excludes an upstream that a peer has excluded for the
-// remaining time given, but at most for a probe interval.
-func (t *Tracker) RecordPeerExclusion(instance string, remaining, now time.Duration) {
-	rec := t.record(instance)
-	rec.peerExcludedUntil = max(rec.peerExcludedUntil, now+min(remaining, probeInterval))
-}
-
 // Exclusion is an excluded upstream as reported to peers.
 type Exclusion struct {
 	Instance string
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,11 +114,21 @@
 		return nil, protocolError("answer to another request")
 	}
 	if resp.isProven(c) {
+		g.recordAnswer(c.Upstream, resp.head)
 		g.recordNotices(c.Upstream, resp.head)
 	}
 	return resp, nil
 }
 
+// recordAnswer records that an upstream has answered this process.
+func (g *Gateway) recordAnswer(u *fleet.Upstream, head relay.ResponseHead) {
+	if head.WrongInstance {
+		return
+	}
+	now := g.Now()
+	g.control.Send(func(s *state) { s.health.RecordAnswer(u.Instance, now) })
+}
+
 // recordFailure records a failed attempt on the request and on the upstream at
 // fault, and returns its [verdict.Error].
 func (g *Gateway) recordFailure(q *request, to target, err error, head relay.ResponseHead) error {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -127,17 +127,7 @@
 // mergeNews merges a peer's news into the state.
 func (s *state) mergeNews(n *peering.News, now time.Duration) {
 	s.members.Update(n, now)
-	for _, f := range n.Faults {
-		u := s.upstreams[f.Upstream]
-		// A peer of another zone may fail to reach an upstream that can be
-		// reached from here.
-		if u != nil && (n.Zone == s.zone || n.Zone == u.Zone) {
-			s.health.RecordPeerExclusion(f.Upstream, f.Left, now)
-			if s.probesAlone && u.Zone == s.zone {
-				s.health.RequestProbe(f.Upstream, now)
-			}
-		}
-	}
+	s.mergeFaults(n, now)
 	s.mergeFindings(n, now)
 	s.mergeLeaving(n, now)
 	s.mergeWithheld(n)
@@ -155,6 +145,46 @@
 	s.mergeKnownRetries(n, now)
 }
 
+// mergeFaults merges the faults that a peer has seen, unless they are probably its
+// own.
+func (s *state) mergeFaults(n *peering.News, now time.Duration) {
+	if n.FaultNews.Own {
+		return
+	}
+	for i, f := range n.Faults {
+		u := s.upstreams[f.Upstream]
+		// A peer of another zone may fail to reach an upstream that can be
+		// reached from here.
+		if u == nil || n.Zone != s.zone && n.Zone != u.Zone {
+			continue
+		}
+		s.recordPeerFault(f, n.FaultNews.Seen, i, now)
+		if s.probesAlone && u.Zone == s.zone {
+			s.health.RequestProbe(f.Upstream, now)
+		}
+	}
+}
+
+// recordPeerFault records the fault at index i of a peer's news, as seen by the peer
+// if it says so.
+func (s *state) recordPeerFault(f peering.UpstreamFault, seen []peering.SeenFault, i int, now time.Duration) {
+	if i >= len(seen) {
+		s.health.RecordPeerExclusion(f.Upstream, f.Left, now)
+		return
+	}
+	x := health.Exclusion{Instance: f.Upstream, Remaining: f.Left}
+	s.health.RecordPeerFault(health.PeerFault{Exclusion: x, Age: seen[i].Age, Answered: seen[i].Answered}, now)
+}
+
+// addFaults adds the faults of upstreams that this gateway has seen.
+func (s *state) addFaults(n *peering.News, now time.Duration) {
+	n.FaultNews.Own = s.health.SeesOwnFault(now)
+	for _, f := range s.health.PeerFaults(now) {
+		n.Faults = append(n.Faults, peering.UpstreamFault{Upstream: f.Instance, Left: f.Remaining})
+		n.FaultNews.Seen = append(n.FaultNews.Seen, peering.SeenFault{Age: f.Age, Answered: f.Answered})
+	}
+}
+
 // mergeFindings merges probe results of a peer of the own zone, which reaches
 // the upstreams over the same network path.
 func (s *state) mergeFindings(n *peering.News, now time.Duration) {
@@ -221,9 +251,7 @@
 // each single one rarely.
 func (s *state) buildNews(g *Gateway, zone string, now time.Duration) *peering.News {
 	n := s.buildSummary(g, now)
-	for _, o := range s.health.Exclusions(now) {
-		n.Faults = append(n.Faults, peering.UpstreamFault{Upstream: o.Instance, Left: o.Remaining})
-	}
+	s.addFaults(n, now)
 	n.Suspicions = s.suspicionsToSend(now)
 	n.Parts = s.partsToSend(now)
 	n.Peers = s.samplePeers(now)
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -121,9 +121,10 @@
 	// Store is sent beside the other fields, see [Update]. It is the zero value
 	// in news of a build that does not know it.
 	Store StoreNews `cbor:"-"`
-	// Retries and Parts are sent like Store.
-	Retries RetryNews       `cbor:"-"`
-	Parts   []PartSuspicion `cbor:"-"`
+	// Retries, Parts and FaultNews are sent like Store.
+	Retries   RetryNews       `cbor:"-"`
+	Parts     []PartSuspicion `cbor:"-"`
+	FaultNews FaultNews       `cbor:"-"`
 }
 
 // Check returns an error if n has another version, lacks its sender, or exceeds a
--- a/internal/protocol/peering/news_test.go
+++ b/internal/protocol/peering/news_test.go
@@ -27,6 +27,7 @@
 
 	news.Retries = RetryNews{Reach: time.Second, Known: []ServiceRetries{{Service: "s", Retries: 3}}}
 	news.Parts = []PartSuspicion{{Part: "p", Crashes: []PartCrash{{Attempt: "a", Age: time.Second}}, ClearedAge: -1, Blamed: true}}
+	news.FaultNews = FaultNews{Own: true, Seen: []SeenFault{{Age: time.Second, Answered: true}}}
 	encoded, err = cbor.Marshal(NewUpdate(news))
 	qt.Assert(t, err, qt.IsNil)
 	var update Update
@@ -34,6 +35,7 @@
 	qt.Check(t, update.Store, qt.DeepEquals, news.Store)
 	qt.Check(t, update.Unwrap().Retries, qt.DeepEquals, news.Retries)
 	qt.Check(t, update.News.Parts, qt.DeepEquals, news.Parts)
+	qt.Check(t, update.News.FaultNews, qt.DeepEquals, news.FaultNews)
 	qt.Check(t, update.Check(), qt.IsNil)
 	// A later build may add fields.
 	encoded, err = cbor.Marshal(map[string]any{"News": news, "Store": news.Store, "Later": 1})
--- a/internal/protocol/peering/update.go
+++ b/internal/protocol/peering/update.go
@@ -16,17 +16,18 @@
 	Store   StoreNews
 	Retries RetryNews
 	Parts   []PartSuspicion `cbor:",omitempty"`
+	Faults  FaultNews
 }
 
 // NewUpdate returns the message that carries n.
 func NewUpdate(n *News) *Update {
-	return &Update{News: n, Store: n.Store, Retries: n.Retries, Parts: n.Parts}
+	return &Update{News: n, Store: n.Store, Retries: n.Retries, Parts: n.Parts, Faults: n.FaultNews}
 }
 
 // Unwrap returns the news with what the message carries beside it. u.News must not be
 // nil.
 func (u *Update) Unwrap() *News {
-	u.News.Store, u.News.Retries, u.News.Parts = u.Store, u.Retries, u.Parts
+	u.News.Store, u.News.Retries, u.News.Parts, u.News.FaultNews = u.Store, u.Retries, u.Parts, u.Faults
 	return u.News
 }
 
@@ -44,6 +45,9 @@
 	case len(u.Parts) > MaxListItems:
 		return errors.New("peering: too many parts")
 	}
+	if err := u.Faults.check(); err != nil {
+		return err
+	}
 	for i := range u.Parts {
 		if err := u.Parts[i].check(); err != nil {
 			return err
@@ -67,6 +71,39 @@
 	Withheld []fleet.Incarnation `cbor:",omitempty"`
 }
 
+// FaultNews is what a gateway tells of the faults in its news.
+type FaultNews struct {
+	// Own reports whether the sender gets no answer from several upstreams at once,
+	// so that the fault is probably its own and its faults count for nothing.
+	Own bool `cbor:",omitempty"`
+	// Seen belongs to News.Faults, in the same order. It is empty if the sender's
+	// build does not know it.
+	Seen []SeenFault `cbor:",omitempty"`
+}
+
+// SeenFault is how a gateway has seen a fault of an upstream.
+type SeenFault struct {
+	_ struct{} `cbor:",toarray"`
+	// Age is the time since the upstream last had the fault.
+	Age time.Duration
+	// Answered reports whether the fault is an answer of the upstream, as when it
+	// lacks room.
+	Answered bool
+}
+
+// check returns an error if f has a negative age or exceeds a limit.
+func (f *FaultNews) check() error {
+	if len(f.Seen) > MaxListItems {
+		return errors.New("peering: too many faults")
+	}
+	for _, seen := range f.Seen {
+		if seen.Age < 0 {
+			return errors.New("peering: fault with a negative age")
+		}
+	}
+	return nil
+}
+
 // RetryNews is what a gateway tells of the counts in its news.
 type RetryNews struct {
 	// Reach is how far back the counts go: the gateway knows of nothing that was
