Use services that were silent if all of them were

A second in which all services held their answers cost callers the next one too: 5 of 10 calls and 3 of 10 bookings were served in it.

Cause: each service was excluded for its silence until a probe was answered. That all are silent at once says more of the moment, or of this gateway, than of each of them, so none is avoided for it, unless one refuses connections, is misplaced, full, or has failed two probes. A search beside an attempt that still runs is as before, so that silence costs no more repeats; limits and the retry allowance are as before.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -256,6 +256,14 @@
 	return rec != nil && (rec.awaitingProbe || now < max(rec.excludedUntil, rec.peerExcludedUntil))
 }
 
+// OnlySilent reports whether an upstream is excluded only because it gave no answer in
+// time, and may be working: it neither refuses connections nor failed several probes.
+func (t *Tracker) OnlySilent(instance string, now time.Duration) bool {
+	rec := t.records[instance]
+	return rec != nil && rec.awaitingProbe && !rec.unreachable && rec.failedProbes < maxFailedProbes &&
+		now >= max(rec.refusedUntil, rec.holdOff.Work)
+}
+
 // Exclusion is an excluded upstream as reported to peers.
 type Exclusion struct {
 	Instance string
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -141,8 +141,9 @@
 	}
 	var best *fleet.Upstream
 	least := 0.0
+	ignoreSilence := !q.isHandingOver() && s.allSilent(p, now)
 	for _, u := range p.members {
-		if q.excluded[u.Instance] || s.health.Excluded(u.Instance, now) || !s.health.MayCall(u.Instance, now) {
+		if q.excluded[u.Instance] || !ignoreSilence && s.health.Excluded(u.Instance, now) || !s.health.MayCall(u.Instance, now) {
 			continue
 		}
 		cost := s.callCost(u, now)
@@ -156,6 +157,13 @@
 	return target{upstream: best, utilization: float64(s.loadOf(best.Instance).requests+1) / float64(best.Slots)}, nil
 }
 
+// allSilent reports whether every upstream of a pool is excluded only because it was
+// silent. That says more of the moment, or of this gateway, than of each of them, so
+// none is avoided for it.
+func (s *state) allSilent(p *servicePool, now time.Duration) bool {
+	return !slices.ContainsFunc(p.members, func(u *fleet.Upstream) bool { return !s.health.OnlySilent(u.Instance, now) })
+}
+
 // reserve adds an attempt to the load of its upstreams.
 func (s *state) reserve(q *request, to target, now time.Duration) {
 	if to.chain == nil {
