Call upstreams through peers while only these reach them

Callers of a gateway that had lost its links to the upstreams were refused: its callers, the store and its peers still reach it, so it stays in rotation, and open connections stay with it.

Now a connection that does not open directly within 50 ms is tried through a peer beside it. If that opens and the direct one does not, the path is lost, not the upstream: it is called through peers until a direct connection opens again, which is tried every 400 ms. Silence of a call, a stage or a probe has the path checked; if two paths fail within a second, all are. Streams whose connection leads over a lost path are resumed over another. A tunnel is one connection to the peer, which copies bytes to the upstream over a direct connection of its own: one hop.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +24,11 @@
 // send makes one attempt and checks the header of the response. The error is a
 // [verdict.Error] and has been recorded for the upstream at fault.
 func (g *Gateway) send(ctx context.Context, q *request, to target, resumeAfter string) (*response, error) {
+	return g.sendOn(ctx, q, to, resumeAfter, nil)
+}
+
+// sendOn is like send and calls onConn with the connection that is used, if not nil.
+func (g *Gateway) sendOn(ctx context.Context, q *request, to target, resumeAfter string, onConn func(net.Conn)) (*response, error) {
 	defer q.endSend(to.upstream.Instance)
 	if !g.maySend(to) {
 		return nil, g.recordFailure(q, to, heldOffError(), relay.ResponseHead{})
@@ -43,7 +49,7 @@
 		ResumeAfter: resumeAfter,
 	}
 	began := g.Now()
-	resp, err := g.exchange(ctx, call)
+	resp, err := g.exchangeOn(ctx, call, onConn)
 	if err != nil {
 		return nil, g.recordFailure(q, to, g.localError(err, began), relay.ResponseHead{})
 	}
@@ -90,6 +96,12 @@
 // ran or that the upstream is leaving, is then about that call. Notices of a response
 // that is not shown to be the call's are not recorded.
 func (g *Gateway) exchange(ctx context.Context, c *relay.Call) (*response, error) {
+	return g.exchangeOn(ctx, c, nil)
+}
+
+// exchangeOn is like exchange and calls onConn with the connection that is used, if not
+// nil.
+func (g *Gateway) exchangeOn(ctx context.Context, c *relay.Call, onConn func(net.Conn)) (*response, error) {
 	if !g.mayCall(c.Upstream) {
 		return nil, heldOffError()
 	}
@@ -101,6 +113,7 @@
 		Header:  platform.EncodeCallHeader(c),
 		Body:    c.Body,
 		Fresh:   c.Fresh,
+		OnConn:  onConn,
 	})
 	if err != nil {
 		return nil, err
@@ -214,6 +227,9 @@
 	if s.health.RecordFault(u.Instance, f, now) {
 		s.log.Info("upstream left alone", zap.String("upstream", u.Instance), zap.String("zone", u.Zone), zap.Stringer("fault", f), zap.Duration("list_age", now-s.listedAt))
 	}
+	if f.NoAnswer() {
+		s.checkPath(u.Address, now)
+	}
 	if f.NoAnswer() && s.linkFaults.RecordLoss(s.zone, u.Zone, u.Instance, now) {
 		s.log.Info("zone link suspected", zap.String("from", s.zone), zap.String("to", u.Zone), zap.String("upstream", u.Instance))
 	}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -28,6 +28,9 @@
 	// drainAnswerTime is how long before that the remaining requests end, so that
 	// their callers get an answer.
 	drainAnswerTime = 200 * time.Millisecond
+	// tunnelDrainInterval is how often a drain looks whether peers still use tunnels
+	// through this process.
+	tunnelDrainInterval = 50 * time.Millisecond
 )
 
 // drainNotice returns the length of the notice period of a drain that may take as long
@@ -58,6 +61,8 @@
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	err := callers.Drain(ctx)
+	for err == nil && g.tunnels.Open() > 0 && loop.Sleep(ctx, tunnelDrainInterval) {
+	}
 	outcome := []zap.Field{zap.Duration("took", time.Since(start)), zap.Int64("in_flight", g.inFlight.Load()), zap.Int("connections", callers.Open())}
 	if err != nil {
 		g.Log.Warn("drain timed out", append(outcome, zap.Error(err))...)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"lovageport.example/internal/transport/drain"
 	"lovageport.example/internal/transport/http1"
 	"lovageport.example/internal/transport/peer"
+	"lovageport.example/internal/transport/tunnel"
 	"lovageport.example/platform"
 )
 
@@ -89,6 +90,14 @@
 	tableReadAt atomic.Int64
 	// listLimiter limits the configurations that are sent to peers.
 	listLimiter *rate.Limiter
+	// dialDirect opens direct connections to upstreams, and dialPeer those to peers.
+	dialDirect, dialPeer dial.Func
+	// relayed holds, by address, the upstreams that are called through peers, and the
+	// boot times since which they are. tunnelPeers are the peers that open tunnels.
+	relayed     atomic.Pointer[map[string]time.Duration]
+	tunnelPeers atomic.Pointer[[]tunnelPeer]
+	// tunnels serves the tunnels that peers open.
+	tunnels tunnel.Server
 	// reportCalls merges concurrent calls that fetch the report of the same
 	// engine.
 	reportCalls singleflight.Group
@@ -127,11 +136,15 @@
 	g.Log = g.Log.With(zap.String("gateway", g.Settings.Name))
 	g.metrics = newMetrics(g)
 	dialer := dial.New(connectTimeout, unackedTimeout)
-	dialUpstream := g.DialUpstream
-	if dialUpstream == nil {
-		dialUpstream = dialer
+	g.dialPeer = dialer
+	g.dialDirect = g.DialUpstream
+	if g.dialDirect == nil {
+		g.dialDirect = dialer
 	}
-	g.connPool = &http1.Pool{Dial: dialUpstream, OnDial: g.metrics.connections.Inc}
+	g.connPool = &http1.Pool{Dial: g.dialUpstream, OnDial: g.metrics.connections.Inc}
+	g.tunnels.Connect = g.connectForPeer
+	g.tunnels.Silence = unackedTimeout
+	g.tunnels.Log = func(err error) { g.Log.Debug("tunnel ended", zap.Error(err)) }
 	g.store = &platform.Store{
 		Address: g.Settings.Platform.Address,
 		Timeout: g.Settings.Platform.Timeout.Duration,
@@ -165,6 +178,7 @@
 	defer g.connPool.Close()
 	defer g.peerClients.Close()
 	g.tasks.start(ctx)
+	g.control.State.startPathCheck = g.startPathCheck
 	defer g.tasks.stop()
 	peerListener, err := g.Listen(ctx, "tcp", g.Settings.Listen.Peers)
 	if err != nil {
@@ -182,8 +196,12 @@
 	loop.AddActor(&group, ctx, g.runProbes)
 	loop.AddActor(&group, ctx, g.closeIdleConnections)
 	loop.AddActor(&group, ctx, g.applyReloads)
+	loop.AddActor(&group, ctx, g.checkPaths)
+	tunnels, calls, split := tunnel.Split(peerListener)
+	loop.AddActor(&group, ctx, split)
+	loop.AddActor(&group, ctx, func(ctx context.Context) error { return g.tunnels.Serve(ctx, tunnels) })
 	loop.AddActor(&group, ctx, func(ctx context.Context) error {
-		return peer.Serve(ctx, peerListener, g.peerHandler(), func(err error) { g.Log.Debug("peer connection ended", zap.Error(err)) })
+		return peer.Serve(ctx, calls, g.peerHandler(), func(err error) { g.Log.Debug("peer connection ended", zap.Error(err)) })
 	})
 	callerListener, err := g.Listen(ctx, "tcp", g.Settings.Listen.Callers)
 	if err != nil {
--- a/internal/gateway/invocation.go
+++ b/internal/gateway/invocation.go
@@ -190,11 +190,12 @@
 // process has stood still meanwhile, so that the answer may have arrived.
 func (c *invocation) recordSlow() bool {
 	now := c.g.Now()
+	stoodStill := c.g.pauses.Stalled(c.lastBegan, now)
+	u := c.lastTarget.upstream
 	if c.route.Kind != routing.Idempotent {
+		c.g.control.Send(func(s *state) { s.checkPath(u.Address, now) })
 		return false
 	}
-	stoodStill := c.g.pauses.Stalled(c.lastBegan, now)
-	u := c.lastTarget.upstream
 	allowed := false
 	c.g.control.Do(func(s *state) {
 		allowed = !s.atUpstreamLimit(c.request)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,8 @@
 	// keptStreams counts how often a silent attempt was kept because no other one
 	// could follow, by reason.
 	keptStreams *prometheus.CounterVec
+	// tunnels counts the connections that peers were asked for, by outcome.
+	tunnels *prometheus.CounterVec
 	// panics counts requests whose handler panicked.
 	panics prometheus.Counter
 	// pauses is how long this process stood still at a time.
@@ -82,6 +84,9 @@
 		keptStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_kept_streams_total", Help: "Silent attempts that were kept because no other could follow, by reason.",
 		}, []string{"reason"}),
+		tunnels: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_tunnels_total", Help: "Connections to upstreams that peers were asked for, by outcome.",
+		}, []string{"outcome"}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lovageport_gateway_handler_panics_total", Help: "Requests whose handler panicked.",
 		}),
@@ -107,7 +112,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.panics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -277,6 +277,7 @@
 		n.Follows = s.followsStore()
 	}
 	n.Store = s.storeNews(now)
+	n.Reach = s.reachNews(g)
 	return n
 }
 
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/health"
+	"lovageport.example/internal/transport/tunnel"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -28,6 +30,10 @@
 	// target is where the stream runs; its first stage never changes. Guarded
 	// by mu.
 	target target
+	// beganAt is when the attempt began.
+	beganAt time.Duration
+	// conn is the connection to the first stage; nil before there is one. Guarded by mu.
+	conn net.Conn
 	// response is the response of the attempt; nil before its header has arrived.
 	// Guarded by mu.
 	response *response
@@ -62,7 +68,7 @@
 	d := &stallDetector{
 		g: a.g, q: a.q, cancel: a.cancel, fault: make(chan string, 1), target: a.target,
 		handover:    handover{g: a.g, q: a.q, parent: ctx},
-		resumeAfter: a.resumeAfter, place: a.sequence,
+		resumeAfter: a.resumeAfter, place: a.sequence, beganAt: a.g.Now(),
 	}
 	d.q.setRunning(d, a.target)
 	d.mu.Lock()
@@ -71,6 +77,23 @@
 	return d
 }
 
+// setConn sets the connection to the first stage.
+func (d *stallDetector) setConn(conn net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conn = conn
+}
+
+// pathLost reports whether the path to the first stage was lost while the attempt waited
+// on it, so that it waits in vain even if all stages are well. The caller holds mu.
+func (d *stallDetector) pathLost() bool {
+	if t, ok := d.conn.(*tunnel.Conn); ok {
+		return !d.g.isTunnelPeer(t.Peer)
+	}
+	since, lost := d.g.pathLostAt(d.target.upstream.Address)
+	return d.conn != nil && lost && since > max(d.beganAt, d.lastEventAt)
+}
+
 // setResponse sets the response of the attempt.
 func (d *stallDetector) setResponse(resp *response) {
 	d.mu.Lock()
@@ -163,9 +186,14 @@
 func (d *stallDetector) check() {
 	d.mu.Lock()
 	to, askFirst, lastEventAt := d.target, d.checks >= firstStageReportAfter, d.lastEventAt
-	continues := d.continues(lastEventAt)
+	continues, lost := d.continues(lastEventAt), d.pathLost()
 	d.mu.Unlock()
-	if continues {
+	switch {
+	case continues:
+		return
+	case lost:
+		d.g.Log.Info("path lost under stream", zap.String("request", d.q.ID), zap.String("upstream", to.upstream.Instance))
+		d.giveUp(to, finding{stage: 0}, lastEventAt)
 		return
 	}
 	f := d.g.findStalledStage(d.q, to, askFirst)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -12,6 +12,7 @@
 	"lovageport.example/internal/coordination/peerload"
 	"lovageport.example/internal/coordination/placement"
 	"lovageport.example/internal/coordination/quarantine"
+	"lovageport.example/internal/coordination/reach"
 	"lovageport.example/internal/coordination/restoration"
 	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/protocol/peering"
@@ -56,6 +57,10 @@
 	linkLimiters map[linkKey]*pathfinding.LinkLimiter
 	health       health.Tracker
 	linkFaults   health.Links
+	// reach decides over which paths upstreams are called.
+	reach reach.Tracker
+	// startPathCheck begins a check of the path to an address; nil for none.
+	startPathCheck func(address string)
 	// suspicions are the requests that were in flight on upstreams that
 	// crashed.
 	suspicions quarantine.Tracker
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -65,7 +65,7 @@
 // send sends the request and waits for the header of the response.
 func (a *streamAttempt) send() error {
 	a.sentAt = a.g.Now()
-	resp, err := a.g.send(a.ctx, a.q, a.target, a.resumeAfter)
+	resp, err := a.g.sendOn(a.ctx, a.q, a.target, a.resumeAfter, a.detector.setConn)
 	if err != nil {
 		a.recordUnanswered(err)
 		return err
--- a/internal/protocol/peering/update.go
+++ b/internal/protocol/peering/update.go
@@ -17,17 +17,18 @@
 	Retries RetryNews
 	Parts   []PartSuspicion `cbor:",omitempty"`
 	Faults  FaultNews
+	Reach   ReachNews
 }
 
 // NewUpdate returns the message that carries n.
 func NewUpdate(n *News) *Update {
-	return &Update{News: n, Store: n.Store, Retries: n.Retries, Parts: n.Parts, Faults: n.FaultNews}
+	return &Update{News: n, Store: n.Store, Retries: n.Retries, Parts: n.Parts, Faults: n.FaultNews, Reach: n.Reach}
 }
 
 // Unwrap returns the news with what the message carries beside it. u.News must not be
 // nil.
 func (u *Update) Unwrap() *News {
-	u.News.Store, u.News.Retries, u.News.Parts, u.News.FaultNews = u.Store, u.Retries, u.Parts, u.Faults
+	u.News.Store, u.News.Retries, u.News.Parts, u.News.FaultNews, u.News.Reach = u.Store, u.Retries, u.Parts, u.Faults, u.Reach
 	return u.News
 }
 
@@ -45,6 +46,9 @@
 	case len(u.Parts) > MaxListItems:
 		return errors.New("peering: too many parts")
 	}
+	if err := u.Reach.Check(); err != nil {
+		return err
+	}
 	if err := u.Faults.check(); err != nil {
 		return err
 	}
--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -24,6 +25,9 @@
 	// Fresh requires a connection that has carried no other request, for a
 	// request whose response has nothing else that shows whose it is.
 	Fresh bool
+	// OnConn is called with the connection before the request is sent on it, which it must
+	// not use; it may be nil.
+	OnConn func(net.Conn)
 }
 
 // Response is the response to a [Request]. It must be closed, also if its body
@@ -75,6 +79,9 @@
 	if err != nil {
 		return nil, dialError(ctx, err)
 	}
+	if r.OnConn != nil {
+		r.OnConn(conn.Conn)
+	}
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(aLongTimeAgo) })
 	fail := func(err error) error {
 		if stop() && !errors.Is(err, ErrMalformed) {
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -183,6 +184,25 @@
 	}
 }
 
+// CloseIdle closes the idle connections for which match returns true.
+func (p *Pool) CloseIdle(match func(address string, conn net.Conn) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conns := range p.idle {
+		left := slices.DeleteFunc(conns, func(c *connection) bool {
+			if !match(address, c.Conn) {
+				return false
+			}
+			c.abort()
+			return true
+		})
+		p.idle[address] = left
+		if len(left) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
 // Close closes all idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -207,7 +227,7 @@
 // in the network is not delivered, and a request run, long after the exchange was
 // abandoned.
 func (c *connection) abort() {
-	if conn, ok := c.Conn.(*net.TCPConn); ok {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
 		// It fails only if the connection is already closed.
 		_ = conn.SetLinger(0)
 	}
--- /dev/null
+++ b/internal/transport/tunnel/tunnel.go
@@ -0,0 +1,231 @@
+package tunnel
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc/drpcmigrate"
+
+	"lovageport.example/internal/protocol/peering"
+	"lovageport.example/internal/transport/dial"
+)
+
+// Prefix begins a tunnel. The first bytes of a call of a peer differ from it.
+const Prefix = "LVPTUNL1"
+
+const (
+	// maxMessage bounds a message of the handshake in bytes.
+	maxMessage = 1 << 10
+	// handshakeTimeout bounds the time until the request of a tunnel has arrived.
+	handshakeTimeout = time.Second
+)
+
+// OutcomeError says why a peer has opened no tunnel.
+type OutcomeError struct{ Outcome peering.TunnelOutcome }
+
+// Error implements [error].
+func (e *OutcomeError) Error() string { return "tunnel: not opened: " + string(e.Outcome) }
+
+// Open opens a connection to an upstream through the peer at an address. If the peer
+// opens none, the error is an [OutcomeError].
+func Open(ctx context.Context, dialPeer dial.Func, peer string, request *peering.TunnelRequest) (*Conn, error) {
+	opened, err := dialPeer(ctx, "tcp", peer)
+	if err != nil {
+		return nil, fmt.Errorf("tunnel: %w", err)
+	}
+	conn, ok := opened.(*net.TCPConn)
+	if !ok {
+		opened.Close()
+		return nil, errors.New("tunnel: not a TCP connection")
+	}
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	outcome, err := handshake(conn, request)
+	switch {
+	case !stop():
+		err = context.Cause(ctx)
+	case err == nil && outcome != peering.TunnelOpened:
+		err = &OutcomeError{outcome}
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return &Conn{TCPConn: conn, Peer: peer}, nil
+}
+
+// handshake sends the request and returns the outcome.
+func handshake(conn net.Conn, request *peering.TunnelRequest) (peering.TunnelOutcome, error) {
+	message, err := encode(request)
+	if err != nil {
+		return "", err
+	}
+	if _, err := conn.Write(append([]byte(Prefix), message...)); err != nil {
+		return "", fmt.Errorf("tunnel: %w", err)
+	}
+	var reply peering.TunnelReply
+	if err := decode(conn, &reply); err != nil {
+		return "", err
+	}
+	return reply.Outcome, nil
+}
+
+// Server serves the tunnels that peers open. Set Connect before use.
+type Server struct {
+	// Connect connects to the upstream that a peer asks for. The connection is nil unless
+	// the outcome is [peering.TunnelOpened].
+	Connect func(ctx context.Context, request *peering.TunnelRequest) (net.Conn, peering.TunnelOutcome)
+	// Silence is how long what was sent to a peer may stay unacknowledged before its
+	// tunnel fails.
+	Silence time.Duration
+	// Log receives the errors of connections; it may be nil.
+	Log func(error)
+
+	open atomic.Int64
+}
+
+// Open returns the number of tunnels that are open.
+func (s *Server) Open() int { return int(s.open.Load()) }
+
+// Serve serves the tunnels that a listener accepts until ctx is done.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	var tunnels sync.WaitGroup
+	defer tunnels.Wait()
+	for {
+		conn, err := l.Accept()
+		if err != nil && ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("tunnel: %w", err)
+		}
+		tunnels.Go(func() {
+			if err := s.serve(ctx, conn); err != nil && s.Log != nil {
+				s.Log(err)
+			}
+		})
+	}
+}
+
+// serve serves one tunnel.
+func (s *Server) serve(ctx context.Context, conn net.Conn) error {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	stop := context.AfterFunc(ctx, func() { reset(conn) })
+	defer stop()
+	defer conn.Close()
+	if err := dial.LimitSilence(conn, s.Silence); err != nil {
+		return fmt.Errorf("tunnel: %w", err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return fmt.Errorf("tunnel: %w", err)
+	}
+	var request peering.TunnelRequest
+	if err := decode(conn, &request); err != nil {
+		return err
+	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return fmt.Errorf("tunnel: %w", err)
+	}
+	upstream, outcome := s.Connect(ctx, &request)
+	if upstream != nil {
+		defer upstream.Close()
+	}
+	message, err := encode(&peering.TunnelReply{Version: peering.Version, Outcome: outcome})
+	if err != nil {
+		return err
+	}
+	if _, err := conn.Write(message); err != nil {
+		return fmt.Errorf("tunnel: %w", err)
+	}
+	if upstream == nil {
+		return nil
+	}
+	return join(conn, upstream)
+}
+
+// join copies between the connection of a peer and that of an upstream until one of them
+// ends. Either is reset if the other has failed, so that data that is still on its way is
+// not delivered and no response looks complete.
+func join(peer, upstream net.Conn) error {
+	sent := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(upstream, plainReader{peer})
+		if err != nil {
+			reset(upstream)
+		}
+		upstream.Close()
+		sent <- err
+	}()
+	err := (&frameWriter{Conn: peer}).copyFrom(upstream)
+	if err != nil {
+		reset(peer)
+	}
+	peer.Close()
+	if sendErr := <-sent; err == nil && sendErr != nil && !errors.Is(sendErr, net.ErrClosed) {
+		return fmt.Errorf("tunnel: %w", sendErr)
+	}
+	if errors.Is(err, net.ErrClosed) {
+		// The peer has closed the tunnel.
+		return nil
+	}
+	return err
+}
+
+// plainReader hides the methods of a connection by which io.Copy would leave the copying
+// to the kernel, where a deadline does not end it.
+type plainReader struct{ io.Reader }
+
+// reset closes a connection without delivering what it still holds.
+func reset(conn net.Conn) {
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		// It fails only if the connection is closed already.
+		_ = c.SetLinger(0)
+	}
+	conn.Close()
+}
+
+// encode returns a message of the handshake after its length.
+func encode(message any) ([]byte, error) {
+	text, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("tunnel: %w", err)
+	}
+	return append(binary.BigEndian.AppendUint16(nil, uint16(len(text))), text...), nil
+}
+
+// decode reads a message of the handshake and checks it.
+func decode(r io.Reader, message interface{ Check() error }) error {
+	var length [2]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return fmt.Errorf("tunnel: %w", err)
+	}
+	n := binary.BigEndian.Uint16(length[:])
+	if n > maxMessage {
+		return fmt.Errorf("tunnel: message of %d bytes", n)
+	}
+	text := make([]byte, n)
+	if _, err := io.ReadFull(r, text); err != nil {
+		return fmt.Errorf("tunnel: %w", err)
+	}
+	if err := cbor.Unmarshal(text, message); err != nil {
+		return fmt.Errorf("tunnel: %w", err)
+	}
+	return message.Check()
+}
+
+// Split divides a listener into one for tunnels and one for other connections. Both
+// accept while run runs.
+func Split(l net.Listener) (tunnels, others net.Listener, run func(ctx context.Context) error) {
+	mux := drpcmigrate.NewListenMux(l, len(Prefix))
+	return mux.Route(Prefix), mux.Default(), mux.Run
+}
