Let an entry that reaches no upstream harm no other

With one of three entries cut from all upstreams for 6 s, the two others served 31 calls and 25 or 27 streams of 60 each while connections were refused, and none in the second after the cut; sound requests were quarantined for ten minutes at all three.

Cause: a death that a peer reports ejected the upstream and was passed on; refused connections were crashes, and what was in flight a suspect; an entry's own ejections grew although nothing answered it.

Now such a report is a reason to probe, once. A refusal is a crash only if another engine answers. Ejections lengthen only if anything has answered in between.

--- a/internal/coordination/dispatch/outcome.go
+++ b/internal/coordination/dispatch/outcome.go
@@ -25,6 +25,7 @@
 		}
 		if outcome.Fault == None {
 			d.Ejections.RecordSuccess(s.Upstream.Name, s.Upstream.Slots)
+			d.Ejections.RecordAnswer(s.Upstream.Name, now)
 		}
 	}
 	d.applyFault(p, outcome, now)
@@ -87,6 +88,7 @@
 // ReportLoad records an engine's report: how many requests it runs, including
 // those of other entries, and whether it is leaving.
 func (d *Dispatcher) ReportLoad(upstream string, running int, leaving bool, now time.Time) {
+	d.Ejections.RecordAnswer(upstream, now)
 	l := d.loadOf(upstream)
 	l.otherRequests = max(0, float64(running-l.inFlight))
 	l.reportedAt = now
--- a/internal/coordination/ejection/ejection.go
+++ b/internal/coordination/ejection/ejection.go
@@ -6,7 +6,8 @@
 
 const (
 	// BaseDuration is the duration of an upstream's first ejection. It doubles
-	// with each further one within ForgetAfter.
+	// with each further one within ForgetAfter, unless no upstream has answered
+	// in between.
 	BaseDuration = time.Second
 	// MaxDuration bounds the duration of an ejection.
 	MaxDuration = 30 * time.Second
@@ -39,6 +40,10 @@
 // It is not safe for concurrent use.
 type Tracker struct {
 	records map[string]*record
+	// contacts holds when each upstream last answered here or a probe of it began.
+	contacts map[string]time.Time
+	// answeredAt is when any upstream last answered here.
+	answeredAt time.Time
 }
 
 // record returns the record of an upstream. It starts a new one if there is none
@@ -75,28 +80,53 @@
 		rec.failedAt = now
 		return
 	}
-	duration := BaseDuration << min(rec.failures, 10)
-	rec.failures++
+	if t.repeated(rec) {
+		rec.failures++
+	}
+	duration := BaseDuration << min(rec.failures-1, 10)
 	rec.failedAt = now
 	rec.ejectedUntil = now.Add(min(duration, MaxDuration))
 	rec.slowStart = true
 	rec.concurrency = initialConcurrency
 }
 
+// RecordAnswer records that an upstream has answered this process at now.
+func (t *Tracker) RecordAnswer(upstream string, now time.Time) {
+	t.answeredAt = now
+	t.recordContact(upstream, now)
+}
+
+// repeated reports whether a further failure of an upstream says more of it than its
+// last one did: while nothing has answered since, the links of this process may be at
+// fault.
+func (t *Tracker) repeated(rec *record) bool {
+	return rec.failures == 0 || t.answeredAt.IsZero() || t.answeredAt.After(rec.failedAt)
+}
+
+// recordContact records that an upstream answered, or that a probe of it began, at now.
+func (t *Tracker) recordContact(upstream string, now time.Time) {
+	if t.contacts == nil {
+		t.contacts = make(map[string]time.Time)
+	}
+	t.contacts[upstream] = now
+}
+
 // RecordPeerFailure records a peer's report that an upstream failed age ago. It
-// reports whether the failure was new and recent enough to eject the upstream.
+// reports whether to probe the upstream. The peer may have lost its own link, so that
+// its report ejects nothing, and an upstream that has answered or been probed here
+// since the failure is not in doubt.
 func (t *Tracker) RecordPeerFailure(upstream string, age time.Duration, now time.Time) bool {
 	at := now.Add(-age)
-	if age > BaseDuration {
+	if age > BaseDuration || t.Ejected(upstream, now) {
 		return false
 	}
 	if rec := t.records[upstream]; rec != nil && rec.failures > 0 && !rec.failedAt.Before(at) {
 		return false
 	}
-	if t.Ejected(upstream, now) {
+	if contact, ok := t.contacts[upstream]; ok && !contact.Before(at) {
 		return false
 	}
-	t.RecordFailure(upstream, at)
+	t.recordContact(upstream, now)
 	return true
 }
 
@@ -155,11 +185,17 @@
 	return recent
 }
 
-// Prune drops the records of upstreams whose last failure is too old to count.
+// Prune drops the records of upstreams whose last failure is too old to count, and
+// the answers that are older than any report.
 func (t *Tracker) Prune(now time.Time) {
 	for name, rec := range t.records {
 		if now.Sub(rec.failedAt) > ForgetAfter && now.After(rec.ejectedUntil) {
 			delete(t.records, name)
 		}
 	}
+	for name, at := range t.contacts {
+		if now.Sub(at) > ForgetAfter {
+			delete(t.contacts, name)
+		}
+	}
 }
--- a/internal/entry/diagnosis.go
+++ b/internal/entry/diagnosis.go
@@ -59,6 +59,7 @@
 // an attempt.
 func (g *generator) classifySilence(ctx context.Context, placement dispatch.Placement, e *verdict.Error) (dispatch.Outcome, error) {
 	fault, name := g.findUnresponsiveStage(ctx, placement, e.Upstream)
+	fault = g.confirmCrash(ctx, fault, name)
 	e.Upstream = name
 	if fault == dispatch.ConnectionSilent {
 		e.Reason = verdict.ConnectionSilent
@@ -86,6 +87,7 @@
 // connection to it broke.
 func (g *generator) diagnoseLoss(ctx context.Context, placement dispatch.Placement, name string, received bool) dispatch.Fault {
 	fault, ok := g.probeNamed(ctx, placement, name)
+	fault = g.confirmCrash(ctx, fault, name)
 	switch {
 	case !ok:
 		return dispatch.Unattributed
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,6 +64,9 @@
 	// startedAt.
 	standstills selfcheck.Monitor
 	startedAt   time.Time
+	// doubted holds the names of upstreams to probe, since a peer reports them as
+	// failed.
+	doubted chan string
 	// adoptSignal wakes the adopter when a newer configuration may exist.
 	adoptSignal chan struct{}
 	// drainRequested is closed when an operator requests a drain.
@@ -90,6 +93,7 @@
 	e.control.OnPanic = func(value any, stack []byte) { logging.LogPanic(e.Log, "control loop panicked", value, stack) }
 	e.control.onPublish = e.metrics.observeView
 	e.adoptSignal = make(chan struct{}, 1)
+	e.doubted = make(chan string, maxDoubted)
 	e.drainRequested = make(chan struct{})
 	e.retryQueue = newRetryQueue()
 	e.platformClient = &objectstore.Client{
@@ -155,6 +159,9 @@
 	loop.AddActor(&g, ctx, e.watchWithdrawals)
 	loop.AddActor(&g, ctx, e.pollVMs)
 	loop.AddActor(&g, ctx, e.runHeartbeats)
+	for range doubtProbes {
+		loop.AddActor(&g, ctx, e.probeDoubted)
+	}
 	loop.AddActor(&g, ctx, e.sweepClaims)
 	loop.AddActor(&g, ctx, e.retryQueue.run)
 	loop.AddActor(&g, ctx, func(ctx context.Context) error {
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -154,6 +154,7 @@
 // reports whether the peer's withdrawals differ from those known here.
 func (e *Entry) handleHeartbeat(heartbeat *peering.Heartbeat, now time.Time) bool {
 	differs, behind := false, false
+	var doubted []string
 	e.control.Do(func(s *state) {
 		s.members.Update(membership.Peer{
 			Name:        heartbeat.Entry,
@@ -166,7 +167,9 @@
 		s.recordConfirmation(heartbeat.ConfirmedAge, now)
 		s.adopter.ObserveGeneration(heartbeat.Generation)
 		for _, d := range heartbeat.Deaths {
-			s.dispatcher.Ejections.RecordPeerFailure(d.Upstream, d.Age, now)
+			if s.dispatcher.Ejections.RecordPeerFailure(d.Upstream, d.Age, now) {
+				doubted = append(doubted, d.Upstream)
+			}
 		}
 		for _, suspicion := range heartbeat.Suspicions {
 			mergeSuspicion(s, suspicion, now)
@@ -178,6 +181,7 @@
 		}
 		behind = s.adopter.Behind()
 	})
+	e.doubt(doubted)
 	if behind {
 		e.wakeAdopter()
 	}
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -21,6 +21,8 @@
 	conns map[*conn]bool
 	// blocked holds the routes over which nothing passes. Guarded by mu.
 	blocked map[route]bool
+	// refused holds the routes over which connections are refused. Guarded by mu.
+	refused map[route]bool
 	// shutdown is closed by Shutdown. It is nil until the first listener is
 	// opened. Guarded by mu.
 	shutdown chan struct{}
@@ -60,11 +62,23 @@
 	n.Block(b, a)
 }
 
-// Heal unblocks all traffic. Blackholed connections stay so.
+// Refuse resets the open connections from one host to another and refuses new ones.
+func (n *Network) Refuse(from, to string) {
+	n.mu.Lock()
+	if n.refused == nil {
+		n.refused = make(map[route]bool)
+	}
+	n.refused[route{from, to}] = true
+	n.mu.Unlock()
+	n.forEachConn(func(c *conn) bool { return c.from.Name == from && c.to.Name == to }, func(c *conn) { c.reset() })
+}
+
+// Heal unblocks all traffic and refuses nothing more. Blackholed connections stay so.
 func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.blocked = nil
+	n.refused = nil
 }
 
 // Blackhole makes all open connections to an address lose everything that is
@@ -181,8 +195,9 @@
 	n := h.network
 	n.mu.Lock()
 	l, shutdown := n.listeners[address], n.shutdown
+	refused := l != nil && n.refused[route{h.Name, l.host.Name}]
 	n.mu.Unlock()
-	if l == nil {
+	if l == nil || refused {
 		return nil, fmt.Errorf("network: dial %s: %w", address, syscall.ECONNREFUSED)
 	}
 	if n.isBlocked(h, l.host) || n.isBlocked(l.host, h) || l.frozen.Load() {
--- a/internal/standin/network/network_test.go
+++ b/internal/standin/network/network_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
 
@@ -41,3 +42,32 @@
 		n.Shutdown()
 	})
 }
+
+// TestRefuseEndsAndPreventsConnections checks that Refuse concerns one direction between
+// two hosts, and ends with Heal.
+func TestRefuseEndsAndPreventsConnections(t *testing.T) {
+	var n network.Network
+	const address = "upstream:1"
+	_, err := n.Host("upstream", "wien").Listen(t.Context(), "tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	cut, other := n.Host("cut", "wien"), n.Host("other", "wien")
+	open, err := cut.Dial(t.Context(), "tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	kept, err := other.Dial(t.Context(), "tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+
+	n.Refuse("cut", "upstream")
+	_, err = open.Read(make([]byte, 1))
+	qt.Check(t, err, qt.ErrorIs, syscall.ECONNRESET)
+	_, err = cut.Dial(t.Context(), "tcp", address)
+	qt.Check(t, err, qt.ErrorIs, syscall.ECONNREFUSED)
+	_, err = kept.Write([]byte("sent"))
+	qt.Check(t, err, qt.IsNil)
+	_, err = other.Dial(t.Context(), "tcp", address)
+	qt.Check(t, err, qt.IsNil)
+
+	n.Heal()
+	_, err = cut.Dial(t.Context(), "tcp", address)
+	qt.Check(t, err, qt.IsNil)
+	n.Shutdown()
+}
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -44,16 +44,33 @@
 	return result
 }
 
+// Probe opens a connection to a plain service, within [ConnectTimeout]. It sends
+// nothing, since a service has no call that may be made at any time.
+func (s *ServiceClient) Probe(ctx context.Context, address string) ProbeResult {
+	conn, err := s.dial(ctx, "tcp", address)
+	if err != nil {
+		return dialResult(err)
+	}
+	conn.Close()
+	return ProbeAlive
+}
+
+// dialResult returns the result of a probe that could not connect.
+func dialResult(err error) ProbeResult {
+	var failed *connectError
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return ProbeRefused
+	case isLocal(err), errors.As(err, &failed) && failed.own:
+		return ProbeUnknown
+	}
+	return ProbeUnanswered
+}
+
 func (e *EngineClient) probe(ctx context.Context, address string) ProbeResult {
 	conn, err := e.Dial(ctx, "tcp", address)
 	if err != nil {
-		switch {
-		case errors.Is(err, syscall.ECONNREFUSED):
-			return ProbeRefused
-		case isLocal(err):
-			return ProbeUnknown
-		}
-		return ProbeUnanswered
+		return dialResult(err)
 	}
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
