Judge a path by what becomes of a direct connection, not by who waits for it

A direct connection that took longer than 50 ms counted as lost at once if the one that waited for it ended, as the check of a path does as soon as a tunnel opens. It now goes on by itself for its time. Times in which the process stood still do not count for the delay before a peer is asked. Paths of upstreams that are no longer listed are no longer called through peers when their address is used again. Tunnels wait for all keep-alive probes, as exchanges do. Found by reading.

--- a/internal/coordination/health/peerfault.go
+++ b/internal/coordination/health/peerfault.go
@@ -57,10 +57,9 @@
 
 // PeerFaults returns the faults to tell peers, in no particular order: those that are
 // answers of the upstream or refused connections, and those that a probe has confirmed.
-// Without an answer from several upstreams at once, only answers are told.
-func (t *Tracker) PeerFaults(now time.Duration) []PeerFault {
-	own := t.SeesOwnFault(now)
-	var out []PeerFault
+// If the fault is probably this gateway's own, as own reports, only answers are told.
+func (t *Tracker) PeerFaults(now time.Duration) (out []PeerFault, own bool) {
+	own = t.SeesOwnFault(now)
 	for _, x := range t.Exclusions(now) {
 		rec := t.records[x.Instance]
 		answered := now < rec.refusedUntil && !rec.awaitingProbe
@@ -68,7 +67,7 @@
 			out = append(out, PeerFault{Exclusion: x, Age: now - rec.faultAt, Answered: answered})
 		}
 	}
-	return out
+	return out, own
 }
 
 // SeesOwnFault reports whether the fault is probably this gateway's own: several
--- a/internal/coordination/health/peerfault_test.go
+++ b/internal/coordination/health/peerfault_test.go
@@ -113,7 +113,7 @@
 				tr.RecordAnswer(fmt.Sprint("well", i), now-time.Second)
 			}
 			c.Check(tr.SeesOwnFault(now), qt.Equals, x.own)
-			told := tr.PeerFaults(now)
+			told, _ := tr.PeerFaults(now)
 			c.Check(told, qt.HasLen, x.told)
 			for _, f := range told {
 				c.Check(f.Age, qt.Equals, 50*ms)
--- a/internal/coordination/reach/reach.go
+++ b/internal/coordination/reach/reach.go
@@ -120,6 +120,20 @@
 	return out
 }
 
+// Unreached returns the number of upstreams that are called through peers.
+func (t *Tracker) Unreached() int {
+	n := 0
+	for _, p := range t.paths {
+		if p.relayed {
+			n++
+		}
+	}
+	return n
+}
+
+// Empty reports whether nothing is known of any path.
+func (t *Tracker) Empty() bool { return len(t.paths) == 0 }
+
 // Retain drops the state of all upstreams for which live returns false.
 func (t *Tracker) Retain(live func(address string) bool) {
 	for address := range t.paths {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,7 +143,6 @@
 	}
 	g.connPool = &http1.Pool{Dial: g.dialUpstream, OnDial: g.metrics.connections.Inc}
 	g.tunnels.Connect = g.connectForPeer
-	g.tunnels.Silence = unackedTimeout
 	g.tunnels.Log = func(err error) { g.Log.Debug("tunnel ended", zap.Error(err)) }
 	g.store = &platform.Store{
 		Address: g.Settings.Platform.Address,
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -22,7 +22,7 @@
 	// counts as lost, if one through a peer has opened.
 	lostPathTime = 150 * time.Millisecond
 	// pathCheckInterval is how often it is looked for paths to be checked.
-	pathCheckInterval = 50 * time.Millisecond
+	pathCheckInterval = 100 * time.Millisecond
 	// maxPathChecks bounds the paths of which the check begins at the same time.
 	maxPathChecks = 32
 )
@@ -47,35 +47,62 @@
 	began := g.Now()
 	direct := make(chan dialed, 1)
 	go func() {
+		// What comes of it shows the path, also if the caller of this function has gone.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
+		defer cancel()
 		conn, err := g.dialDirect(ctx, network, address)
 		direct <- dialed{conn, err}
 	}()
+	d, opened := g.awaitPrompt(ctx, direct)
+	switch {
+	case ctx.Err() != nil:
+		if !opened {
+			go closeDialed(direct)
+		} else if d.err == nil {
+			d.conn.Close()
+		}
+		return nil, ctx.Err()
+	case !opened:
+		return g.dialBeside(ctx, address, direct, began)
+	case d.err == nil || lacksResources(d.err):
+		return d.conn, d.err
+	}
+	return g.dialInstead(ctx, address, d.err)
+}
+
+// awaitPrompt waits for a direct connection for as long as one may take to open, not
+// counting times in which this process stood still. It reports whether there is a result.
+func (g *Gateway) awaitPrompt(ctx context.Context, direct chan dialed) (dialed, bool) {
 	delay := time.NewTimer(tunnelDelay)
 	defer delay.Stop()
-	select {
-	case d := <-direct:
-		if d.err == nil || ctx.Err() != nil || lacksResources(d.err) {
-			return d.conn, d.err
+	for began := g.Now(); ; began = g.Now() {
+		select {
+		case d := <-direct:
+			return d, true
+		case <-ctx.Done():
+			return dialed{}, false
+		case <-delay.C:
+			if !g.pauses.Stalled(began, g.Now()) {
+				return dialed{}, false
+			}
+			delay.Reset(tunnelDelay)
 		}
-		return g.dialInstead(ctx, address, d.err)
-	case <-delay.C:
 	}
-	return g.dialBeside(ctx, address, direct, began)
 }
 
 // dialInstead opens a connection through a peer after a direct one has failed with
 // directErr.
 func (g *Gateway) dialInstead(ctx context.Context, address string, directErr error) (net.Conn, error) {
 	conn, err := g.openTunnel(ctx, address)
-	if err != nil {
-		// What a peer finds refused although it gave no answer here has ended.
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, err
-		}
-		return nil, directErr
+	switch {
+	case err == nil:
+		g.recordLostPath(address, directErr)
+		return conn, nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		// It gave no answer here and refuses a peer: it has ended.
+		return nil, err
 	}
-	g.recordLostPath(address, directErr)
-	return conn, nil
+	return nil, directErr
 }
 
 // dialBeside opens a connection through a peer while a direct one, which began at a boot
@@ -86,35 +113,41 @@
 		conn, err := g.openTunnel(ctx, address)
 		tunnels <- dialed{conn, err}
 	}()
+	var d, t dialed
 	select {
-	case d := <-direct:
+	case d = <-direct:
 		if d.err == nil {
 			go closeDialed(tunnels)
 			return d.conn, nil
 		}
-		t := <-tunnels
-		if t.err != nil {
-			return nil, d.err
+		t = <-tunnels
+		if t.err == nil {
+			g.recordLostPath(address, d.err)
+			return t.conn, nil
 		}
-		g.recordLostPath(address, d.err)
-		return t.conn, nil
-	case t := <-tunnels:
-		if t.err != nil {
-			d := <-direct
-			if d.err != nil && errors.Is(t.err, syscall.ECONNREFUSED) {
-				return nil, t.err
-			}
-			return d.conn, d.err
+	case t = <-tunnels:
+		if t.err == nil {
+			go g.awaitDirect(address, direct, began)
+			return t.conn, nil
 		}
-		go g.awaitDirect(address, direct, began)
-		return t.conn, nil
+		select {
+		case d = <-direct:
+		case <-ctx.Done():
+			go closeDialed(direct)
+			return nil, ctx.Err()
+		}
+	}
+	if d.err != nil && errors.Is(t.err, syscall.ECONNREFUSED) {
+		return nil, t.err
 	}
+	return d.conn, d.err
 }
 
 // awaitDirect waits for a direct connection that began at a boot time to open after one
 // through a peer has. If it does not, and this process has run meanwhile, the path
 // counts as lost.
 func (g *Gateway) awaitDirect(address string, direct chan dialed, began time.Duration) {
+	cause := errNotOpened
 	late := time.NewTimer(max(0, began+lostPathTime-g.Now()))
 	defer late.Stop()
 	select {
@@ -123,11 +156,12 @@
 			d.conn.Close()
 			return
 		}
+		cause = d.err
 	case <-late.C:
 		go closeDialed(direct)
 	}
 	if !g.pauses.Stalled(began, g.Now()) {
-		g.recordLostPath(address, errNotOpened)
+		g.recordLostPath(address, cause)
 	}
 }
 
@@ -167,7 +201,7 @@
 		if !s.reach.RecordRelayed(address, now) {
 			return
 		}
-		s.publishPaths(g)
+		s.publishPaths()
 		g.connPool.CloseIdle(func(a string, conn net.Conn) bool { return a == address && !isTunnel(conn) })
 		suspected := s.reach.OwnLinkSuspected(now)
 		instance := s.instanceAt(address)
@@ -185,7 +219,7 @@
 		if !s.reach.RecordDirect(address) {
 			return
 		}
-		s.publishPaths(g)
+		s.publishPaths()
 		g.connPool.CloseIdle(func(a string, conn net.Conn) bool { return a == address && isTunnel(conn) })
 		g.Log.Info("path to upstream restored", zap.String("upstream", s.instanceAt(address)), zap.String("address", address))
 	})
@@ -200,18 +234,22 @@
 }
 
 // publishPaths makes the paths known to the goroutines that open connections.
-func (s *state) publishPaths(g *Gateway) {
+func (s *state) publishPaths() {
 	relayed := s.reach.Relayed()
-	g.relayed.Store(&relayed)
+	s.relayed.Store(&relayed)
 }
 
 // retainPaths forgets the paths to upstreams that are no longer listed.
 func (s *state) retainPaths() {
+	if s.reach.Empty() {
+		return
+	}
 	listed := make(map[string]bool, len(s.upstreams))
 	for _, u := range s.upstreams {
 		listed[u.Address] = true
 	}
 	s.reach.Retain(func(address string) bool { return listed[address] })
+	s.publishPaths()
 }
 
 // isTunnel reports whether a connection leads through a peer.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -178,8 +178,9 @@
 
 // addFaults adds the faults of upstreams that this gateway has seen.
 func (s *state) addFaults(n *peering.News, now time.Duration) {
-	n.FaultNews.Own = s.health.SeesOwnFault(now)
-	for _, f := range s.health.PeerFaults(now) {
+	faults, own := s.health.PeerFaults(now)
+	n.FaultNews.Own = own
+	for _, f := range faults {
 		n.Faults = append(n.Faults, peering.UpstreamFault{Upstream: f.Instance, Left: f.Remaining})
 		n.FaultNews.Seen = append(n.FaultNews.Seen, peering.SeenFault{Age: f.Age, Answered: f.Answered})
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -59,6 +60,8 @@
 	linkFaults   health.Links
 	// reach decides over which paths upstreams are called.
 	reach reach.Tracker
+	// relayed publishes since when upstreams are called through peers, by address.
+	relayed *atomic.Pointer[map[string]time.Duration]
 	// startPathCheck begins a check of the path to an address; nil for none.
 	startPathCheck func(address string)
 	// suspicions are the requests that were in flight on upstreams that
@@ -158,6 +161,7 @@
 		// Before it there is nothing to know of.
 		s.startedAt -= s.retryAllowance.Window
 	}
+	s.relayed = &g.relayed
 	s.health.Random = g.Random
 	s.suspicions.CrashLimit = crashLimit
 	s.queue.Max = maxQueued
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -178,5 +178,5 @@
 
 // reachNews returns what this gateway tells its peers of its paths.
 func (s *state) reachNews(g *Gateway) peering.ReachNews {
-	return peering.ReachNews{Tunnels: true, Unreached: len(s.reach.Relayed()), Busy: int(g.inFlight.Load()) + g.tunnels.Open()}
+	return peering.ReachNews{Tunnels: true, Unreached: s.reach.Unreached(), Busy: int(g.inFlight.Load()) + g.tunnels.Open()}
 }
--- a/internal/gateway/tunnels_test.go
+++ b/internal/gateway/tunnels_test.go
@@ -28,6 +28,7 @@
 	g.prepare()
 	g.control = loop.New[state]()
 	g.control.State = *s
+	g.control.State.relayed = &g.relayed
 	g.dialDirect = func(ctx context.Context, _, _ string) (net.Conn, error) { return dialDirect(ctx) }
 	go g.control.Run(t.Context())
 	return g
@@ -67,7 +68,7 @@
 			if x.before != nil {
 				g.control.Do(func(s *state) {
 					x.before(s)
-					s.publishPaths(g)
+					s.publishPaths()
 				})
 			}
 			conn, got := g.connectForPeer(t.Context(), &peering.TunnelRequest{Version: peering.Version, Gateway: "g2", Address: x.address})
--- a/internal/transport/dial/dial.go
+++ b/internal/transport/dial/dial.go
@@ -18,11 +18,9 @@
 // connection fail once sent data stays unacknowledged for silence.
 func New(connect, silence time.Duration) Func {
 	dialer := &net.Dialer{
-		Timeout: connect,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, silence) },
+		Timeout:         connect,
+		KeepAliveConfig: keepAlive,
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, silence) },
 	}
 	return dialer.DialContext
 }
@@ -34,10 +32,24 @@
 	keepAliveCount    = 3
 )
 
+// keepAlive is the configuration of the probes.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+
 // KeepAliveTime is how long a connection to a host that has died lives if all keep-alive
 // probes are waited for.
 const KeepAliveTime = keepAliveIdle + keepAliveCount*keepAliveInterval
 
+// KeepAlive has a connection that was accepted fail once its peer has left all keep-alive
+// probes, or sent data for as long, without an answer.
+func KeepAlive(conn net.Conn) error {
+	if c, ok := conn.(*net.TCPConn); ok {
+		if err := c.SetKeepAliveConfig(keepAlive); err != nil {
+			return err
+		}
+	}
+	return LimitSilence(conn, KeepAliveTime)
+}
+
 // LimitSilence has a connection fail once sent data stays unacknowledged for silence. The
 // kernel counts keep-alive probes as such data, whatever their number: one that is lost
 // ends a connection that was quiet for longer than silence. It has no effect on what is no
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -82,9 +82,6 @@
 	// Connect connects to the upstream that a peer asks for. The connection is nil unless
 	// the outcome is [peering.TunnelOpened].
 	Connect func(ctx context.Context, request *peering.TunnelRequest) (net.Conn, peering.TunnelOutcome)
-	// Silence is how long what was sent to a peer may stay unacknowledged before its
-	// tunnel fails.
-	Silence time.Duration
 	// Log receives the errors of connections; it may be nil.
 	Log func(error)
 
@@ -123,7 +120,7 @@
 	stop := context.AfterFunc(ctx, func() { reset(conn) })
 	defer stop()
 	defer conn.Close()
-	if err := dial.LimitSilence(conn, s.Silence); err != nil {
+	if err := dial.KeepAlive(conn); err != nil {
 		return fmt.Errorf("tunnel: %w", err)
 	}
 	if err := conn.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
@@ -150,6 +147,10 @@
 	if upstream == nil {
 		return nil
 	}
+	// An upstream may be quiet for long, as in an exchange of this process's own.
+	if err := dial.LimitSilence(upstream, dial.KeepAliveTime); err != nil {
+		return fmt.Errorf("tunnel: %w", err)
+	}
 	return join(conn, upstream)
 }
 
--- a/internal/transport/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -41,7 +41,7 @@
 func startPeer(t *testing.T) (address string, stop func()) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	s := &tunnel.Server{Silence: time.Second, Connect: func(ctx context.Context, r *peering.TunnelRequest) (net.Conn, peering.TunnelOutcome) {
+	s := &tunnel.Server{Connect: func(ctx context.Context, r *peering.TunnelRequest) (net.Conn, peering.TunnelOutcome) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", r.Address)
 		if err != nil {
 			return nil, peering.TunnelRefused
