Cover when a path counts as lost

Five cases of a direct connection that opens promptly, late, late after its caller has gone, never, or is refused, beside a peer that opens a tunnel.

--- a/internal/gateway/tunnels_test.go
+++ b/internal/gateway/tunnels_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/transport/tunnel"
 )
 
 // upstreamAddress is the address of the upstream of the tests of paths.
@@ -125,3 +127,71 @@
 	_, err = g.dialUpstream(ctx, "tcp", upstreamAddress)
 	qt.Assert(t, err, qt.IsNotNil)
 }
+
+// addTunnelPeer adds a peer that opens tunnels to an upstream that says nothing.
+func addTunnelPeer(t *testing.T, g *Gateway) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	tunnels, _, split := tunnel.Split(listener)
+	s := &tunnel.Server{Connect: func(context.Context, *peering.TunnelRequest) (net.Conn, peering.TunnelOutcome) {
+		near, far := net.Pipe()
+		t.Cleanup(func() { far.Close() })
+		return near, peering.TunnelOpened
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = split(ctx) })
+	group.Go(func() { qt.Check(t, s.Serve(ctx, tunnels), qt.IsNil) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	g.tunnelPeers.Store(&[]tunnelPeer{{address: listener.Addr().String()}})
+}
+
+// TestPathIsLostOnlyIfItDoesNotOpen guards against taking a path for lost whose
+// connections open late, or are given up by whoever waits for them.
+func TestPathIsLostOnlyIfItDoesNotOpen(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		// opensAfter is when a direct connection opens; 0 if it does not.
+		opensAfter time.Duration
+		refused    bool
+		// waits is how long its caller waits.
+		waits time.Duration
+		lost  bool
+	}{
+		{name: "prompt", opensAfter: time.Millisecond, waits: time.Second},
+		{name: "late", opensAfter: 2 * tunnelDelay, waits: time.Second},
+		{name: "late, and not waited for", opensAfter: 2 * tunnelDelay, waits: tunnelDelay / 2},
+		{name: "never", waits: time.Second, lost: true},
+		{name: "refused", refused: true, waits: time.Second, lost: true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			g := newPathGateway(t, func(ctx context.Context) (net.Conn, error) {
+				if x.refused {
+					return nil, syscall.ECONNREFUSED
+				}
+				if x.opensAfter == 0 {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				time.Sleep(x.opensAfter)
+				near, far := net.Pipe()
+				t.Cleanup(func() { far.Close() })
+				return near, nil
+			})
+			addTunnelPeer(t, g)
+			ctx, cancel := context.WithTimeout(t.Context(), x.waits)
+			conn, err := g.dialUpstream(ctx, "tcp", upstreamAddress)
+			cancel()
+			if err == nil {
+				conn.Close()
+			}
+			qt.Check(t, err == nil, qt.Equals, x.waits == time.Second)
+			time.Sleep(2 * lostPathTime)
+			qt.Check(t, g.isRelayed(upstreamAddress), qt.Equals, x.lost)
+		})
+	}
+}
