--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,168 +11,13 @@
 	"lovageport.example/internal/transport/tunnel"
 )
 
-// Timeouts and limits of the paths to upstreams.
 const (
-	// tunnelDelay is how long a direct connection to an upstream may take to open before
-	// one through a peer is tried beside it; a round trip takes a few milliseconds.
-	tunnelDelay = 50 * time.Millisecond
-	// lostPathTime is how long a direct connection may take to open before the path
-	// counts as lost, if one through a peer has opened.
-	lostPathTime = 150 * time.Millisecond
 	// pathCheckInterval is how often it is looked for paths to be checked.
 	pathCheckInterval = 100 * time.Millisecond
 	// maxPathChecks bounds the paths of which the check begins at the same time.
 	maxPathChecks = 32
 )
 
-// dialed is the result of opening a connection.
-type dialed struct {
-	conn net.Conn
-	err  error
-}
-
-// dialUpstream opens a connection to an upstream, directly or through a peer. Its error
-// is [syscall.ECONNREFUSED] only if the upstream refuses connections by all that is known.
-func (g *Gateway) dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
-	if g.isRelayed(address) {
-		conn, err := g.openTunnel(ctx, address)
-		if err == nil {
-			return conn, nil
-		}
-		g.Log.Debug("no tunnel", zap.String("address", address), zap.Error(err))
-		return g.dialDirect(ctx, network, address)
-	}
-	began := g.Now()
-	direct := make(chan dialed, 1)
-	go func() {
-		// What comes of it shows the path, also if the caller of this function has gone.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
-		defer cancel()
-		conn, err := g.dialDirect(ctx, network, address)
-		direct <- dialed{conn, err}
-	}()
-	d, opened := g.awaitPrompt(ctx, direct)
-	switch {
-	case ctx.Err() != nil:
-		if !opened {
-			go closeDialed(direct)
-		} else if d.err == nil {
-			d.conn.Close()
-		}
-		return nil, ctx.Err()
-	case !opened:
-		return g.dialBeside(ctx, address, direct, began)
-	case d.err == nil || lacksResources(d.err):
-		return d.conn, d.err
-	}
-	return g.dialInstead(ctx, address, d.err)
-}
-
-// awaitPrompt waits for a direct connection for as long as one may take to open, not
-// counting times in which this process stood still. It reports whether there is a result.
-func (g *Gateway) awaitPrompt(ctx context.Context, direct chan dialed) (dialed, bool) {
-	delay := time.NewTimer(tunnelDelay)
-	defer delay.Stop()
-	for began := g.Now(); ; began = g.Now() {
-		select {
-		case d := <-direct:
-			return d, true
-		case <-ctx.Done():
-			return dialed{}, false
-		case <-delay.C:
-			if !g.pauses.Stalled(began, g.Now()) {
-				return dialed{}, false
-			}
-			delay.Reset(tunnelDelay)
-		}
-	}
-}
-
-// dialInstead opens a connection through a peer after a direct one has failed with
-// directErr.
-func (g *Gateway) dialInstead(ctx context.Context, address string, directErr error) (net.Conn, error) {
-	conn, err := g.openTunnel(ctx, address)
-	switch {
-	case err == nil:
-		g.recordLostPath(address, directErr)
-		return conn, nil
-	case errors.Is(err, syscall.ECONNREFUSED):
-		// It gave no answer here and refuses a peer: it has ended.
-		return nil, err
-	}
-	return nil, directErr
-}
-
-// dialBeside opens a connection through a peer while a direct one, which began at a boot
-// time, does not open. The first to open is returned.
-func (g *Gateway) dialBeside(ctx context.Context, address string, direct chan dialed, began time.Duration) (net.Conn, error) {
-	tunnels := make(chan dialed, 1)
-	go func() {
-		conn, err := g.openTunnel(ctx, address)
-		tunnels <- dialed{conn, err}
-	}()
-	var d, t dialed
-	select {
-	case d = <-direct:
-		if d.err == nil {
-			go closeDialed(tunnels)
-			return d.conn, nil
-		}
-		t = <-tunnels
-		if t.err == nil {
-			g.recordLostPath(address, d.err)
-			return t.conn, nil
-		}
-	case t = <-tunnels:
-		if t.err == nil {
-			go g.awaitDirect(address, direct, began)
-			return t.conn, nil
-		}
-		select {
-		case d = <-direct:
-		case <-ctx.Done():
-			go closeDialed(direct)
-			return nil, ctx.Err()
-		}
-	}
-	if d.err != nil && errors.Is(t.err, syscall.ECONNREFUSED) {
-		return nil, t.err
-	}
-	return d.conn, d.err
-}
-
-// awaitDirect waits for a direct connection that began at a boot time to open after one
-// through a peer has. If it does not, and this process has run meanwhile, the path
-// counts as lost.
-func (g *Gateway) awaitDirect(address string, direct chan dialed, began time.Duration) {
-	cause := errNotOpened
-	late := time.NewTimer(max(0, began+lostPathTime-g.Now()))
-	defer late.Stop()
-	select {
-	case d := <-direct:
-		if d.err == nil {
-			d.conn.Close()
-			return
-		}
-		cause = d.err
-	case <-late.C:
-		go closeDialed(direct)
-	}
-	if !g.pauses.Stalled(began, g.Now()) {
-		g.recordLostPath(address, cause)
-	}
-}
-
-// errNotOpened is why a path counts as lost whose connection did not open in time.
-var errNotOpened = errors.New("gateway: connection not opened in time")
-
-// closeDialed closes the connection that is being opened once it is open.
-func closeDialed(dials chan dialed) {
-	if d := <-dials; d.err == nil {
-		d.conn.Close()
-	}
-}
-
 // isRelayed reports whether an upstream is called through peers.
 func (g *Gateway) isRelayed(address string) bool {
 	_, relayed := g.pathLostAt(address)
@@ -326,3 +169,20 @@
 	conn.Close()
 	g.recordDirectPath(address)
 }
+
+// setConn sets the connection to the first stage.
+func (d *stallDetector) setConn(conn net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conn = conn
+}
+
+// pathLost reports whether the path to the first stage was lost while the attempt waited
+// on it, so that it waits in vain even if all stages are well. The caller holds mu.
+func (d *stallDetector) pathLost() bool {
+	if t, ok := d.conn.(*tunnel.Conn); ok {
+		return !d.g.isTunnelPeer(t.Peer)
+	}
+	since, lost := d.g.pathLostAt(d.target.upstream.Address)
+	return d.conn != nil && lost && since > max(d.beganAt, d.lastEventAt)
+}
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/health"
-	"lovageport.example/internal/transport/tunnel"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -77,23 +76,6 @@
 	return d
 }
 
-// setConn sets the connection to the first stage.
-func (d *stallDetector) setConn(conn net.Conn) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.conn = conn
-}
-
-// pathLost reports whether the path to the first stage was lost while the attempt waited
-// on it, so that it waits in vain even if all stages are well. The caller holds mu.
-func (d *stallDetector) pathLost() bool {
-	if t, ok := d.conn.(*tunnel.Conn); ok {
-		return !d.g.isTunnelPeer(t.Peer)
-	}
-	since, lost := d.g.pathLostAt(d.target.upstream.Address)
-	return d.conn != nil && lost && since > max(d.beganAt, d.lastEventAt)
-}
-
 // setResponse sets the response of the attempt.
 func (d *stallDetector) setResponse(resp *response) {
 	d.mu.Lock()
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -102,6 +102,8 @@
 // [syscall.ECONNREFUSED] if the upstream refuses connections of peers, and none has
 // opened one.
 func (g *Gateway) openTunnel(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
 	request := &peering.TunnelRequest{Version: peering.Version, Gateway: g.Settings.Name, Address: address}
 	peers := g.tunnelPeersInOrder()
 	err := errNoTunnel
