Keep a quiet stream whose engine refuses new connections

Callers lost a stream that may not be resumed, or that no other engine can serve, 0.5 s after its last event, or got 504 at 0.15 s before the first: its engine was quiet for a moment and refused new connections, while the connection of the stream lived.

Cause: a refused connection was taken for the end of the engine, and ended the attempt at once, whether or not it may be repeated or another one was at hand. Silence is no reason to end an answer sooner, nor is a refusal of other connections: an attempt now ends for either only once the next one has begun to answer. An engine that has ended breaks its connections.

That it is the users' case is not shown.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -16,8 +16,8 @@
 
 // stallDetector monitors a stream and checks its stages when no event arrives.
 // It cancels the attempt only if a stage is found at fault, since an engine may
-// be slow for other reasons, and, unless the stage has ended, only once the next
-// attempt has begun to answer, since a silent stage may still continue.
+// be slow for other reasons, and only once the next attempt has begun to answer, since
+// a silent stage, and one that refuses connections, may still continue.
 type stallDetector struct {
 	g        *Gateway
 	q        *request
@@ -225,8 +225,9 @@
 }
 
 // giveUp ends the attempt because of the stage that was found at fault, or because
-// of no progress since a stage was replaced, unless the stream continues. If the
-// stage has not ended, the attempt continues until the next one has begun to answer.
+// of no progress since a stage was replaced, unless the stream continues. The attempt
+// continues until the next one has begun to answer, also if the stage refuses
+// connections: those that it has may live on.
 func (d *stallDetector) giveUp(to target, f finding, lastEventAt time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -243,10 +244,6 @@
 		d.scheduleNext(f.quietAt)
 		return
 	}
-	if f.ended {
-		d.abort(to, i)
-		return
-	}
 	d.handOver(to, i, lastEventAt)
 }
 
