Find soon that a request has not arrived

The limit of silence of 11 s during an exchange, which keeps those alive whose upstream is quiet, held for requests that never arrive too: on a connection that is silent for good one failed after 11.6 s instead of 1.9 s, later than callers wait, and the idle time allowed was not reduced. Now the limit stays 1.5 s until 3 s after the request was sent, and is raised before the first keep-alive probe, at 5 s. Large bodies have it raised at once: a window that is closed counts as silence too, and an upstream that read a body of 16 MB after 5 s lost the exchange at 1.76 s on.

--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -83,10 +83,12 @@
 		r.OnConn(conn.Conn)
 	}
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(aLongTimeAgo) })
+	conn.beginExchange(arrivalAfter(len(r.Body)))
 	fail := func(err error) error {
 		if stop() && !errors.Is(err, ErrMalformed) {
 			p.reduceIdleLimit(r.Address, conn, time.Now())
 		}
+		conn.endExchange()
 		conn.abort()
 		return exchangeError(ctx, err, conn.reused)
 	}
@@ -120,6 +122,15 @@
 	}, nil
 }
 
+// arrivalAfter returns after what time a request counts as arrived. An upstream need not
+// read a large body at once, and a closed window is a silence too.
+func arrivalAfter(body int) time.Duration {
+	if body >= largeBody {
+		return 0
+	}
+	return arrivalTime
+}
+
 // keepDuration returns the value of Response.keep for a response.
 func keepDuration(response *http.Response) time.Duration {
 	if response.Close {
@@ -234,6 +245,7 @@
 // response was read and the whole request was written.
 func (r *Response) Close() {
 	running := r.stop()
+	r.conn.endExchange()
 	switch {
 	case !running, !r.whole, !r.requestSent():
 		r.conn.abort()
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -25,8 +25,12 @@
 	// connection, so that no request is sent while the upstream closes it.
 	idleMargin = 500 * time.Millisecond
 	// idleSilence is how long an idle connection may leave a keep-alive probe without
-	// an answer.
+	// an answer, and a new one, or one that is used again, a request unacknowledged.
 	idleSilence = 1500 * time.Millisecond
+	// arrivalTime is how long after it was sent a small request counts as arrived: one
+	// that is unacknowledged for idleSilence has ended its connection by then. The first
+	// keep-alive probe of a quiet exchange comes later.
+	arrivalTime = 3 * time.Second
 	bufferSize  = 4 << 10
 	// idleLimitTTL is how long a reduced idle limit applies to an upstream that
 	// has silently dropped an idle connection.
@@ -76,6 +80,13 @@
 	idleUntil time.Time
 	// reused reports whether the connection has carried an exchange before.
 	reused bool
+
+	mu sync.Mutex
+	// patience raises the limit of silence once the request has arrived; nil unless an
+	// exchange is under way. Guarded by mu.
+	patience *time.Timer
+	// patient reports whether the limit is raised. Guarded by mu.
+	patient bool
 }
 
 // take returns a connection for a request: an idle one that can be reused, or a
@@ -88,7 +99,6 @@
 		}
 		c.idleFor = now.Sub(c.idleSince)
 		if now.Before(c.idleUntil) && c.idleFor <= maxIdle && c.quiet() {
-			c.limitSilence(dial.KeepAliveTime)
 			return c, nil
 		}
 		c.Close()
@@ -101,9 +111,7 @@
 		p.OnDial()
 	}
 	source := &boundedReader{source: conn}
-	c := &connection{Conn: conn, reader: bufio.NewReaderSize(source, bufferSize), source: source}
-	c.limitSilence(dial.KeepAliveTime)
-	return c, nil
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(source, bufferSize), source: source}, nil
 }
 
 // pop removes and returns the most recently used idle connection, or nil,
@@ -157,7 +165,6 @@
 		c.Close()
 		return
 	}
-	c.limitSilence(idleSilence)
 	p.idle[address] = append(p.idle[address], c)
 }
 
@@ -215,10 +222,45 @@
 	p.idle = nil
 }
 
-// limitSilence sets for how long what is sent may stay without an acknowledgement. During
-// an exchange that is as long as all keep-alive probes take, since an exchange with an
-// upstream that is quiet for long must not end because one of them was lost.
-func (c *connection) limitSilence(silence time.Duration) {
+// beginExchange has the connection wait for all keep-alive probes from a time after now,
+// since an exchange with an upstream that is quiet for long must not end because one of
+// them was lost. Until then a request that isn't acknowledged ends the connection soon.
+func (c *connection) beginExchange(after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var timer *time.Timer
+	timer = time.AfterFunc(after, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.patience == timer {
+			c.setPatient(true)
+		}
+	})
+	c.patience = timer
+}
+
+// endExchange undoes beginExchange.
+func (c *connection) endExchange() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.patience == nil {
+		return
+	}
+	c.patience.Stop()
+	c.patience = nil
+	if c.patient {
+		c.setPatient(false)
+	}
+}
+
+// setPatient sets for how long what is sent may stay without an acknowledgement. The
+// caller holds mu.
+func (c *connection) setPatient(patient bool) {
+	silence := idleSilence
+	if patient {
+		silence = dial.KeepAliveTime
+	}
+	c.patient = patient
 	// It fails only if the connection has ended.
 	_ = dial.LimitSilence(c.Conn, silence)
 }
