Share the retry allowance without a step

Gateways that saw a hair more or less of the allowance disagreed on whether each has one retry beside its share: one busy gateway that sees 8.99 and eight idle ones that see 9.00 could send 16.9 together.

--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -117,14 +117,14 @@
 	newest.Retries = max(0, newest.Retries-1)
 }
 
-// processShare returns the part of an allowance that a process may use: one retry, and
-// of the rest its share of the requests. The parts add up to the allowance.
+// processShare returns the part of an allowance that a process may use: up to one retry,
+// and of the rest its share of the requests. The parts add up to the allowance. What each
+// has beside its share grows with the allowance, without a step: processes that see a
+// little more or less of it must not disagree on how it is shared.
 func processShare(left float64, own Counts, peers View) float64 {
-	base := float64(max(1, peers.Processes))
-	if left < base {
-		return left * requestShare(own, peers)
-	}
-	return 1 + (left-base)*requestShare(own, peers)
+	processes := float64(max(1, peers.Processes))
+	each := min(1, max(0, left/processes-1))
+	return each + (left-each*processes)*requestShare(own, peers)
 }
 
 // requestShare returns the share of a process in the requests of all processes.
