Probe upstreams as their service was described last

A probe of an upstream whose service the table does not name any more could use the health path of an earlier description, by the same fault as the choice of a former pool. TestLatestFormerServiceIsNamed fails before.

--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -111,7 +111,7 @@
 	if s.table != nil && s.table.Services[name] != nil {
 		return s.table.Services[name]
 	}
-	for _, f := range s.formerPools {
+	for _, f := range slices.Backward(s.formerPools) {
 		if f.service.Name == name {
 			return f.service
 		}
--- a/internal/gateway/waitchange_test.go
+++ b/internal/gateway/waitchange_test.go
@@ -109,3 +109,14 @@
 	s.setTable(withLayers(t, 4, 20))
 	c.Check(s.poolOf(w.q), qt.IsNotNil)
 }
+
+// TestLatestFormerServiceIsNamed guards against probing upstreams of a service that the
+// table does not name any more as it was described before the last time.
+func TestLatestFormerServiceIsNamed(t *testing.T) {
+	s := newState(t)
+	s.now = func() time.Duration { return 10 * time.Second }
+	s.table.Routes = []*routing.Route{{Name: "r", Timeout: 20 * time.Second}}
+	s.setTable(withLayers(t, 2, 20))
+	s.setTable(&routing.Table{Version: 3})
+	qt.Assert(t, s.serviceNamed("llm").Engine.Layers, qt.Equals, 20)
+}
