Learn nothing from a lost path that refuses connections

An upstream that is called through peers counted as crashed, and its requests as suspects, if no peer opened a tunnel and the lost path refused connections. TestRefusalOnLostPathShowsNothing fails before. Found by reading.

--- a/internal/gateway/dialing.go
+++ b/internal/gateway/dialing.go
@@ -30,12 +30,7 @@
 // is [syscall.ECONNREFUSED] only if the upstream refuses connections by all that is known.
 func (g *Gateway) dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
 	if g.isRelayed(address) {
-		conn, err := g.openTunnel(ctx, address)
-		if err == nil {
-			return conn, nil
-		}
-		g.Log.Debug("no tunnel", zap.String("address", address), zap.Error(err))
-		return g.dialDirect(ctx, network, address)
+		return g.dialRelayed(ctx, network, address)
 	}
 	began := g.Now()
 	direct := make(chan dialed, 1)
@@ -63,6 +58,21 @@
 	return g.dialInstead(ctx, address, d.err)
 }
 
+// dialRelayed opens a connection to an upstream that is called through peers: directly only
+// if no peer opens one. That a lost path refuses connections says nothing of the upstream.
+func (g *Gateway) dialRelayed(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := g.openTunnel(ctx, address)
+	if err == nil {
+		return conn, nil
+	}
+	g.Log.Debug("no tunnel", zap.String("address", address), zap.Error(err))
+	conn, directErr := g.dialDirect(ctx, network, address)
+	if errors.Is(directErr, syscall.ECONNREFUSED) {
+		return nil, err
+	}
+	return conn, directErr
+}
+
 // awaitPrompt waits for a direct connection for as long as one may take to open, not
 // counting times in which this process stood still. It reports whether there is a result.
 func (g *Gateway) awaitPrompt(ctx context.Context, direct chan dialed) (dialed, bool) {
--- a/internal/gateway/tunnels_test.go
+++ b/internal/gateway/tunnels_test.go
@@ -195,3 +195,17 @@
 		})
 	}
 }
+
+// TestRefusalOnLostPathShowsNothing guards against an upstream that is taken for crashed, and
+// a request that is blamed for it, because a lost path refuses connections while no peer
+// answers.
+func TestRefusalOnLostPathShowsNothing(t *testing.T) {
+	g := newPathGateway(t, func(context.Context) (net.Conn, error) { return nil, syscall.ECONNREFUSED })
+	g.control.Do(func(s *state) {
+		s.reach.RecordRelayed(upstreamAddress, time.Minute)
+		s.publishPaths()
+	})
+	_, err := g.dialUpstream(t.Context(), "tcp", upstreamAddress)
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, errors.Is(err, syscall.ECONNREFUSED), qt.IsFalse)
+}
