Probe only upstreams that wait for it when their path is lost

Each path that was lost cost a probe, also if the upstream was in use: the tunnel had shown that it is there.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -162,14 +162,11 @@
 	rec.nextProbeRequestAt = now + probeInterval
 }
 
-// ProbeNow makes the probe that may end an exclusion due at once.
+// ProbeNow makes the probe that may end an exclusion due at once, if there is one.
 func (t *Tracker) ProbeNow(instance string, now time.Duration) {
-	rec := t.record(instance)
-	if rec.awaitingProbe {
+	if rec := t.records[instance]; rec != nil && rec.awaitingProbe {
 		rec.excludedUntil = min(rec.excludedUntil, now)
-		return
 	}
-	t.RequestProbe(instance, now)
 }
 
 // DueProbes returns the upstreams to probe now, in order, and schedules the next
