Read frames also when a tunnel is copied

A tunnel inherited the copying of its TCP connection, which delivers frames as they are. No present code copies from one. TestCopyReadsFrames, with the tests below, fails before.

--- a/internal/transport/tunnel/conn.go
+++ b/internal/transport/tunnel/conn.go
@@ -47,6 +47,10 @@
 	return n, cutError(err)
 }
 
+// WriteTo implements [io.WriterTo]. That of the TCP connection would copy the frames as they
+// are.
+func (c *Conn) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, plainReader{c}) }
+
 // nextFrame reads the header of the next frame unless the present one has bytes left. A
 // read that a deadline ends within a header may be continued.
 func (c *Conn) nextFrame() error {
