End tunnels whose upstream does not read with their process

A process that ended waited for the limit of silence of a tunnel whose upstream does not read what a peer sends.

--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -151,6 +151,8 @@
 	if err := dial.LimitSilence(upstream, dial.KeepAliveTime); err != nil {
 		return fmt.Errorf("tunnel: %w", err)
 	}
+	stopUpstream := context.AfterFunc(ctx, func() { reset(upstream) })
+	defer stopUpstream()
 	return join(conn, upstream)
 }
 
@@ -170,8 +172,11 @@
 	err := (&frameWriter{Conn: peer}).copyFrom(upstream)
 	if err != nil {
 		reset(peer)
+		reset(upstream)
 	}
 	peer.Close()
+	// An upstream that does not read would hold up the other direction.
+	upstream.Close()
 	if sendErr := <-sent; err == nil && sendErr != nil && !errors.Is(sendErr, net.ErrClosed) {
 		return fmt.Errorf("tunnel: %w", sendErr)
 	}
