Go on accepting connections of peers after a lack of descriptors

The listener for peers ended, and with it the gateway, at the first connection for which the process had no descriptor: the multiplexer that tells tunnels from calls ends at any error, where the server of the calls had gone on. It is now asked again after 50 ms.

TestLackOfDescriptorsEndsNoListener fails before.

--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -9,6 +9,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -229,9 +230,29 @@
 	return message.Check()
 }
 
+// acceptPause is the wait before connections are accepted again after a lack of
+// descriptors.
+const acceptPause = 50 * time.Millisecond
+
+// patientListener goes on to accept connections after a lack of descriptors, at which the
+// multiplexer would end.
+type patientListener struct{ net.Listener }
+
+// Accept implements [net.Listener].
+func (l patientListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		var lack syscall.Errno
+		if !errors.As(err, &lack) || !lack.Temporary() {
+			return conn, err
+		}
+		time.Sleep(acceptPause)
+	}
+}
+
 // Split divides a listener into one for tunnels and one for other connections. Both
 // accept while run runs.
 func Split(l net.Listener) (tunnels, others net.Listener, run func(ctx context.Context) error) {
-	mux := drpcmigrate.NewListenMux(l, len(Prefix))
+	mux := drpcmigrate.NewListenMux(patientListener{l}, len(Prefix))
 	return mux.Route(Prefix), mux.Default(), mux.Run
 }
--- a/internal/transport/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"lovageport.example/internal/protocol/peering"
+	"lovageport.example/internal/transport/dial"
 	"lovageport.example/internal/transport/tunnel"
 )
 
@@ -41,8 +44,9 @@
 func startPeer(t *testing.T) (address string, stop func()) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
+	dialUpstream := dial.New(time.Second, 300*time.Millisecond)
 	s := &tunnel.Server{Connect: func(ctx context.Context, r *peering.TunnelRequest) (net.Conn, peering.TunnelOutcome) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", r.Address)
+		conn, err := dialUpstream(ctx, "tcp", r.Address)
 		if err != nil {
 			return nil, peering.TunnelRefused
 		}
@@ -179,6 +183,90 @@
 	}
 }
 
+// TestPauseDoesNotCutTunnel guards against a tunnel that fails because one of its ends does
+// not read for a while, as if that had died.
+func TestPauseDoesNotCutTunnel(t *testing.T) {
+	const pause = time.Second
+	message := bytes.Repeat([]byte("0123456789"), 2_000_000)
+	peer, _ := startPeer(t)
+	conn := open(t, peer, upstream(t, func(conn *net.TCPConn) {
+		time.Sleep(pause)
+		got := make([]byte, len(message))
+		_, err := io.ReadFull(conn, got)
+		qt.Check(t, err, qt.IsNil)
+		_, err = conn.Write(got)
+		qt.Check(t, err, qt.IsNil)
+	}))
+	_, err := conn.Write(message)
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(pause)
+	got, err := io.ReadAll(conn)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, bytes.Equal(got, message), qt.IsTrue)
+}
+
+// TestPeerStopsWhileUpstreamDoesNotRead guards against a process whose end waits for an
+// upstream to read what a peer sends.
+func TestPeerStopsWhileUpstreamDoesNotRead(t *testing.T) {
+	peer, stop := startPeer(t)
+	ended := make(chan struct{})
+	conn := open(t, peer, upstream(t, func(*net.TCPConn) { <-ended }))
+	defer close(ended)
+	qt.Assert(t, conn.SetDeadline(time.Now().Add(300*time.Millisecond)), qt.IsNil)
+	for {
+		if _, err := conn.Write(make([]byte, 1<<20)); err != nil {
+			break
+		}
+	}
+	began := time.Now()
+	stop()
+	qt.Check(t, time.Since(began) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
+
+// TestCopyReadsFrames guards against a copy that takes the frames for what the upstream sent.
+func TestCopyReadsFrames(t *testing.T) {
+	peer, _ := startPeer(t)
+	conn := open(t, peer, upstream(t, func(conn *net.TCPConn) { qt.Check(t, write(conn, "text"), qt.IsNil) }))
+	var got bytes.Buffer
+	_, err := io.Copy(&got, conn)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got.String(), qt.Equals, "text")
+}
+
+// scarceListener lacks descriptors for the first connection.
+type scarceListener struct {
+	net.Listener
+	once sync.Once
+}
+
+func (l *scarceListener) Accept() (conn net.Conn, err error) {
+	l.once.Do(func() { err = &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)} })
+	if err != nil {
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// TestLackOfDescriptorsEndsNoListener guards against a process that ends because it lacked
+// descriptors for a moment.
+func TestLackOfDescriptorsEndsNoListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	tunnels, _, run := tunnel.Split(&scarceListener{Listener: l})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { qt.Check(t, run(ctx), qt.IsNil) })
+	defer running.Wait()
+	defer cancel()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	qt.Assert(t, write(conn, tunnel.Prefix), qt.IsNil)
+	accepted, err := tunnels.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	accepted.Close()
+}
+
 func TestOutcomes(t *testing.T) {
 	peer, _ := startPeer(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
