--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -75,7 +75,7 @@
 	// The HTTP library must send none twice.
 	r.GetBody = nil
 	r.Header.Set("Request-Id", a.id)
-	r.Header.Set("Timeout-Ms", fmt.Sprint(timeout.Milliseconds()))
+	r.Header.Set(wire.Timeout, fmt.Sprint(timeout.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer "+apiKey)
 	r.Header.Set("Accept-Encoding", "identity")
 	client := *c.http
@@ -86,7 +86,7 @@
 		var text []byte
 		text, err = io.ReadAll(resp.Body)
 		resp.Body.Close()
-		a.status, a.stamp, a.body = resp.StatusCode, resp.Header.Get("Origin-Stamp"), string(text)
+		a.status, a.stamp, a.body = resp.StatusCode, resp.Header.Get(wire.OriginStamp), string(text)
 	}
 	a.err, a.answered = err, time.Now()
 	switch {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -199,17 +199,17 @@
 func (w *world) configure(version int, service string) time.Time {
 	route := func(name, prefix, kind string) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": callTimeout.Milliseconds(),
-			"goal_ms": 100, "priority": 2, "service": service, "attempts": 2, "public": false, "sticky": false, "resumable": false,
+			"name": name, "host": host, wire.PathPrefix: prefix, "kind": kind, "timeout_ms": callTimeout.Milliseconds(),
+			wire.Goal: 100, "priority": 2, "service": service, "attempts": 2, "public": false, "sticky": false, "resumable": false,
 		}
 	}
 	stream := route("r-7c0dhe1", streamPath, "stream")
-	stream["timeout_ms"], stream["goal_ms"], stream["resumable"], stream["gap_aim_ms"] = 20000, 500, true, 200
+	stream["timeout_ms"], stream[wire.Goal], stream["resumable"], stream[wire.GapAim] = 20000, 500, true, 200
 	stream["service"] = streamShop
 	described := func(name string) map[string]any {
-		return map[string]any{"name": name, "health_path": healthPath, "max_conns": 96, "protocol": "h1", "tls": false}
+		return map[string]any{"name": name, "health_path": healthPath, wire.MaxConns: 96, "protocol": "h1", "tls": false}
 	}
-	routes := []any{route("r-2yhvz3p", bookPath, "non_idempotent"), route("r-fi6y7z5", lookPath, "idempotent"), stream}
+	routes := []any{route("r-2yhvz3p", bookPath, wire.NonIdempotent), route("r-fi6y7z5", lookPath, "idempotent"), stream}
 	if w.addRoute {
 		added := route("r-b2dkq07", addedPath, "idempotent")
 		added["service"] = newShop
@@ -220,7 +220,7 @@
 		"routes":   routes,
 		"services": []any{described(shop), described(newShop), described(streamShop)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": tenant, "api_keys": []string{apiKey}, "priority": 1}},
+		"tenants":  []any{map[string]any{"name": tenant, wire.APIKeys: []string{apiKey}, "priority": 1}},
 	})
 	w.say("config", "version %d is acknowledged: the routes of calls go to %s", version, service)
 	return at
--- a/review/standin/streamrunner.go
+++ b/review/standin/streamrunner.go
@@ -239,7 +239,7 @@
 func (r *runner) serveStream(w http.ResponseWriter, q *http.Request, id string) {
 	have, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	h := w.Header()
-	h.Set("Origin-Stamp", r.id+"."+id)
+	h.Set(wire.OriginStamp, r.id+"."+id)
 	h.Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
 	for n := have + 1; n <= r.events; n++ {
