--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -63,6 +63,8 @@
 		return exitNotRun
 	}
 	defer rec.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cases:", err)
@@ -80,8 +82,6 @@
 		broken, err := play(w)
 		ended <- result{broken, err}
 	}()
-	interrupted := make(chan os.Signal, 1)
-	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	select {
 	case <-interrupted:
 		rec.say("end", "interrupted")
@@ -159,6 +159,15 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	for _, g := range w.gateways {
+		select {
+		case <-g.exited:
+			text, _ := os.ReadFile(filepath.Join(g.dir, g.name+".log"))
+			w.say("ended", "%s has ended: %v: %s", g.name, g.cmd.ProcessState, text[max(0, len(text)-500):])
+		default:
+			w.say("state", "%s is ready: %t", g.name, g.ready.Load())
+		}
+	}
 	return fmt.Errorf("the gateways are not ready after 20 s")
 }
 
