Check the path of streams of services without engine, and name their stage

Where nothing else called that upstream, its streams got nothing more until their deadline.

Cause: the detector of stalls took every target for a chain. For one without engine the chain is empty: "finding{stage: 0}" then read chain[0] in the goroutine of a timer, and where nothing panicked, the search for a stalled stage went over no stage and so found none, whatever the upstream did.

Change: the upstream of a service without engine is the only stage of its target (target.stage, target.stageCount); every reader asks the target in this way. Such a stage is checked by the schedule of the route's pause, as an engine is: by a new connection with the health probe on it. It is at fault if it refuses the connection, or none opens in 150 ms on any path; one that opens connections and leaves three probes in a row unanswered is avoided by that request alone, since a probe may wait for a slot. Whatever it answers, it is slow and not lost. As with engines, the attempt goes on until the next one has begun to answer.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -175,7 +175,7 @@
 		s.health.RequestProbe(to.upstream.Instance, now)
 	}
 	fault, found := faultOf(e, head)
-	if to.chain == nil {
+	if !to.hasEngine() {
 		s.health.RecordResult(to.upstream.Instance, e.Run != verdict.NotRun, now)
 		q.exclude(to.upstream.Instance)
 		if found {
@@ -187,7 +187,7 @@
 	if head.FaultAddress != "" {
 		i = max(0, stageIndex(to, head.FaultAddress))
 	}
-	u := to.chain[i].Upstream
+	u := to.stage(i)
 	e.Upstream = u.Instance
 	q.exclude(u.Instance)
 	if e.Run == verdict.Ran {
@@ -206,11 +206,11 @@
 // stage is called from another zone the link may be at fault: a stage of the
 // own zone is then probed before it is ejected.
 func (s *state) attributeStall(q *request, to target, i int, now time.Duration) {
-	u := to.chain[i].Upstream
+	u := to.stage(i)
 	q.exclude(u.Instance)
 	from := s.zone
 	if i > 0 {
-		from = to.chain[i-1].Upstream.Zone
+		from = to.stage(i - 1).Zone
 	}
 	if s.linkFaults.MarkSuspect(from, u.Zone, now) {
 		s.log.Info("zone link suspected", zap.String("from", from), zap.String("to", u.Zone), zap.String("upstream", u.Instance))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,9 @@
 	// reportCalls merges concurrent calls that fetch the report of the same
 	// engine.
 	reportCalls singleflight.Group
+	// probeCalls merges concurrent health probes of the same upstream without engine
+	// for which streams wait.
+	probeCalls singleflight.Group
 	// noticeReceived is set once any upstream has announced that it leaves or
 	// has asked for no requests for some time. Until then the checks for
 	// notices skip the control loop.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -38,6 +38,11 @@
 	healthPath string
 }
 
+// healthCall returns the health probe.
+func (u probeTarget) healthCall() *relay.Call {
+	return &relay.Call{Upstream: u.Upstream, Method: http.MethodGet, URI: u.healthPath, Host: u.Address, Timeout: probeTimeout}
+}
+
 func (g *Gateway) dueProbes() []probeTarget {
 	var due []probeTarget
 	g.control.Do(func(s *state) {
@@ -64,8 +69,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	began := g.Now()
-	call := &relay.Call{Upstream: u.Upstream, Method: http.MethodGet, URI: u.healthPath, Host: u.Address, Timeout: probeTimeout}
-	head, _, err := g.ask(ctx, call, func(head relay.ResponseHead, _ []byte) bool { return head.Instance == u.Instance })
+	head, _, err := g.ask(ctx, u.healthCall(), func(head relay.ResponseHead, _ []byte) bool { return head.Instance == u.Instance })
 	if err != nil {
 		g.recordFailedProbe(u.Upstream, err, began)
 		return
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -72,7 +72,7 @@
 
 func (d *stallDetector) logLostStage(to, next target, i int, outcome string, err error) {
 	d.g.metrics.lostStages.WithLabelValues(outcome).Inc()
-	d.g.Log.Info("stage lost", zap.String("request", d.q.ID), zap.String("at_fault", to.chain[i].Upstream.Instance),
+	d.g.Log.Info("stage lost", zap.String("request", d.q.ID), zap.String("at_fault", to.stage(i).Instance),
 		zap.String("outcome", outcome), zap.Stringer("chain", next), zap.Duration("since_start", d.g.Now()-d.q.arrived), zap.Error(err))
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -140,8 +140,10 @@
 // target is the upstream or the chain that an attempt is sent to. Its load must
 // be released when the attempt ends.
 type target struct {
+	// upstream is the one that is called: the only stage, or the first one.
 	upstream *fleet.Upstream
-	// chain is nil unless the service has an engine.
+	// chain is nil unless the service has an engine. Use stage and stageCount where
+	// that makes no difference.
 	chain []relay.Stage
 	// utilization is that of the fullest stage; 1 is full.
 	utilization float64
@@ -153,6 +155,21 @@
 	activity []*stageActivity
 }
 
+// hasEngine reports whether the target is a chain of a service with engine.
+func (t target) hasEngine() bool { return t.chain != nil }
+
+// stageCount returns the number of stages; the upstream of a service without engine is
+// the only one.
+func (t target) stageCount() int { return max(1, len(t.chain)) }
+
+// stage returns the upstream of stage i.
+func (t target) stage(i int) *fleet.Upstream {
+	if !t.hasEngine() {
+		return t.upstream
+	}
+	return t.chain[i].Upstream
+}
+
 // String returns the upstreams of the chain in order, for logs.
 func (t target) String() string {
 	var b strings.Builder
@@ -167,7 +184,7 @@
 
 // release removes an attempt from the load of its upstreams.
 func (s *state) release(q *request, to target) {
-	if to.chain == nil {
+	if !to.hasEngine() {
 		s.loadOf(to.upstream.Instance).requests--
 		return
 	}
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -154,7 +154,8 @@
 	if best == nil {
 		return target{}, verdict.Refuse(verdict.NoUpstream, "no upstream of %s can be used", q.service)
 	}
-	return target{upstream: best, utilization: float64(s.loadOf(best.Instance).requests+1) / float64(best.Slots)}, nil
+	l := s.loadOf(best.Instance)
+	return target{upstream: best, utilization: float64(l.requests+1) / float64(best.Slots), activity: []*stageActivity{&l.activity}}, nil
 }
 
 // allSilent reports whether every upstream of a pool is excluded only because it was
@@ -166,7 +167,7 @@
 
 // reserve adds an attempt to the load of its upstreams.
 func (s *state) reserve(q *request, to target, now time.Duration) {
-	if to.chain == nil {
+	if !to.hasEngine() {
 		s.loadOf(to.upstream.Instance).requests++
 		return
 	}
--- a/internal/gateway/stagecheck.go
+++ b/internal/gateway/stagecheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"lovageport.example/internal/protocol/relay"
@@ -20,48 +21,132 @@
 	remoteReportTimeout = 100 * time.Millisecond
 )
 
-// stageReply is the result of checking a stage.
+// stageState is what the check of a stage has shown.
+type stageState uint8
+
+const (
+	// stageUnknown is the state of a stage that was not called: it has asked for no
+	// calls, or this process cannot open a connection.
+	stageUnknown stageState = iota
+	stageAnswers
+	// stageUnanswered is the state of an upstream without engine that accepts
+	// connections and has not answered its health probe, which may wait for a slot.
+	stageUnanswered
+	// stageSilent is the state of a stage that does not answer in time what needs no
+	// slot, or to which no connection can be opened.
+	stageSilent
+	// stageRefuses is the state of a stage that refuses connections.
+	stageRefuses
+)
+
+// stageReply is the result of checking a stage, which began at a boot time.
 type stageReply struct {
-	stage  int
-	report timedReport
-	err    error
+	stage int
+	state stageState
+	began time.Duration
 }
 
 // checkStages checks stages concurrently. It returns the first that refuses
 // connections as soon as it is known, otherwise the first in the chain that
-// does not answer in time; negative if all answer. It reports whether the stage
-// refuses connections. A stage whose answer may have arrived while this process
+// does not answer in time. A stage whose answer may have arrived while this process
 // stood still is not found at fault.
-func (g *Gateway) checkStages(to target, suspects []int) (stage int, refuses bool) {
+func (g *Gateway) checkStages(q *request, to target, suspects []int) finding {
+	f := finding{stage: -1, quietAt: neverQuiet}
 	began := g.Now()
 	replies := make(chan stageReply, len(suspects))
 	for _, i := range suspects {
-		go func() {
-			report, err := g.sharedReport(to.chain[i].Upstream)
-			replies <- stageReply{i, report, err}
-		}()
+		go func() { replies <- g.checkStage(q, to, i) }()
 	}
-	silent := -1
 	for range suspects {
 		r := <-replies
-		began = min(began, r.report.began)
-		switch reason := verdict.Of(r.err).Reason; {
-		case reason == verdict.UpstreamRefused:
-			return r.stage, true
-		case reason == verdict.UpstreamBusy, lacksResources(r.err):
-			// The stage was not called: it has asked for no calls, or this process
-			// cannot open a connection.
-		case r.err != nil && (silent < 0 || r.stage < silent):
-			silent = r.stage
-		}
-		if r.err == nil {
+		began = min(began, r.began)
+		switch r.state {
+		case stageRefuses:
+			return finding{stage: r.stage, ended: true, quietAt: neverQuiet}
+		case stageSilent:
+			if f.stage < 0 || r.stage < f.stage {
+				f.stage = r.stage
+			}
+		case stageUnanswered:
+			f.unanswered = true
+		case stageAnswers:
 			to.activity[r.stage].recordReport(g.Now())
 		}
 	}
 	if g.pauses.Stalled(began, g.Now()) {
-		return -1, false
+		return finding{stage: -1, quietAt: neverQuiet}
+	}
+	return f
+}
+
+// checkStage checks stage i: an engine by its report, another upstream by a connection
+// and its health probe.
+func (g *Gateway) checkStage(q *request, to target, i int) stageReply {
+	if to.hasEngine() {
+		report, err := g.sharedReport(to.stage(i))
+		return stageReply{i, reportState(err), report.began}
+	}
+	began := g.Now()
+	if q.accepted == nil {
+		return stageReply{i, stageUnknown, began}
+	}
+	u := probeTarget{to.stage(i), q.accepted.HealthPath}
+	r, _, _ := g.probeCalls.Do(u.Instance, func() (any, error) {
+		began := g.Now()
+		return stageReply{state: g.probeStage(u), began: began}, nil
+	})
+	shared := r.(stageReply)
+	return stageReply{i, shared.state, shared.began}
+}
+
+// reportState returns the state of an engine that was asked for its report.
+func reportState(err error) stageState {
+	switch reason := verdict.Of(err).Reason; {
+	case err == nil:
+		return stageAnswers
+	case reason == verdict.UpstreamRefused:
+		return stageRefuses
+	case reason == verdict.UpstreamBusy, lacksResources(err):
+		return stageUnknown
+	}
+	return stageSilent
+}
+
+// probeStage sends an upstream its health probe on a new connection, which shows the
+// path to it. Whatever it answers, it runs.
+func (g *Gateway) probeStage(u probeTarget) stageState {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	unopened := time.AfterFunc(lostPathTime, cancel)
+	defer unopened.Stop()
+	call := u.healthCall()
+	call.Fresh = true
+	resp, err := g.exchangeOn(ctx, call, func(net.Conn) { unopened.Stop() })
+	if err == nil {
+		_, err = resp.ReadAll(ctx, maxReportBytes)
+		resp.Close()
+	}
+	return probeState(err)
+}
+
+// probeState returns the state of an upstream that was sent its health probe.
+func probeState(err error) stageState {
+	e := verdict.Of(err)
+	switch {
+	case err == nil:
+		return stageAnswers
+	case e.Reason == verdict.UpstreamRefused:
+		return stageRefuses
+	case e.Reason == verdict.UpstreamBusy, lacksResources(err):
+		return stageUnknown
+	case e.Run == verdict.NotRun:
+		// No connection could be opened.
+		return stageSilent
+	case e.Reason == verdict.UpstreamSilent:
+		return stageUnanswered
 	}
-	return silent, false
+	// It has sent something, or reset the connection, as it may if it has too many.
+	return stageAnswers
 }
 
 // askFirstStage returns the stage that, by the report of the first stage, a
@@ -113,8 +198,8 @@
 // stageIndex returns the index of the stage at an address; negative if there is
 // none.
 func stageIndex(to target, address string) int {
-	for i, s := range to.chain {
-		if s.Upstream.Address == address {
+	for i := range to.stageCount() {
+		if to.stage(i).Address == address {
 			return i
 		}
 	}
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -42,6 +42,9 @@
 	timer            *time.Timer
 	started, stopped bool
 	checks           int
+	// unanswered is the number of unanswered health probes since the last event.
+	// Guarded by mu.
+	unanswered int
 	// replaced reports whether a stage was replaced since the last event, and blamed
 	// holds the upstreams that were found at fault since. Guarded by mu.
 	replaced bool
@@ -114,7 +117,7 @@
 	default:
 		d.meanInterval += time.Duration(intervalWeight * float64(now-d.lastEventAt-d.meanInterval))
 	}
-	d.started, d.lastEventAt, d.replaced, d.blamed = true, now, false, nil
+	d.started, d.lastEventAt, d.replaced, d.blamed, d.unanswered = true, now, false, nil, 0
 	d.handover.drop()
 	d.schedule(0)
 	return true
@@ -163,6 +166,11 @@
 // attempt ends that has had no event since a stage was replaced.
 const maxChecksAfterReplacement = 5
 
+// maxUnansweredProbes is the number of unanswered health probes since the last event
+// after which the attempt at an upstream without engine ends. A single one may have
+// waited for a slot.
+const maxUnansweredProbes = 3
+
 // check checks the stages of the stream. A stage that is found at fault is
 // replaced, or the attempt is given up.
 func (d *stallDetector) check() {
@@ -185,9 +193,23 @@
 	if f.stage > 0 && d.replaceStage(to, f.stage) {
 		return
 	}
+	if f.unanswered && d.countUnanswered() >= maxUnansweredProbes {
+		// Others may be served there, so only this request avoids it.
+		d.g.control.Do(func(*state) { d.q.exclude(to.upstream.Instance) })
+		f.stage = 0
+	}
 	d.giveUp(to, f, lastEventAt)
 }
 
+// countUnanswered counts a health probe that the upstream has not answered, and returns
+// the number of them since the last event.
+func (d *stallDetector) countUnanswered() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unanswered++
+	return d.unanswered
+}
+
 // continues reports whether the stream continues: an event has arrived since
 // lastEventAt, which has restarted the detection, or data has arrived that this
 // process has not read yet, for which it schedules another check. The caller holds
@@ -207,7 +229,7 @@
 // ended, and reports whether it did. A stage is blamed once for a silence: to exclude
 // it at each check would put off the probe that ends its exclusion.
 func (d *stallDetector) attributeStall(to target, i int, lastEventAt time.Duration) bool {
-	instance := to.chain[i].Upstream.Instance
+	instance := to.stage(i).Instance
 	d.mu.Lock()
 	if d.stopped || d.continues(lastEventAt) {
 		d.mu.Unlock()
@@ -251,12 +273,12 @@
 func (d *stallDetector) logKept(to target, i int, err error) {
 	d.g.metrics.keptStreams.WithLabelValues(string(verdict.Of(err).Reason)).Inc()
 	d.g.Log.Info("silent stream kept", zap.String("request", d.q.ID), zap.String("upstream", to.upstream.Instance),
-		zap.String("at_fault", to.chain[i].Upstream.Instance), zap.Duration("last_event_age", d.g.Now()-max(d.lastEventAt, d.q.arrived)), zap.Error(err))
+		zap.String("at_fault", to.stage(i).Instance), zap.Duration("last_event_age", d.g.Now()-max(d.lastEventAt, d.q.arrived)), zap.Error(err))
 }
 
 // abort ends the attempt because of stage i. The caller holds mu.
 func (d *stallDetector) abort(to target, i int) {
-	faulty := to.chain[i].Upstream.Instance
+	faulty := to.stage(i).Instance
 	now := d.g.Now()
 	d.g.Log.Info("stream silent", zap.String("request", d.q.ID), zap.String("upstream", to.upstream.Instance),
 		zap.String("at_fault", faulty), zap.Int("questions", d.checks+1),
@@ -290,6 +312,9 @@
 	stage int
 	// ended reports whether the stage is known to have ended.
 	ended bool
+	// unanswered reports whether an upstream without engine accepts connections but has
+	// not answered its health probe.
+	unanswered bool
 	// quietAt is, if no stage was quiet for long enough, the boot time at which
 	// the first one will have been; otherwise neverQuiet.
 	quietAt time.Duration
@@ -309,15 +334,17 @@
 	g.control.Do(func(s *state) {
 		now := g.Now()
 		suspects, f.stage = s.suspectStages(to, now)
-		f.ended = f.stage >= 0 && s.health.Refuses(to.chain[f.stage].Upstream.Instance)
+		f.ended = f.stage >= 0 && s.health.Refuses(to.stage(f.stage).Instance)
 		if len(suspects) == 0 {
 			f.quietAt = s.nextQuietStage(to, now)
 		}
 	})
 	if !f.ended {
-		f.stage, f.ended = g.checkStages(to, suspects)
+		quietAt := f.quietAt
+		f = g.checkStages(q, to, suspects)
+		f.quietAt = quietAt
 	}
-	if f.stage < 0 && askFirst {
+	if f.stage < 0 && askFirst && to.hasEngine() {
 		f.stage = g.askFirstStage(q, to)
 	}
 	return f
@@ -328,9 +355,9 @@
 // passes it before.
 func (s *state) nextQuietStage(to target, now time.Duration) time.Duration {
 	at := neverQuiet
-	for i, stage := range to.chain {
+	for i := range to.stageCount() {
 		quietTime, reports := to.activity[i].quiet(now)
-		at = min(at, now-quietTime+health.StageQuietLimit(s.loadOf(stage.Upstream.Instance).requests, reports))
+		at = min(at, now-quietTime+health.StageQuietLimit(s.loadOf(to.stage(i).Instance).requests, reports))
 	}
 	return at
 }
@@ -339,8 +366,8 @@
 // first of them that is known not to answer; lost is negative if there is none.
 func (s *state) suspectStages(to target, now time.Duration) (quiet []int, lost int) {
 	lost = -1
-	for i, stage := range to.chain {
-		instance := stage.Upstream.Instance
+	for i := range to.stageCount() {
+		instance := to.stage(i).Instance
 		quietTime, reports := to.activity[i].quiet(now)
 		if quietTime < health.StageQuietLimit(s.loadOf(instance).requests, reports) {
 			continue
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -162,7 +162,7 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
-			g, _ := handoverGateway(t)
+			g, h := handoverGateway(t)
 			start := time.Now()
 			g.Now = func() time.Duration { return time.Minute + time.Since(start) }
 			g.Settings = testSettings()
@@ -176,9 +176,9 @@
 			}
 			var to target
 			g.control.Do(func(s *state) { to = s.chainTarget([]relay.Stage{{Upstream: s.upstreams["e1"]}}, 0) })
-			i, refuses := g.checkStages(to, []int{0})
-			c.Check(i, qt.Equals, x.fault)
-			c.Check(refuses, qt.IsFalse)
+			f := g.checkStages(h.q, to, []int{0})
+			c.Check(f.stage, qt.Equals, x.fault)
+			c.Check(f.ended, qt.IsFalse)
 			g.probeUpstream(t.Context(), probeTarget{Upstream: to.upstream})
 			g.control.Do(func(s *state) { c.Check(s.health.Excluded("e1", g.Now()), qt.Equals, !x.stood) })
 		})
@@ -231,7 +231,7 @@
 // process stood still in before the stream asked for it too.
 func TestStandstillInSharedReport(t *testing.T) {
 	c := qt.New(t)
-	g, _ := handoverGateway(t)
+	g, h := handoverGateway(t)
 	var now atomic.Int64
 	setTime := func(at time.Duration) { now.Store(int64(time.Minute + at)) }
 	setTime(0)
@@ -251,8 +251,8 @@
 	g.pauses.Tick(time.Minute+selfcheck.Interval, g.Now())
 	setTime(210 * time.Millisecond)
 	time.AfterFunc(20*time.Millisecond, func() { close(answer) })
-	i, _ := g.checkStages(to, []int{0})
-	c.Check(i, qt.Equals, -1)
+	f := g.checkStages(h.q, to, []int{0})
+	c.Check(f.stage, qt.Equals, -1)
 }
 
 // TestStageIsBlamedOncePerSilence guards against an exclusion that each check of a
