Contain panics of the goroutines and timers of requests

Only the handlers recovered; a timer, a goroutine of an attempt or a search, a task in the background, a call of a peer and a tunnel did not.

Change: guard.Guard runs a function and returns its panic as an error. In the gateway a panic of a part of a request is logged, counted (lovageport_gateway_contained_panics_total) and ends that request alone: refused with 502 as one that may have run if an attempt was made, otherwise as not run. Results that others wait for are sent all the same, and a panic while a connection is opened blames no upstream. What the detector of stalls does while its lock is released is bracketed by one method, and its other sections release by defer: a panic in the former would have met "unlock of unlocked mutex", which nothing recovers. Tasks, tunnels and calls of peers fail alone, in the entry as well. A panic of the control loop ends the process as before.

Evidence: TestPanicEndsOneRequest injects a panic in eleven functions, one a case, while a path hangs.

--- a/internal/entry/diagnosis.go
+++ b/internal/entry/diagnosis.go
@@ -163,7 +163,10 @@
 	faults := make([]dispatch.Fault, len(placement.Chain))
 	var group sync.WaitGroup
 	for i, s := range placement.Chain {
-		group.Go(func() { faults[i] = g.probeStage(ctx, s) })
+		group.Go(func() {
+			faults[i] = dispatch.ConnectionSilent
+			g.entry.contain(g.request.RequestID, func() { faults[i] = g.probeStage(ctx, s) })
+		})
 	}
 	group.Wait()
 	for i, fault := range faults {
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -77,7 +77,7 @@
 	heartbeat := e.newHeartbeat()
 	var group sync.WaitGroup
 	for _, p := range targets {
-		group.Go(func() { e.sendHeartbeat(ctx, p, heartbeat) })
+		group.Go(func() { e.contain("", func() { e.sendHeartbeat(ctx, p, heartbeat) }) })
 	}
 	group.Wait()
 	e.control.Do(e.control.publish)
@@ -232,6 +232,7 @@
 // peerHandler returns the handler for calls from peers.
 func (e *Entry) peerHandler() *peer.Handler {
 	return &peer.Handler{
+		Guard:  e.guard(),
 		Secret: e.Settings.Peers.Secret,
 		Heartbeat: func(_ context.Context, message *peering.Heartbeat) (*peering.Heartbeat, error) {
 			e.handleHeartbeat(message, time.Now())
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -57,7 +57,9 @@
 	h.cancel = cancel
 	go func() {
 		defer close(h.done)
-		h.run(ctx, watch)
+		if !g.entry.contain(g.request.RequestID, func() { h.run(ctx, watch) }) {
+			a.stream.GiveUp()
+		}
 	}()
 	return h
 }
@@ -139,10 +141,7 @@
 	}
 	search, cancel := context.WithCancel(watch)
 	defer cancel()
-	h.mu.Lock()
-	h.cancelSearch = cancel
-	resume := h.generator.assembler.Tokens()
-	h.mu.Unlock()
+	resume := h.beginSearch(cancel)
 	end.successor, err = h.generator.openSuccessor(ctx, search, outcome, resume)
 	if err != nil {
 		return err
@@ -154,6 +153,15 @@
 	return nil
 }
 
+// beginSearch records what ends the search for a successor, and returns the tokens after
+// which that one resumes.
+func (h *handover) beginSearch(cancel context.CancelFunc) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cancelSearch = cancel
+	return h.generator.assembler.Tokens()
+}
+
 // giveUp ends the attempt with a result.
 func (h *handover) giveUp(end handoverEnd) {
 	h.mu.Lock()
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -15,13 +15,15 @@
 
 // metrics holds the Prometheus metrics of one entry.
 type metrics struct {
-	registry      *prometheus.Registry
-	refusals      *prometheus.CounterVec
-	retries       *prometheus.CounterVec
-	lateFrames    prometheus.Counter
-	firstToken    *prometheus.HistogramVec
-	betweenTokens *prometheus.HistogramVec
-	tokens        *prometheus.CounterVec
+	registry   *prometheus.Registry
+	refusals   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	lateFrames prometheus.Counter
+	// containedPanics counts panics of goroutines beside the handlers.
+	containedPanics prometheus.Counter
+	firstToken      *prometheus.HistogramVec
+	betweenTokens   *prometheus.HistogramVec
+	tokens          *prometheus.CounterVec
 
 	generation prometheus.Gauge
 	ready      prometheus.Gauge
@@ -40,6 +42,9 @@
 		lateFrames: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lovageport_late_frames_dropped_total", Help: "Frames of attempts that had been given up.",
 		}),
+		containedPanics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lovageport_contained_panics_total", Help: "Panics of goroutines beside the handlers of requests.",
+		}),
 		firstToken: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "lovageport_first_token_seconds", Help: "Time from the request to its first token.",
 			Buckets: prometheus.ExponentialBuckets(0.005, 1.6, 18),
@@ -61,7 +66,7 @@
 			Name: "lovageport_upstreams_withdrawn", Help: "Upstreams that their owners have taken back.",
 		}),
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.lateFrames, m.firstToken, m.betweenTokens, m.tokens, m.generation, m.ready, m.withdrawn,
+	m.registry.MustRegister(m.refusals, m.retries, m.lateFrames, m.containedPanics, m.firstToken, m.betweenTokens, m.tokens, m.generation, m.ready, m.withdrawn,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -175,6 +175,9 @@
 	return e.propagateWithdrawals(ctx), nil
 }
 
+// errNotTold is the error of telling a peer or the platform if that has panicked.
+var errNotTold = errors.New("entry: not told")
+
 // propagateWithdrawals sends the withdrawals to all peers and to the platform
 // concurrently. It returns where they are in force and whether they are stored.
 func (e *Entry) propagateWithdrawals(ctx context.Context) operator.Propagation {
@@ -189,7 +192,9 @@
 	)
 	for _, p := range peers {
 		group.Go(func() {
-			name, err := e.exchangeWithdrawals(ctx, p.Address)
+			var name string
+			err := errNotTold
+			e.contain("", func() { name, err = e.exchangeWithdrawals(ctx, p.Address) })
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -200,7 +205,9 @@
 		})
 	}
 	group.Go(func() {
-		if err := e.storeWithdrawals(ctx); err != nil {
+		err := errNotTold
+		e.contain("", func() { err = e.storeWithdrawals(ctx) })
+		if err != nil {
 			e.retryQueue.add(e.storeWithdrawals)
 			return
 		}
--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -103,7 +103,11 @@
 	defer cancel()
 	results := make(chan upstream.ProbeResult, len(engines))
 	for _, u := range engines {
-		go func() { results <- e.engineClient.Probe(ctx, u.Address) }()
+		go func() {
+			result := upstream.ProbeUnanswered
+			e.contain("", func() { result = e.engineClient.Probe(ctx, u.Address) })
+			results <- result
+		}()
 	}
 	for range engines {
 		if <-results == upstream.ProbeAlive {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -29,6 +29,16 @@
 	lastEvent time.Duration
 	// attempts counts the targets that were assigned.
 	attempts int
+	// panicked reports whether a part of the request has panicked, after which it is
+	// not known what its attempts have sent.
+	panicked bool
+}
+
+// recordPanic records that a part of the request has panicked.
+func (h *attemptHistory) recordPanic() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.panicked = true
 }
 
 // beginSend records that an attempt is to be sent to an upstream, which may run the
@@ -154,7 +164,11 @@
 }
 
 // mayHaveRun reports whether an upstream may have run the request.
-func (h *attemptHistory) mayHaveRun() bool { return h.upstreamsRun() > 0 }
+func (h *attemptHistory) mayHaveRun() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.ranOn) > 0 || h.panicked && h.attempts > 0
+}
 
 // upstreamsRun returns the number of upstreams that may have run the request.
 func (h *attemptHistory) upstreamsRun() int {
--- a/internal/gateway/dialing.go
+++ b/internal/gateway/dialing.go
@@ -38,21 +38,20 @@
 		// What comes of it shows the path, also if the caller of this function has gone.
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
 		defer cancel()
-		conn, err := g.dialDirect(ctx, network, address)
-		direct <- dialed{conn, err}
+		direct <- g.dialContained(func() (net.Conn, error) { return g.dialDirect(ctx, network, address) })
 	}()
 	d, opened := g.awaitPrompt(ctx, direct)
 	switch {
 	case ctx.Err() != nil:
 		if !opened {
-			go closeDialed(direct)
+			g.goContained(func() { closeDialed(direct) })
 		} else if d.err == nil {
 			d.conn.Close()
 		}
 		return nil, ctx.Err()
 	case !opened:
 		return g.dialBeside(ctx, address, direct, began)
-	case d.err == nil || lacksResources(d.err):
+	case d.err == nil || failedHere(d.err):
 		return d.conn, d.err
 	}
 	return g.dialInstead(ctx, address, d.err)
@@ -113,14 +112,13 @@
 func (g *Gateway) dialBeside(ctx context.Context, address string, direct chan dialed, began time.Duration) (net.Conn, error) {
 	tunnels := make(chan dialed, 1)
 	go func() {
-		conn, err := g.openTunnel(ctx, address)
-		tunnels <- dialed{conn, err}
+		tunnels <- g.dialContained(func() (net.Conn, error) { return g.openTunnel(ctx, address) })
 	}()
 	var d, t dialed
 	select {
 	case d = <-direct:
 		if d.err == nil {
-			go closeDialed(tunnels)
+			g.goContained(func() { closeDialed(tunnels) })
 			return d.conn, nil
 		}
 		t = <-tunnels
@@ -130,13 +128,13 @@
 		}
 	case t = <-tunnels:
 		if t.err == nil {
-			go g.awaitDirect(address, direct, began)
+			g.goContained(func() { g.awaitDirect(address, direct, began) })
 			return t.conn, nil
 		}
 		select {
 		case d = <-direct:
 		case <-ctx.Done():
-			go closeDialed(direct)
+			g.goContained(func() { closeDialed(direct) })
 			return nil, ctx.Err()
 		}
 	}
@@ -161,7 +159,7 @@
 		}
 		cause = d.err
 	case <-late.C:
-		go closeDialed(direct)
+		g.goContained(func() { closeDialed(direct) })
 	}
 	if !g.pauses.Stalled(began, g.Now()) {
 		g.recordLostPath(address, cause)
@@ -171,6 +169,15 @@
 // errNotOpened is why a path counts as lost whose connection did not open in time.
 var errNotOpened = errors.New("gateway: connection not opened in time")
 
+// dialContained opens a connection. A panic is its error.
+func (g *Gateway) dialContained(open func() (net.Conn, error)) dialed {
+	var d dialed
+	if err := g.contain(func() { d.conn, d.err = open() }); err != nil {
+		return dialed{err: err}
+	}
+	return d
+}
+
 // closeDialed closes the connection that is being opened once it is open.
 func closeDialed(dials chan dialed) {
 	if d := <-dials; d.err == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,6 +146,7 @@
 	}
 	g.connPool = &http1.Pool{Dial: g.dialUpstream, OnDial: g.metrics.connections.Inc, Keep: g.keepsConn}
 	g.tunnels.Connect = g.connectForPeer
+	g.tunnels.Guard = g.guard()
 	g.tunnels.Log = func(err error) { g.Log.Debug("tunnel ended", zap.Error(err)) }
 	g.store = &platform.Store{
 		Address: g.Settings.Platform.Address,
@@ -179,7 +180,7 @@
 	defer g.store.Close()
 	defer g.connPool.Close()
 	defer g.peerClients.Close()
-	g.tasks.start(ctx)
+	g.tasks.start(ctx, g.guard())
 	g.control.State.startPathCheck = g.startPathCheck
 	defer g.tasks.stop()
 	peerListener, err := g.Listen(ctx, "tcp", g.Settings.Listen.Peers)
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -67,6 +67,8 @@
 	switch {
 	case context.Cause(ctx) == drain.ErrEnded:
 		e.Reason, e.Message, e.RetryAfter = verdict.Draining, "the process ends", minRetryAfter
+	case context.Cause(ctx) == errPanicked:
+		e.Reason, e.Message, e.RetryAfter = verdict.Internal, "internal error", minRetryAfter
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		e.Reason, e.Message = verdict.CallerGone, "the caller has gone"
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -130,9 +130,9 @@
 		d.schedule(d.checks + 1)
 		return
 	}
-	d.mu.Unlock()
-	found, err := d.handover.find(ctx)
-	d.mu.Lock()
+	var found target
+	var err error
+	d.unlocked(func() { found, err = d.handover.find(ctx) })
 	switch {
 	case err == errAttemptContinues:
 		// An event or the end of the attempt has ended the search.
@@ -166,9 +166,9 @@
 	}
 	defer d.handover.searches.Done()
 	place, resumeAfter := d.place, d.place.lastID(d.resumeAfter)
-	d.mu.Unlock()
-	opened, err := openNext(ctx, next, resumeAfter, place)
-	d.mu.Lock()
+	var opened *streamAttempt
+	var err error
+	d.unlocked(func() { opened, err = openNext(ctx, next, resumeAfter, place) })
 	d.handover.endOpen()
 	switch {
 	case err == nil && ctx.Err() == nil:
@@ -182,11 +182,20 @@
 }
 
 // openNext makes an attempt, and those that succeed it, until one of them has begun
-// to answer. The error is that of the last one.
+// to answer. The error is that of the last one. None is left behind by a panic.
 func openNext(ctx context.Context, next *streamAttempt, resumeAfter string, after eventSequence) (*streamAttempt, error) {
+	// opening is the attempt that a panic would leave behind.
+	var opening *streamAttempt
+	defer func() {
+		if opening != nil {
+			opening.discard()
+		}
+	}()
 	for {
+		opening = next
 		next.begin(ctx, resumeAfter, after)
 		err := next.open()
+		opening = nil
 		if err == nil {
 			return next, nil
 		}
--- a/internal/gateway/invocation.go
+++ b/internal/gateway/invocation.go
@@ -149,9 +149,12 @@
 	c.lastBegan, c.lastTarget, c.lastSlow = c.g.Now(), to, false
 	c.g.control.Send(func(*state) { c.exclude(to.upstream.Instance) })
 	go func() {
-		resp, err := c.attempt(ctx, to)
+		var o callOutcome
+		if err := c.g.containFor(c.request, func() { o.response, o.err = c.attempt(ctx, to) }); err != nil {
+			o = callOutcome{err: err}
+		}
 		c.g.control.Send(func(s *state) { s.release(c.request, to) })
-		c.outcomes <- callOutcome{resp, err}
+		c.outcomes <- o
 	}()
 }
 
@@ -167,8 +170,11 @@
 	}
 	c.searching = true
 	go func() {
-		to, err := c.handover.find(ctx)
-		c.searches <- admissionResult{to, err}
+		var found admissionResult
+		if err := c.g.containFor(c.request, func() { found.target, found.err = c.handover.find(ctx) }); err != nil {
+			found = admissionResult{err: err}
+		}
+		c.searches <- found
 	}()
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -36,6 +36,8 @@
 	tunnels *prometheus.CounterVec
 	// panics counts requests whose handler panicked.
 	panics prometheus.Counter
+	// containedPanics counts panics of goroutines and timers beside the handlers.
+	containedPanics prometheus.Counter
 	// pauses is how long this process stood still at a time.
 	pauses       prometheus.Histogram
 	tableVersion prometheus.Gauge
@@ -87,6 +89,9 @@
 		tunnels: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_tunnels_total", Help: "Connections to upstreams that peers were asked for, by outcome.",
 		}, []string{"outcome"}),
+		containedPanics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lovageport_gateway_contained_panics_total", Help: "Panics of goroutines and timers beside the handlers of requests.",
+		}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lovageport_gateway_handler_panics_total", Help: "Requests whose handler panicked.",
 		}),
@@ -112,7 +117,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -333,6 +333,7 @@
 // peerHandler returns the handler of peers' calls.
 func (g *Gateway) peerHandler() *peer.Handler {
 	return &peer.Handler{
+		Guard: g.guard(),
 		News: func(_ context.Context, news *peering.News) (*peering.News, error) {
 			g.receiveNews(news)
 			var reply *peering.News
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -91,7 +91,7 @@
 // for which it lacks resources: the probe remains without result.
 func (g *Gateway) recordFailedProbe(u *fleet.Upstream, err error, began time.Duration) {
 	fault := probeFault(err)
-	unknown := fault == health.Silent && (lacksResources(err) || g.pauses.Stalled(began, g.Now()))
+	unknown := fault == health.Silent && (failedHere(err) || g.pauses.Stalled(began, g.Now()))
 	g.Log.Debug("probe failed", zap.String("upstream", u.Instance), zap.Bool("unknown", unknown), zap.Error(err))
 	if unknown {
 		return
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -36,6 +36,8 @@
 	tableVersion int64
 	tableAge     time.Duration
 
+	// abort ends the request with a cause; nil before it is accepted.
+	abort context.CancelCauseFunc
 	// excluded holds the upstreams that failed the request. It is accessed only
 	// from the control loop.
 	excluded map[string]bool
@@ -52,6 +54,13 @@
 	running map[*stallDetector]target
 }
 
+// end ends the request with a cause.
+func (q *request) end(cause error) {
+	if q.abort != nil {
+		q.abort(cause)
+	}
+}
+
 func (q *request) exclude(instance string) {
 	if q.excluded == nil {
 		q.excluded = make(map[string]bool)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -80,6 +80,8 @@
 		defer end()
 		ctx, cancel := context.WithTimeout(ctx, q.deadline-g.Now())
 		defer cancel()
+		ctx, q.abort = context.WithCancelCause(ctx)
+		defer q.abort(nil)
 		if q.route.Kind == routing.Stream {
 			g.generate(ctx, w, q)
 			return
--- a/internal/gateway/stagecheck.go
+++ b/internal/gateway/stagecheck.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -55,7 +56,12 @@
 	began := g.Now()
 	replies := make(chan stageReply, len(suspects))
 	for _, i := range suspects {
-		go func() { replies <- g.checkStage(q, to, i) }()
+		go func() {
+			r := stageReply{stage: i, began: began}
+			// A panic is logged, and leaves the state unknown.
+			_ = g.containFor(q, func() { r = g.checkStage(q, to, i) })
+			replies <- r
+		}()
 	}
 	for range suspects {
 		r := <-replies
@@ -91,12 +97,17 @@
 		return stageReply{i, stageUnknown, began}
 	}
 	u := probeTarget{to.stage(i), q.accepted.HealthPath}
-	r, _, _ := g.probeCalls.Do(u.Instance, func() (any, error) {
-		began := g.Now()
-		return stageReply{state: g.probeStage(u), began: began}, nil
+	shared, _, _ := g.probeCalls.Do(u.Instance, func() (any, error) {
+		r := stageReply{began: began}
+		// A panic is logged, and leaves the state unknown for all streams that wait.
+		_ = g.contain(func() {
+			r.began = g.Now()
+			r.state = g.probeStage(u)
+		})
+		return r, nil
 	})
-	shared := r.(stageReply)
-	return stageReply{i, shared.state, shared.began}
+	r := shared.(stageReply)
+	return stageReply{i, r.state, r.began}
 }
 
 // reportState returns the state of an engine that was asked for its report.
@@ -106,7 +117,7 @@
 		return stageAnswers
 	case reason == verdict.UpstreamRefused:
 		return stageRefuses
-	case reason == verdict.UpstreamBusy, lacksResources(err):
+	case reason == verdict.UpstreamBusy, failedHere(err):
 		return stageUnknown
 	}
 	return stageSilent
@@ -137,7 +148,7 @@
 		return stageAnswers
 	case e.Reason == verdict.UpstreamRefused:
 		return stageRefuses
-	case e.Reason == verdict.UpstreamBusy, lacksResources(err):
+	case e.Reason == verdict.UpstreamBusy, failedHere(err):
 		return stageUnknown
 	case e.Run == verdict.NotRun:
 		// No connection could be opened.
@@ -186,11 +197,14 @@
 		timeout = localReportTimeout
 	}
 	report, err, _ := g.reportCalls.Do(u.Instance, func() (any, error) {
-		began := g.Now()
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		defer cancel()
-		report, err := g.fetchReport(ctx, u)
-		return timedReport{report, began}, err
+		r := timedReport{began: g.Now()}
+		var err error
+		panicked := g.contain(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			r.Report, err = g.fetchReport(ctx, u)
+		})
+		return r, cmp.Or(err, panicked)
 	})
 	return report.(timedReport), err
 }
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -75,7 +75,10 @@
 	d.q.setRunning(d, a.target)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.timer = time.AfterFunc(d.nextDelay(), d.check)
+	d.timer = time.AfterFunc(d.nextDelay(), func() {
+		// A panic is logged, and ends the request.
+		_ = d.g.containFor(d.q, d.check)
+	})
 	return d
 }
 
@@ -174,14 +177,11 @@
 // check checks the stages of the stream. A stage that is found at fault is
 // replaced, or the attempt is given up.
 func (d *stallDetector) check() {
-	d.mu.Lock()
-	to, askFirst, lastEventAt := d.target, d.checks >= firstStageReportAfter, d.lastEventAt
-	continues, lost := d.continues(lastEventAt), d.pathLost()
-	d.mu.Unlock()
-	switch {
-	case continues:
+	to, askFirst, lastEventAt, next := d.beginCheck()
+	switch next {
+	case streamContinues:
 		return
-	case lost:
+	case streamPathLost:
 		d.g.Log.Info("path lost under stream", zap.String("request", d.q.ID), zap.String("upstream", to.upstream.Instance))
 		d.giveUp(to, finding{stage: 0}, lastEventAt)
 		return
@@ -210,6 +210,36 @@
 	return d.unanswered
 }
 
+// streamState is what is known of a stream before its stages are checked.
+type streamState uint8
+
+const (
+	streamSilent streamState = iota
+	streamContinues
+	streamPathLost
+)
+
+// beginCheck returns where the stream runs, whether the first stage is to be asked which
+// one it waits for, when the last event arrived, and what is known of the stream.
+func (d *stallDetector) beginCheck() (to target, askFirst bool, lastEventAt time.Duration, known streamState) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.continues(d.lastEventAt):
+		known = streamContinues
+	case d.pathLost():
+		known = streamPathLost
+	}
+	return d.target, d.checks >= firstStageReportAfter, d.lastEventAt, known
+}
+
+// unlocked runs f while mu, which the caller holds, is released.
+func (d *stallDetector) unlocked(f func()) {
+	d.mu.Unlock()
+	defer d.mu.Lock()
+	f()
+}
+
 // continues reports whether the stream continues: an event has arrived since
 // lastEventAt, which has restarted the detection, or data has arrived that this
 // process has not read yet, for which it schedules another check. The caller holds
@@ -229,20 +259,19 @@
 // ended, and reports whether it did. A stage is blamed once for a silence: to exclude
 // it at each check would put off the probe that ends its exclusion.
 func (d *stallDetector) attributeStall(to target, i int, lastEventAt time.Duration) bool {
-	instance := to.stage(i).Instance
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if d.stopped || d.continues(lastEventAt) {
-		d.mu.Unlock()
 		return false
 	}
-	again := slices.Contains(d.blamed, instance)
-	if !again {
-		d.blamed = append(d.blamed, instance)
+	instance := to.stage(i).Instance
+	if slices.Contains(d.blamed, instance) {
+		return true
 	}
-	d.mu.Unlock()
-	if !again {
+	d.blamed = append(d.blamed, instance)
+	d.unlocked(func() {
 		d.g.control.Do(func(s *state) { s.attributeStall(d.q, to, i, d.g.Now()) })
-	}
+	})
 	return true
 }
 
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -158,11 +158,11 @@
 		a.g.control.Send(func(s *state) { s.returnTarget(a.q, a.target) })
 		return
 	}
-	go func() {
+	a.g.goContained(func() {
 		if next := a.end(nil); next != nil {
 			next.discard()
 		}
-	}()
+	})
 }
 
 // recordBrokenStream records a stream that ended early, after the event of an ID,
--- a/internal/logging/panic.go
+++ b/internal/logging/panic.go
@@ -1,6 +1,15 @@
 package logging
 
-import "go.uber.org/zap"
+import (
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/guard"
+)
+
+// LogContained logs a panic that was contained, and the request that it ends, if any.
+func LogContained(log *zap.Logger, request string, e *guard.PanicError) {
+	log.Error("panic contained", zap.String("request", request), zap.Any("panic", e.Value), zap.ByteString("stack", e.Stack))
+}
 
 // LogPanic logs the value and the stack of a panic that ends the process, and waits
 // until the line is written.
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
+	"lovageport.example/internal/guard"
 	"lovageport.example/internal/protocol/peering"
 )
 
@@ -37,9 +38,14 @@
 // serve.
 var ErrUnsupportedCall = errors.New("peer: call is not served here")
 
+// errPanicked is returned to a peer whose call has panicked.
+var errPanicked = errors.New("peer: the call failed here")
+
 // Handler handles the calls of peers. It rejects calls whose function is nil with
 // [ErrUnsupportedCall].
 type Handler struct {
+	// Guard contains the panics of calls, each of which fails that call alone.
+	Guard guard.Guard
 	// Secret is the shared secret that calls of entries must carry.
 	Secret string
 	// Heartbeat exchanges heartbeats with another entry.
@@ -65,11 +71,14 @@
 }
 
 // answer calls f, or rejects the call if f is nil.
-func answer[In, Out any](ctx context.Context, f func(context.Context, *In) (*Out, error), in *In) (*Out, error) {
+func answer[In, Out any](ctx context.Context, h *Handler, f func(context.Context, *In) (*Out, error), in *In) (out *Out, err error) {
 	if f == nil {
 		return nil, ErrUnsupportedCall
 	}
-	return f(ctx, in)
+	if panicked := h.Guard.Run("", func() { out, err = f(ctx, in) }); panicked != nil {
+		return nil, errPanicked
+	}
+	return out, err
 }
 
 // answerWithSecret is like answer for a call that must carry the shared secret.
@@ -77,7 +86,7 @@
 	if err := h.check(secret); err != nil {
 		return nil, err
 	}
-	return answer(ctx, f, in)
+	return answer(ctx, h, f, in)
 }
 
 func (h *Handler) heartbeat(ctx context.Context, in *peering.Heartbeat) (*peering.Heartbeat, error) {
@@ -93,11 +102,11 @@
 }
 
 func (h *Handler) news(ctx context.Context, in *peering.News) (*peering.News, error) {
-	return answer(ctx, h.News, in)
+	return answer(ctx, h, h.News, in)
 }
 
 func (h *Handler) lists(ctx context.Context, in *peering.ListsRequest) (*peering.Lists, error) {
-	return answer(ctx, h.Lists, in)
+	return answer(ctx, h, h.Lists, in)
 }
 
 func (h *Handler) update(ctx context.Context, in *peering.Update) (*peering.Update, error) {
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc/drpcmigrate"
 
+	"lovageport.example/internal/guard"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/transport/dial"
 )
@@ -85,6 +86,8 @@
 	Connect func(ctx context.Context, request *peering.TunnelRequest) (net.Conn, peering.TunnelOutcome)
 	// Log receives the errors of connections; it may be nil.
 	Log func(error)
+	// Guard contains the panics of a tunnel, which end that tunnel alone.
+	Guard guard.Guard
 
 	open atomic.Int64
 }
@@ -107,9 +110,12 @@
 			return fmt.Errorf("tunnel: %w", err)
 		}
 		tunnels.Go(func() {
-			if err := s.serve(ctx, conn); err != nil && s.Log != nil {
-				s.Log(err)
-			}
+			// A panic is reported by the guard.
+			_ = s.Guard.Run("", func() {
+				if err := s.serve(ctx, conn); err != nil && s.Log != nil {
+					s.Log(err)
+				}
+			})
 		})
 	}
 }
