Let a request try upstreams again that have only refused it

What callers saw: a stream on a lost path that looked for another upstream was refused once by each, for lack of room. From then on it found none and waited until its deadline, though the others had room again after 0.6 s.

Cause: an upstream that failed a request is excluded for that request for good, whatever the failure. Without engine that held for every request, with one for streams of which an attempt runs. Found by TestPanicEndsOneRequest, in which a second stream on the same path was left behind.

Change: a refusal for lack of room bars an upstream for a request only as long as others can be tried.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -177,7 +177,7 @@
 	fault, found := faultOf(e, head)
 	if !to.hasEngine() {
 		s.health.RecordResult(to.upstream.Instance, e.Run != verdict.NotRun, now)
-		q.exclude(to.upstream.Instance)
+		q.excludeAfter(to.upstream.Instance, fault, found)
 		if found {
 			s.eject(to.upstream, fault, now)
 		}
@@ -189,7 +189,7 @@
 	}
 	u := to.stage(i)
 	e.Upstream = u.Instance
-	q.exclude(u.Instance)
+	q.excludeAfter(u.Instance, fault, found)
 	if e.Run == verdict.Ran {
 		s.health.RecordResult(u.Instance, true, now)
 	}
@@ -202,6 +202,16 @@
 	}
 }
 
+// excludeAfter excludes an upstream that has failed the request, by the fault that was
+// found, if any.
+func (q *request) excludeAfter(instance string, fault health.Fault, found bool) {
+	if found && fault == health.Full {
+		q.excludeRefused(instance)
+		return
+	}
+	q.exclude(instance)
+}
+
 // attributeStall records the stage that a stalled generation waits for. If the
 // stage is called from another zone the link may be at fault: a stage of the
 // own zone is then probed before it is ejected.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strings"
 	"time"
@@ -41,6 +42,9 @@
 	// excluded holds the upstreams that failed the request. It is accessed only
 	// from the control loop.
 	excluded map[string]bool
+	// refused holds those of them that have only refused the request, for lack of room.
+	// It is accessed only from the control loop.
+	refused map[string]bool
 	// firstEvent is the time from arrival until the first byte of the response
 	// was passed on, and longestPause the longest time between two events.
 	firstEvent, longestPause time.Duration
@@ -66,6 +70,25 @@
 		q.excluded = make(map[string]bool)
 	}
 	q.excluded[instance] = true
+	delete(q.refused, instance)
+}
+
+// excludeRefused excludes an upstream that has refused the request for lack of room, for
+// as long as others can be tried.
+func (q *request) excludeRefused(instance string) {
+	q.exclude(instance)
+	if q.refused == nil {
+		q.refused = make(map[string]bool)
+	}
+	q.refused[instance] = true
+}
+
+// failedOn returns the excluded upstreams but for those that have only refused the
+// request.
+func (q *request) failedOn() map[string]bool {
+	out := maps.Clone(q.excluded)
+	maps.DeleteFunc(out, func(instance string, _ bool) bool { return q.refused[instance] })
+	return out
 }
 
 // setRunning records the target of an attempt that runs.
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -33,11 +33,16 @@
 
 // selectChain selects the chain of a generation. Upstreams that failed the
 // request are avoided if others cover their layers. An attempt that runs is not given
-// up in favour of one on such upstreams.
+// up in favour of one on such upstreams, unless they have only refused it.
 func (s *state) selectChain(p *servicePool, q *request, now time.Duration) (target, error) {
 	found, ok := p.layers.Find(s.chainQuery(p, q, q.excluded, now))
-	if !ok && len(q.excluded) > 0 && !q.isHandingOver() && !s.atUpstreamLimit(q) {
-		found, ok = p.layers.Find(s.chainQuery(p, q, nil, now))
+	if !ok && !s.atUpstreamLimit(q) {
+		switch {
+		case len(q.excluded) > 0 && !q.isHandingOver():
+			found, ok = p.layers.Find(s.chainQuery(p, q, nil, now))
+		case len(q.refused) > 0:
+			found, ok = p.layers.Find(s.chainQuery(p, q, q.failedOn(), now))
+		}
 	}
 	if !ok {
 		if s.atUpstreamLimit(q) {
@@ -134,16 +139,31 @@
 
 // selectUpstream selects the upstream for a call to a service without engine:
 // the one with the lowest cost by slots in use, zone, response time and
-// failures.
+// failures. One that has only refused the request may be tried again if no other one
+// can be used.
 func (s *state) selectUpstream(p *servicePool, q *request, now time.Duration) (target, error) {
 	if s.atUpstreamLimit(q) {
 		return target{}, verdict.Refuse(verdict.RetryLimit, "the request has run on as many upstreams as it may")
 	}
+	best := s.cheapestUpstream(p, q, q.excluded, now)
+	if best == nil && len(q.refused) > 0 {
+		best = s.cheapestUpstream(p, q, q.failedOn(), now)
+	}
+	if best == nil {
+		return target{}, verdict.Refuse(verdict.NoUpstream, "no upstream of %s can be used", q.service)
+	}
+	l := s.loadOf(best.Instance)
+	return target{upstream: best, utilization: float64(l.requests+1) / float64(best.Slots), activity: []*stageActivity{&l.activity}}, nil
+}
+
+// cheapestUpstream returns the upstream with the lowest cost of those that are not
+// excluded and can be used; nil if there is none.
+func (s *state) cheapestUpstream(p *servicePool, q *request, excluded map[string]bool, now time.Duration) *fleet.Upstream {
 	var best *fleet.Upstream
 	least := 0.0
 	ignoreSilence := !q.isHandingOver() && s.allSilent(p, now)
 	for _, u := range p.members {
-		if q.excluded[u.Instance] || !ignoreSilence && s.health.Excluded(u.Instance, now) || !s.health.MayCall(u.Instance, now) {
+		if excluded[u.Instance] || !ignoreSilence && s.health.Excluded(u.Instance, now) || !s.health.MayCall(u.Instance, now) {
 			continue
 		}
 		cost := s.callCost(u, now)
@@ -151,11 +171,7 @@
 			best, least = u, cost
 		}
 	}
-	if best == nil {
-		return target{}, verdict.Refuse(verdict.NoUpstream, "no upstream of %s can be used", q.service)
-	}
-	l := s.loadOf(best.Instance)
-	return target{upstream: best, utilization: float64(l.requests+1) / float64(best.Slots), activity: []*stageActivity{&l.activity}}, nil
+	return best
 }
 
 // allSilent reports whether every upstream of a pool is excluded only because it was
