Tell a watch that was cut off from a store that is away

Gateways that don't read the store for their zone sent requests to it for up to 2.2 s (drain_ms is 2 s).

Cause: one flag stood for "a call failed", "the store is away" and "entries may have lapsed". net/http repeats a GET by itself, so that a watch that was cut waits anew and outlives its time-out seconds later; that counted as an outage; the flag stayed set until the next watch was answered, by the removal; and that answer dated the end of the outage, so that the upstream was kept as one whose entry may have lapsed.

It is repeated at once from the same revision, without waiting, which misses nothing; it is a failure only if that call fails or nobody has heard of the store for 2.2 s. After a failure, too, the first watch doesn't wait. coordination/outage dates outages from the first failed call to the first answer of the store to any watcher or peer, once.

TestLapsedRegistrations is unchanged; the two tests that set the flag of a failed store record a failure instead, since the flag no longer says that, and are as strict.

--- a/internal/gateway/removal_test.go
+++ b/internal/gateway/removal_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"maps"
 	"testing"
 	"time"
@@ -30,17 +31,26 @@
 	l.list(0, number, us...)
 }
 
+// errDown is the error of a call to a store that is down.
+var errDown = errors.New("down")
+
+// recordListResult records the result of a call for the list of upstreams.
+func (s *state) recordListResult(err error, now time.Duration) {
+	s.recordStoreResult(listName, err)
+	s.recordOutage(listName, err, now)
+}
+
 // TestRetainedEntryExpiresAfterSecondOutage guards against an entry that is
 // retained after an outage, and again after a second one, staying forever:
 // peers would take it for listed.
 func TestRetainedEntryExpiresAfterSecondOutage(t *testing.T) {
 	s := newState(t)
 	applyList(s, 10, 10*time.Second, registeredAt("e", 5))
-	s.storeFailed[listName] = true
+	s.recordListResult(errDown, 15*time.Second)
 	applyList(s, 11, 20*time.Second)
+	s.recordListResult(errDown, 20*time.Second)
 	// The second time a watch finds the store available, without changes.
 	s.applyChanges(platform.UpstreamChanges{Revision: numbered(11)}, 0, 21*time.Second)
-	s.storeFailed[listName] = false
 	for now := 21 * time.Second; now < 30*time.Second; now += dispatchInterval {
 		s.expireRetained(now)
 	}
@@ -53,9 +63,8 @@
 func TestEntryListedAgainIsKept(t *testing.T) {
 	s := newState(t)
 	applyList(s, 10, 10*time.Second, registeredAt("e", 5))
-	s.storeFailed[listName] = true
+	s.recordListResult(errDown, 15*time.Second)
 	applyList(s, 11, 20*time.Second)
-	s.storeFailed[listName] = false
 	applyList(s, 12, 21*time.Second, registeredAt("e", 12))
 	s.expireRetained(30 * time.Second)
 	qt.Check(t, s.upstreams, qt.HasLen, 1)
@@ -172,7 +181,7 @@
 		instance := func() string { return rapid.SampledFrom([]string{"e1", "e2"}).Draw(r, "instance") }
 		read := func(g *modelGateway) {
 			g.s.replaceUpstreams(upstreamList{upstreams: maps.Clone(m.entries), revision: numbered(m.revision), asOf: now}, now)
-			g.s.storeFailed[listName] = false
+			g.s.recordListResult(nil, now)
 			g.watched = m.revision
 		}
 		r.Repeat(map[string]func(*rapid.T){
@@ -202,7 +211,7 @@
 					}
 				}
 				g.s.applyChanges(changes, 0, now)
-				g.s.storeFailed[listName] = false
+				g.s.recordListResult(nil, now)
 				g.watched = until
 			},
 			"borrow": func(r *rapid.T) {
@@ -213,7 +222,7 @@
 				}
 				g.s.replaceUpstreams(l, now)
 			},
-			"store lost": func(r *rapid.T) { pick().s.storeFailed[listName] = true },
+			"store lost": func(r *rapid.T) { pick().s.recordListResult(errDown, now) },
 			"time": func(r *rapid.T) {
 				now += time.Duration(rapid.IntRange(1, 3000).Draw(r, "ms")) * time.Millisecond
 				for _, g := range gateways {
--- a/internal/gateway/restoration.go
+++ b/internal/gateway/restoration.go
@@ -93,7 +93,7 @@
 func (s *state) beginEra(before, after revision.Revision, now time.Duration) {
 	s.log.Warn("list of the restored store", zap.Stringer("revision_before", before), zap.Stringer("revision", after))
 	s.eras.Observe(after.Era, now)
-	s.listRestoredAt = now
+	s.outage.RecordRestoration(now)
 	clear(s.changedSince)
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -9,6 +9,7 @@
 	"lovageport.example/internal/coordination/admission"
 	"lovageport.example/internal/coordination/cluster"
 	"lovageport.example/internal/coordination/health"
+	"lovageport.example/internal/coordination/outage"
 	"lovageport.example/internal/coordination/pathfinding"
 	"lovageport.example/internal/coordination/peerload"
 	"lovageport.example/internal/coordination/placement"
@@ -101,11 +102,10 @@
 	// probesAlone reports whether this gateway probes the lost upstreams of its
 	// zone without sharing that work with its peers.
 	probesAlone bool
-	// listRestoredAt is when the list could be read again after an outage of
-	// the store. retained holds, by instance, until when upstreams are kept
-	// that the list no longer contains.
-	listRestoredAt time.Duration
-	retained       map[string]time.Duration
+	// outage dates the outages of the store. retained holds, by instance, until
+	// when upstreams are kept that the list no longer contains.
+	outage   outage.Tracker
+	retained map[string]time.Duration
 	// removals holds, by instance, the last entries that were removed from the
 	// list.
 	removals map[string]removal
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -38,7 +38,11 @@
 	if l.revision.Before(before) {
 		return
 	}
-	s.recordListRestored(now)
+	if l.fromPeer {
+		s.outage.RecordPeerAnswer(l.asOf, now)
+	} else {
+		s.outage.RecordAnswer(now)
+	}
 	if before.Era > 0 && l.revision.Era > before.Era {
 		s.beginEra(before, l.revision, now)
 	}
@@ -76,19 +80,11 @@
 	s.rebuildPools()
 }
 
-// recordListRestored records the end of an outage of the store, if there was
-// one.
-func (s *state) recordListRestored(now time.Duration) {
-	if s.storeFailed[listName] {
-		s.listRestoredAt = now
-	}
-}
-
 // applyChanges applies changes of the list. The list is known to have been
 // current at the boot time at, unless that is 0. Changes that are already known
 // from a peer are skipped, except for those that end draining.
 func (s *state) applyChanges(c platform.UpstreamChanges, at, now time.Duration) {
-	s.recordListRestored(now)
+	s.outage.RecordAnswer(now)
 	if c.Revision.Era < s.listRevision.Era {
 		return
 	}
@@ -209,8 +205,9 @@
 // while if its entry may only have expired during an outage of the store or been
 // lost with it.
 func (s *state) dropOrRetain(u *fleet.Upstream, now time.Duration) {
-	until := s.listRestoredAt + retentionTime
-	if s.listRestoredAt > 0 && now < until && u.State == fleet.Serving {
+	ended, was := s.outage.Ended()
+	until := ended + retentionTime
+	if was && now < until && u.State == fleet.Serving {
 		s.retained[u.Instance] = until
 		s.upstreams[u.Instance] = u
 		return
@@ -275,6 +272,7 @@
 	}
 	if n.ListAge >= 0 && n.ListDigest == s.listDigest && s.listedAt > 0 {
 		s.listedAt = max(s.listedAt, sent-n.ListAge)
+		s.outage.RecordPeerAnswer(sent-n.ListAge, s.now())
 		s.listRevision = s.listRevision.Max(at)
 	}
 }
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -43,9 +43,14 @@
 // run reads and watches the object until ctx is done.
 func (w *watcher) run(ctx context.Context) error {
 	var at revision.Revision
-	failures := 0
+	failures, cut := 0, false
 	for ctx.Err() == nil {
-		next, err := w.step(ctx, at)
+		// After a cut or a failure the first call shows at once whether the store answers.
+		poll := failures > 0 || cut
+		next, err := w.step(ctx, at, poll)
+		if cut = !poll && w.g.isCut(w.name, err); cut {
+			continue
+		}
 		w.g.recordStoreResult(w.name, err)
 		if err != nil && !isMissing(next, err) {
 			if !w.g.watchOptions(at).AllowStale {
@@ -66,18 +71,40 @@
 	return nil
 }
 
+// isCut reports whether a watch was cut off although the store is not away, as its other
+// answers show. It is then repeated at once from the same revision.
+func (g *Gateway) isCut(name string, err error) bool {
+	if !errors.Is(err, platform.ErrWatchCut) {
+		return false
+	}
+	silent := false
+	g.control.Do(func(s *state) { silent = s.outage.Silent(g.Now()) })
+	g.Log.Info("watch cut off", zap.String("following", name), zap.Bool("store_silent", silent), zap.Error(err))
+	return !silent
+}
+
 // isMissing reports whether a step has found that the object does not exist, and the
 // revision from which to watch for its creation.
 func isMissing(next revision.Revision, err error) bool {
 	return errors.Is(err, platform.ErrNotFound) && !next.IsZero()
 }
 
+// pollWait is how long a watch waits that is to show at once whether the store answers.
+const pollWait = time.Millisecond
+
 // step reads the object, or watches it from a revision other than the zero value,
-// which it returns if the object must be read next.
-func (w *watcher) step(ctx context.Context, at revision.Revision) (revision.Revision, error) {
+// which it returns if the object must be read next. If poll is set, the watch does not
+// wait for changes.
+func (w *watcher) step(ctx context.Context, at revision.Revision, poll bool) (revision.Revision, error) {
 	call, signal := w.read, w.reachable
 	if !at.IsZero() {
-		call = func(ctx context.Context) (revision.Revision, error) { return w.watch(ctx, w.g.watchOptions(at)) }
+		call = func(ctx context.Context) (revision.Revision, error) {
+			options := w.g.watchOptions(at)
+			if poll {
+				options.Wait = pollWait
+			}
+			return w.watch(ctx, options)
+		}
 		signal = w.wake
 	}
 	next, interrupted, err := interruptible(ctx, signal, call)
@@ -243,9 +270,11 @@
 	if name == tableName {
 		g.tableWatchFailed.Store(failed)
 	}
+	now := g.Now()
 	g.control.Send(func(s *state) {
 		regained := !failed && s.storeFailed[name]
 		s.recordStoreResult(name, err)
+		s.recordOutage(name, err, now)
 		if regained {
 			g.notifyReachable(s)
 		}
@@ -262,6 +291,17 @@
 	}
 }
 
+// recordOutage records what the result of a call shows of outages of the store. Only the
+// list has entries that lapse in one.
+func (s *state) recordOutage(name string, err error, now time.Duration) {
+	switch {
+	case err == nil, errors.Is(err, platform.ErrNotFound):
+		s.outage.RecordAnswer(now)
+	case name == listName:
+		s.outage.RecordFailure(now)
+	}
+}
+
 // recordStoreResult logs when the store fails or recovers.
 func (s *state) recordStoreResult(name string, err error) {
 	failed, missing := err != nil, errors.Is(err, platform.ErrNotFound)
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -64,7 +64,7 @@
 		<-ctx.Done()
 		return revision.Revision{}, ctx.Err()
 	}
-	at, err := w.step(t.Context(), revision.Revision{})
+	at, err := w.step(t.Context(), revision.Revision{}, false)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, at, qt.Equals, revision.Revision{Number: 7})
 	qt.Check(t, reads, qt.Equals, 2)
@@ -83,7 +83,7 @@
 		w := &watcher{g: g, wake: make(chan struct{}, 1), watch: func(context.Context, platform.WatchOptions) (revision.Revision, error) {
 			return revision.Revision{}, fmt.Errorf("watch: %w", shown)
 		}}
-		at, err := w.step(t.Context(), revision.Revision{Number: 7})
+		at, err := w.step(t.Context(), revision.Revision{Number: 7}, false)
 		qt.Check(t, err, qt.IsNil, qt.Commentf("%v", shown))
 		qt.Check(t, at.IsZero(), qt.IsTrue)
 	}
