Bound the memory of all answers and all bodies of a process

What operators reported of systems like ours: an upstream sent bytes without end, and the machine that had called it ran out of memory, with the requests of others.

Can it happen here? Not by one answer: each has a limit. By many at once, yes.

Change: transport/buffer reads messages whole, in blocks, and counts what is above 32 KB of each for a budget of the process: 64 MB for answers and events, 64 MB for bodies, in the gateway and in the entry. What doesn't fit fails: an answer as a call that may have run (502, answer_memory_full, no further attempt), a body as one that has not (503, body_memory_full, Retry-After). No upstream is blamed.

--- a/internal/entry/invoke.go
+++ b/internal/entry/invoke.go
@@ -152,7 +152,7 @@
 		e := verdict.Of(err)
 		c.mayHaveRun = c.mayHaveRun || e.Run != verdict.NotRun
 		c.placements.logFailure(placement, e)
-		if c.mayHaveRun && !c.operation.Repeatable || e.Reason == verdict.ClaimLapsed || e.Reason == verdict.CallerGone {
+		if c.mayHaveRun && !c.operation.Repeatable || e.Reason == verdict.ClaimLapsed || e.Reason == verdict.CallerGone || e.Reason == verdict.AnswerMemoryFull {
 			return nil, c.finalError(e)
 		}
 		if ended := contextError(ctx, e); ended != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -153,7 +153,8 @@
 		// Nothing has arrived at an upstream.
 		g.control.Send(func(s *state) { s.returnRetry(q, to) })
 	}
-	if e.Reason == verdict.CallerGone {
+	if e.Reason == verdict.CallerGone || e.Reason == verdict.AnswerMemoryFull {
+		// The upstream is not at fault.
 		return e
 	}
 	if e.Reason == verdict.UpstreamLost && e.Run == verdict.MayHaveRun {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 
+	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/internal/transport/http1"
 )
 
@@ -25,6 +26,8 @@
 // checks that it consists of the events that follow in its sequence.
 type eventReader struct {
 	source io.Reader
+	// share is what buffer takes of the memory for answers.
+	share buffer.Share
 	// sequence is the place of the stream; next moves it.
 	sequence *eventSequence
 	// buffer holds the data that was read but not returned, after the part that
@@ -157,7 +160,11 @@
 	}
 	start := len(r.buffer)
 	if cap(r.buffer)-start < readSize {
-		r.buffer = append(make([]byte, 0, 2*cap(r.buffer)+readSize), r.buffer...)
+		size := 2*cap(r.buffer) + readSize
+		if r.readErr = r.share.Resize(int64(size)); r.readErr != nil {
+			return
+		}
+		r.buffer = append(make([]byte, 0, size), r.buffer...)
 	}
 	n, err := r.source.Read(r.buffer[start : start+readSize])
 	r.buffer = r.buffer[:start+n]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/setting"
 	"lovageport.example/internal/state/routing"
+	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/internal/transport/dial"
 	"lovageport.example/internal/transport/drain"
 	"lovageport.example/internal/transport/http1"
@@ -120,6 +121,9 @@
 	cutOffAt atomic.Int64
 	// requests ends the requests that are at work when the time of a drain is over.
 	requests drain.Requests
+	// answerMemory and bodyMemory bound the memory of the answers and of the bodies of
+	// requests that are held whole.
+	answerMemory, bodyMemory buffer.Budget
 	// inFlight is the number of callers' requests being processed.
 	inFlight atomic.Int64
 	// tasks are the calls that run in the background. They end with Run.
@@ -144,7 +148,8 @@
 	if g.dialDirect == nil {
 		g.dialDirect = dialer
 	}
-	g.connPool = &http1.Pool{Dial: g.dialUpstream, OnDial: g.metrics.connections.Inc, Keep: g.keepsConn}
+	g.answerMemory.Max, g.bodyMemory.Max = maxAnswerMemory, maxBodyMemory
+	g.connPool = &http1.Pool{Dial: g.dialUpstream, Memory: &g.answerMemory, OnDial: g.metrics.connections.Inc, Keep: g.keepsConn}
 	g.tunnels.Connect = g.connectForPeer
 	g.tunnels.Guard = g.guard()
 	g.tunnels.Log = func(err error) { g.Log.Debug("tunnel ended", zap.Error(err)) }
--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -182,6 +182,7 @@
 	if err != nil {
 		return s.g.recordFailure(s.request, to, err, resp.head)
 	}
+	s.memory.hold(resp.TakeShare())
 	switch {
 	case s.started:
 		return s.g.recordFailure(s.request, to, protocolError("status "+strconv.Itoa(resp.head.Status)+" to a resumed stream"), resp.head)
--- a/internal/gateway/invocation.go
+++ b/internal/gateway/invocation.go
@@ -237,6 +237,7 @@
 	if err != nil {
 		return nil, g.recordFailure(q, to, err, resp.head)
 	}
+	q.memory.hold(resp.TakeShare())
 	whole := &callResponse{resp, body}
 	took := g.Now() - began
 	g.control.Send(func(s *state) { s.health.RecordLatency(to.upstream.Instance, took, g.Now()) })
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,6 +49,7 @@
 	// was passed on, and longestPause the longest time between two events.
 	firstEvent, longestPause time.Duration
 
+	memory heldMemory
 	attemptHistory
 	// queueDeadline is the boot time until which the request may be queued; after
 	// that its caller has probably gone. Guarded by mu of the history.
@@ -168,7 +169,7 @@
 		return false
 	}
 	switch e.Reason {
-	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.HeldOff, verdict.RetryBudget, verdict.RetryLimit, verdict.Quarantined, verdict.CallerGone:
+	case verdict.DeadlineUnmeetable, verdict.QueueFull, verdict.HeldOff, verdict.RetryBudget, verdict.RetryLimit, verdict.Quarantined, verdict.CallerGone, verdict.AnswerMemoryFull:
 		return false
 	}
 	q.setQueueDeadline(now)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"lovageport.example/internal/coordination/readiness"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/routing"
+	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/pkg/verdict"
 	"lovageport.example/platform"
 )
@@ -72,6 +74,7 @@
 		defer g.inFlight.Add(-1)
 		q := &request{Request: platform.DecodeRequest(r.Header), http: r, arrived: g.Now()}
 		defer g.logPanic(&q.Request)
+		defer q.memory.release()
 		if err := g.accept(w, q); err != nil {
 			g.refuse(w, q, err)
 			return
@@ -137,12 +140,16 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, body, limit)
 	}
+	share := buffer.Share{Budget: &g.bodyMemory}
 	var err error
-	q.body, err = io.ReadAll(body)
+	q.body, err = buffer.ReadAll(body, q.http.ContentLength, math.MaxInt64, &share)
+	q.memory.hold(share)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return verdict.Refuse(verdict.BodyTooLarge, "body above %d bytes", tooLarge.Limit)
+	case errors.Is(err, buffer.ErrExhausted):
+		return verdict.RefuseUntil(repairRetryAfter, verdict.BodyMemoryFull, "the bodies of requests take all memory that they may")
 	case err != nil && g.requests.Ended():
 		return verdict.RefuseUntil(minRetryAfter, verdict.Draining, "the process ends before the body has arrived")
 	case err != nil:
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/protocol/relay"
+	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/internal/transport/http1"
 	"lovageport.example/pkg/verdict"
 )
@@ -59,6 +60,7 @@
 	a.sequence.beginRun()
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.reader.sequence = &a.sequence
+	a.reader.share.Budget = &a.g.answerMemory
 	a.detector = newStallDetector(ctx, a)
 }
 
@@ -145,6 +147,7 @@
 	if a.response != nil {
 		a.response.Close()
 	}
+	a.reader.share.Release()
 	last, successor := a.detector.stop(err != nil && verdict.Of(err).Reason != verdict.CallerGone)
 	a.cancel()
 	a.g.control.Send(func(s *state) { s.release(a.q, last) })
@@ -172,6 +175,11 @@
 	if a.ctx.Err() != nil {
 		return e
 	}
+	if errors.Is(err, buffer.ErrExhausted) {
+		// The upstream is not at fault.
+		e.Reason = verdict.AnswerMemoryFull
+		return e
+	}
 	a.g.Log.Info("stream broke", zap.String("request", a.q.ID), zap.Int("attempt", a.q.history().attempts), zap.String("upstream", a.target.upstream.Instance),
 		zap.String("last_event", lastEventID), zap.Strings("shared_parts", a.q.SharedParts), zap.Error(err))
 	a.recordUnanswered(err)
--- a/internal/transport/caller/generate.go
+++ b/internal/transport/caller/generate.go
@@ -19,7 +19,7 @@
 }
 
 func (s *Server) generate(w http.ResponseWriter, r *http.Request, x *exchange, chat bool) error {
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, x)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"lovageport.example/internal/protocol/openai"
+	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/internal/transport/upstream"
 	"lovageport.example/pkg/declaration"
 	"lovageport.example/pkg/verdict"
@@ -39,6 +39,9 @@
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
 	maxKeyBytes    = 256
+	// maxBodyMemory limits what the bodies of requests take together, in bytes. The
+	// first [buffer.FreeBytes] of each do not count.
+	maxBodyMemory = 64 << 20
 	// writeTimeout is how long a caller may block a write of a response.
 	writeTimeout = 10 * time.Second
 )
@@ -117,10 +120,14 @@
 	BodyTimeout time.Duration
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
+
+	// bodies bounds the memory of bodies; HTTP sets its limit.
+	bodies buffer.Budget
 }
 
 // HTTP returns the HTTP server for callers.
 func (s *Server) HTTP() *http.Server {
+	s.bodies.Max = maxBodyMemory
 	router := chi.NewRouter()
 	router.Post("/v1/chat/completions", s.handle(s.chat))
 	router.Post("/v1/completions", s.handle(s.completion))
@@ -145,6 +152,8 @@
 	requestID string
 	account   *declaration.Account
 	timeout   time.Duration
+	// body is what the body takes of the memory of bodies.
+	body buffer.Share
 }
 
 // handler handles a request. Its error becomes the response.
@@ -155,6 +164,7 @@
 func (s *Server) handle(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{}
+		defer x.body.Release()
 		err := s.prepare(w, r, x)
 		if err == nil {
 			err = h(w, r, x)
@@ -198,13 +208,15 @@
 	return nil
 }
 
-// readBody reads the whole request body within BodyTimeout and MaxBodyBytes.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the whole request body within BodyTimeout and MaxBodyBytes. It counts
+// for the memory of bodies until the exchange ends.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, x *exchange) ([]byte, error) {
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(s.BodyTimeout)); err != nil {
 		return nil, verdict.Refuse(verdict.Internal, "no read deadline: %v", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes))
+	x.body.Budget = &s.bodies
+	body, err := buffer.ReadAll(http.MaxBytesReader(w, r.Body, s.MaxBodyBytes), r.ContentLength, math.MaxInt64, &x.body)
 	if err == nil {
 		return body, control.SetReadDeadline(time.Time{})
 	}
@@ -213,6 +225,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, verdict.Refuse(verdict.BodyTooLarge, "body above %d bytes", s.MaxBodyBytes)
 	}
+	if errors.Is(err, buffer.ErrExhausted) {
+		return nil, verdict.RefuseUntil(time.Second, verdict.BodyMemoryFull, "the bodies of requests take all memory that they may")
+	}
 	var timeout interface{ Timeout() bool }
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		return nil, verdict.Refuse(verdict.BodyTooSlow, "body did not arrive within %s", s.BodyTimeout)
@@ -299,6 +314,7 @@
 	verdict.UpstreamRefused:  http.StatusBadGateway,
 	verdict.UpstreamLost:     http.StatusBadGateway,
 	verdict.UpstreamProtocol: http.StatusBadGateway,
+	verdict.AnswerMemoryFull: http.StatusBadGateway,
 	verdict.UpstreamSilent:   http.StatusGatewayTimeout,
 	verdict.DeadlineExceeded: http.StatusGatewayTimeout,
 	verdict.Internal:         http.StatusInternalServerError,
--- a/internal/transport/caller/service.go
+++ b/internal/transport/caller/service.go
@@ -20,7 +20,7 @@
 	if len(keys) > 1 || len(keys) == 1 && len(keys[0]) > maxKeyBytes {
 		return verdict.Refuse(verdict.BadRequest, "%s must be sent once, with at most %d bytes", IdempotencyKeyHeader, maxKeyBytes)
 	}
-	body, err := s.readBody(w, r)
+	body, err := s.readBody(w, r, x)
 	if err != nil {
 		return err
 	}
@@ -39,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	defer response.Release()
 	writeResponse(w, response)
 	return nil
 }
--- a/internal/transport/http1/body.go
+++ b/internal/transport/http1/body.go
@@ -1,11 +1,12 @@
 package http1
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+
+	"lovageport.example/internal/transport/buffer"
 )
 
 // ErrMalformed is the error for a response that violates HTTP or exceeds a size
@@ -73,54 +74,12 @@
 	return fmt.Errorf("%w: %w", ErrMalformed, err)
 }
 
-// blockBytes is the size of the blocks that are allocated for a body.
-const blockBytes = 32 << 10
-
-// readBody reads a body to its end. It allocates memory as data arrives rather
-// than by the Content-Length, which an upstream may state without sending as
-// much, and in blocks, because a buffer that grows by doubling leaves as much
-// garbage as it holds. The error is [ErrMalformed] if the body, or its stated
-// length, exceeds max bytes.
-func readBody(source io.Reader, stated, max int64) ([]byte, error) {
-	if stated > max {
-		return nil, tooLarge(max)
-	}
-	var blocks [][]byte
-	block := make([]byte, 0, firstBlockSize(stated))
-	for left := max; ; {
-		if len(block) == cap(block) {
-			blocks = append(blocks, block)
-			block = make([]byte, 0, blockBytes)
-		}
-		n, err := source.Read(block[len(block):cap(block)])
-		block = block[:len(block)+n]
-		left -= int64(n)
-		switch {
-		case left < 0:
-			return nil, tooLarge(max)
-		case err == io.EOF:
-			return concat(blocks, block), nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-func tooLarge(max int64) error { return fmt.Errorf("%w: answer above %d bytes", ErrMalformed, max) }
-
-// firstBlockSize returns the size of the first block. One byte more than the
-// stated length leaves room to read the end of the body without another block.
-func firstBlockSize(stated int64) int64 {
-	if stated < 0 {
-		return bytes.MinRead
-	}
-	return min(stated+1, blockBytes)
-}
-
-// concat concatenates the blocks.
-func concat(blocks [][]byte, last []byte) []byte {
-	if len(blocks) == 0 {
-		return last
+// readBody reads a body to its end, which counts for share. The error is [ErrMalformed]
+// if the body, or its stated length, exceeds max bytes.
+func readBody(source io.Reader, stated, max int64, share *buffer.Share) ([]byte, error) {
+	body, err := buffer.ReadAll(source, stated, max, share)
+	if errors.Is(err, buffer.ErrTooLarge) {
+		return nil, fmt.Errorf("%w: answer above %d bytes", ErrMalformed, max)
 	}
-	return bytes.Join(append(blocks, last), nil)
+	return body, err
 }
--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -44,7 +45,9 @@
 	// so that the response may be one to an earlier request.
 	Reused bool
 
-	body    io.Reader
+	body io.Reader
+	// share is what the body that ReadAll has read takes of the pool's memory.
+	share   buffer.Share
 	pool    *Pool
 	address string
 	conn    *connection
@@ -116,6 +119,7 @@
 		pool:           p,
 		address:        r.Address,
 		conn:           conn,
+		share:          buffer.Share{Budget: p.Memory},
 		stop:           stop,
 		sent:           sent,
 		keep:           keepDuration(response),
@@ -207,6 +211,8 @@
 		out.Reason = verdict.CallerGone
 	case errors.Is(err, ErrMalformed):
 		out.Reason = verdict.UpstreamProtocol
+	case errors.Is(err, buffer.ErrExhausted):
+		out.Reason = verdict.AnswerMemoryFull
 	}
 	return out
 }
@@ -230,20 +236,30 @@
 
 // ReadAll reads the whole body, which may have at most max bytes. The framing of
 // chunks, which may be several times as long as their data, may take as many. The
-// error is a [verdict.Error].
+// body counts for the memory of the pool until Close, or until the share that TakeShare
+// returns is released. The error is a [verdict.Error].
 func (r *Response) ReadAll(ctx context.Context, max int64) ([]byte, error) {
 	r.conn.source.limit(2*max + bufferSize)
 	defer r.conn.source.unlimit()
-	body, err := readBody(r, r.ContentLength, max)
+	body, err := readBody(r, r.ContentLength, max, &r.share)
 	if err != nil {
 		return nil, exchangeError(ctx, err, r.Reused)
 	}
 	return body, nil
 }
 
+// TakeShare returns what the body takes of the memory of the pool. The caller must
+// release it once the body is no longer held.
+func (r *Response) TakeShare() buffer.Share {
+	share := r.share
+	r.share = buffer.Share{}
+	return share
+}
+
 // Close ends the exchange. The connection is kept for reuse only if the whole
 // response was read and the whole request was written.
 func (r *Response) Close() {
+	r.share.Release()
 	running := r.stop()
 	r.conn.endExchange()
 	switch {
--- a/internal/transport/http1/limits_test.go
+++ b/internal/transport/http1/limits_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovageport.example/internal/standin/endless"
+	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/internal/transport/dial"
 	"lovageport.example/internal/transport/httpclient"
 	"lovageport.example/pkg/verdict"
@@ -238,11 +239,11 @@
 		maxAlloc    uint64
 		fails       bool
 	}{
-		{"complete, length stated", size, size, size, 2*size + 2*blockBytes, false},
-		{"complete, length not stated", size, -1, size, 2*size + 2*blockBytes, false},
-		{"above the limit", 4 * size, -1, size, size + 2*blockBytes, true},
-		{"length stated but not sent", 1, size, size, blockBytes + 1024, false},
-		{"small", 2, 2, size, blockBytes / 4, false},
+		{"complete, length stated", size, size, size, 2*size + 2*buffer.BlockBytes, false},
+		{"complete, length not stated", size, -1, size, 2*size + 2*buffer.BlockBytes, false},
+		{"above the limit", 4 * size, -1, size, size + 2*buffer.BlockBytes, true},
+		{"length stated but not sent", 1, size, size, buffer.BlockBytes + 1024, false},
+		{"small", 2, 2, size, buffer.BlockBytes / 4, false},
 	}
 	for _, x := range tests {
 		t.Run(x.name, func(t *testing.T) {
@@ -250,7 +251,7 @@
 			var m runtime.MemStats
 			runtime.ReadMemStats(&m)
 			before := m.TotalAlloc
-			body, err := readBody(source, x.stated, x.max)
+			body, err := readBody(source, x.stated, x.max, &buffer.Share{})
 			runtime.ReadMemStats(&m)
 			qt.Check(t, err != nil, qt.Equals, x.fails)
 			if !x.fails {
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/internal/transport/dial"
 )
 
@@ -46,6 +47,9 @@
 type Pool struct {
 	// Dial opens connections.
 	Dial dial.Func
+	// Memory is what the bodies that [Response.ReadAll] reads may take together; nil for
+	// no bound.
+	Memory *buffer.Budget
 	// OnDial is called for each new connection, if not nil.
 	OnDial func()
 	// Keep reports whether a connection may be kept for reuse; if nil, all may. It must not
--- a/internal/transport/upstream/services.go
+++ b/internal/transport/upstream/services.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/internal/transport/httpclient"
 	"lovageport.example/pkg/verdict"
 )
@@ -19,8 +20,14 @@
 // it in its response.
 const AttemptHeader = "Lovageport-Attempt"
 
-// MaxResponseBytes limits the response body of a plain service.
-const MaxResponseBytes = 8 << 20
+// Limits of the response bodies of plain services, which are held whole.
+const (
+	// MaxResponseBytes limits one body.
+	MaxResponseBytes = 8 << 20
+	// maxResponseMemory limits what the bodies of a client take together, in bytes. The
+	// first [buffer.FreeBytes] of each do not count.
+	maxResponseMemory = 64 << 20
+)
 
 // ServiceCall is one attempt to call a plain service.
 type ServiceCall struct {
@@ -48,13 +55,18 @@
 // another call, which a service may write once more.
 func (c *ServiceCall) ownConnection() bool { return !c.Repeatable || !c.EchoesAttempt }
 
-// Response is the whole response of a plain service.
+// Response is the whole response of a plain service. It must be released.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+
+	share buffer.Share
 }
 
+// Release returns the memory of the body, which is no longer held.
+func (r *Response) Release() { r.share.Release() }
+
 // ServiceClient calls plain services.
 type ServiceClient struct {
 	// Running returns how much of a span this process ran.
@@ -62,6 +74,8 @@
 
 	pooled *http.Client
 	dial   DialFunc
+	// memory bounds the bodies of responses.
+	memory buffer.Budget
 }
 
 // NewServiceClient returns a client that connects with dial, or with a net.Dialer
@@ -70,7 +84,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	s := &ServiceClient{}
+	s := &ServiceClient{memory: buffer.Budget{Max: maxResponseMemory}}
 	s.dial = limitDial(dial, &s.Running)
 	s.pooled = newServiceClient(&http.Transport{
 		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
@@ -119,7 +133,7 @@
 		return nil, callError(c, err)
 	}
 	defer response.Body.Close()
-	return readResponse(c, response)
+	return s.readResponse(c, response)
 }
 
 // freshClient returns a client with a single new connection. When a reused connection breaks, net/http resends a
@@ -184,8 +198,9 @@
 }
 
 // readResponse reads the whole response. It rejects one that may be truncated,
-// because its length is not given, or that may belong to another call.
-func readResponse(c *ServiceCall, response *http.Response) (*Response, error) {
+// because its length is not given, or that may belong to another call. If the responses
+// of all calls take all memory that they may, the call may have run.
+func (s *ServiceClient) readResponse(c *ServiceCall, response *http.Response) (*Response, error) {
 	protocolError := func(format string, args ...any) error {
 		return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamProtocol, Upstream: c.Upstream, Message: fmt.Sprintf(format, args...)}
 	}
@@ -196,12 +211,17 @@
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return nil, protocolError("answer without length")
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
-	if err != nil {
-		return nil, callError(c, err)
+	share := buffer.Share{Budget: &s.memory}
+	body, err := buffer.ReadAll(response.Body, response.ContentLength, MaxResponseBytes, &share)
+	if err == nil {
+		return &Response{response.StatusCode, response.Header, body, share}, nil
 	}
-	if len(body) > MaxResponseBytes {
+	share.Release()
+	switch {
+	case errors.Is(err, buffer.ErrTooLarge):
 		return nil, protocolError("answer above %d bytes", MaxResponseBytes)
+	case errors.Is(err, buffer.ErrExhausted):
+		return nil, &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.AnswerMemoryFull, Message: "the answers of services take all memory that they may", Err: err}
 	}
-	return &Response{response.StatusCode, response.Header, body}, nil
+	return nil, callError(c, err)
 }
--- a/pkg/verdict/verdict.go
+++ b/pkg/verdict/verdict.go
@@ -92,6 +92,8 @@
 	CallerGone         Reason = "caller_gone"
 	Draining           Reason = "draining"
 	NotReady           Reason = "not_ready"
+	BodyMemoryFull     Reason = "body_memory_full"
+	AnswerMemoryFull   Reason = "answer_memory_full"
 	Internal           Reason = "internal"
 )
 
