Count retries until they have left the window

Cause: the window had ten buckets of a second, the newest of which has only begun. Retries late in a second were forgotten up to a second too soon.

Change: forty buckets, and two more for retries, which so count for 10.25 to 10.5 s of a window of 10 s; requests count for the window or a little less. What peers may not know of yet is the newest fifth of the window, as it was at most.

--- a/internal/coordination/retry/window.go
+++ b/internal/coordination/retry/window.go
@@ -2,8 +2,15 @@
 
 import "time"
 
-// windowBuckets is the number of buckets that a sliding window is divided into.
-const windowBuckets = 10
+// A sliding window is divided into buckets.
+const (
+	windowBuckets = 40
+	// olderBuckets is the number of buckets before them whose retries still count. The
+	// newest bucket has only begun, so that without them the oldest retries of the window
+	// would be forgotten too soon; and what is counted now may arrive a little later.
+	olderBuckets = 2
+	keptBuckets  = windowBuckets + olderBuckets
+)
 
 // knownShare is the share of the allowance that known retries may use up. The
 // rest is reserved for retries that peers have sent since their last report.
@@ -33,7 +40,7 @@
 // Its zero value is empty. Times are durations since boot. It is not safe for
 // concurrent use.
 type Window struct {
-	buckets [windowBuckets]Counts
+	buckets [keptBuckets]Counts
 	// newest is the number of the newest bucket, counted since boot.
 	newest int64
 }
@@ -42,42 +49,52 @@
 // one.
 func (w *Window) advance(a Allowance, now time.Duration) *Counts {
 	at := int64(now / (a.Window / windowBuckets))
-	if at-w.newest >= windowBuckets {
-		w.buckets = [windowBuckets]Counts{}
+	if at-w.newest >= keptBuckets {
+		w.buckets = [keptBuckets]Counts{}
 		w.newest = at
 	}
 	for w.newest < at {
 		w.newest++
-		w.buckets[w.newest%windowBuckets] = Counts{}
+		*w.bucket(0) = Counts{}
 	}
-	return &w.buckets[w.newest%windowBuckets]
+	return w.bucket(0)
+}
+
+// bucket returns the bucket that is the given number of buckets older than the newest.
+func (w *Window) bucket(older int64) *Counts {
+	return &w.buckets[(w.newest+keptBuckets-older)%keptBuckets]
 }
 
 // RecordRequest counts a request of a caller.
 func (w *Window) RecordRequest(a Allowance, now time.Duration) { w.advance(a, now).Requests++ }
 
-// Counts returns the totals over the window.
+// Counts returns the totals over the window: the requests of the window or a little less,
+// and the retries of the window and a little more.
 func (w *Window) Counts(a Allowance, now time.Duration) Counts {
 	w.advance(a, now)
 	var total Counts
-	for _, b := range w.buckets {
+	for i := range int64(keptBuckets) {
+		b := *w.bucket(i)
+		if i >= windowBuckets {
+			b.Requests = 0
+		}
 		total = total.Add(b)
 	}
 	return total
 }
 
 // minRecentBuckets is the least number of newest buckets whose retries peers may not
-// know of yet.
-const minRecentBuckets = 2
+// know of yet, a fifth of the window.
+const minRecentBuckets = windowBuckets / 5
 
 // recentRetries returns the number of retries since the oldest report of a peer, which
-// has the given age, but at least those in the two newest buckets, a tenth to a fifth
-// of the window. Peers may not know of them yet.
+// has the given age, but at least those in the newest minRecentBuckets. Peers may not
+// know of them yet.
 func (w *Window) recentRetries(a Allowance, age time.Duration) float64 {
 	buckets := max(minRecentBuckets, int64(age/(a.Window/windowBuckets))+minRecentBuckets)
 	var sum float64
-	for i := range min(buckets, windowBuckets) {
-		sum += w.buckets[(w.newest+windowBuckets-i)%windowBuckets].Retries
+	for i := range min(buckets, keptBuckets) {
+		sum += w.bucket(i).Retries
 	}
 	return sum
 }
--- a/internal/coordination/retry/window_test.go
+++ b/internal/coordination/retry/window_test.go
@@ -159,3 +159,22 @@
 	w.RecordRequest(allowance, 100*time.Second)
 	c.Assert(w.Counts(allowance, 100*time.Second), qt.Equals, Counts{Requests: 1})
 }
+
+// TestBurstsWithinWindowShareAllowance guards against retries that are forgotten before
+// they have left the window, wherever in a second they were made: two bursts that are
+// less than a window apart must share one allowance.
+func TestBurstsWithinWindowShareAllowance(t *testing.T) {
+	allowance := Allowance{Share: 0.2, Slack: 100, Window: 10 * time.Second}
+	for offset := time.Duration(0); offset < time.Second; offset += 50 * time.Millisecond {
+		for _, between := range []time.Duration{5 * time.Second, 9300 * time.Millisecond, 9900 * time.Millisecond, 9999 * time.Millisecond} {
+			var w Window
+			sent := 0
+			for _, at := range []time.Duration{30*time.Second + offset, 30*time.Second + offset + between} {
+				for w.Allow(allowance, View{Processes: 1}, at) {
+					sent++
+				}
+			}
+			qt.Check(t, sent <= int(allowance.Slack), qt.IsTrue, qt.Commentf("%d retries in bursts %v apart, the first %v after a second", sent, between, offset))
+		}
+	}
+}
