--- a/internal/gateway/stagecheck.go
+++ b/internal/gateway/stagecheck.go
@@ -53,16 +53,17 @@
 // stood still is not found at fault.
 func (g *Gateway) checkStages(q *request, to target, suspects []int) finding {
 	f := finding{stage: -1, quietAt: neverQuiet}
-	began := g.Now()
+	asked := g.Now()
 	replies := make(chan stageReply, len(suspects))
 	for _, i := range suspects {
 		go func() {
-			r := stageReply{stage: i, began: began}
+			r := stageReply{stage: i, began: asked}
 			// A panic is logged, and leaves the state unknown.
 			_ = g.containFor(q, func() { r = g.checkStage(q, to, i) })
 			replies <- r
 		}()
 	}
+	began := asked
 	for range suspects {
 		r := <-replies
 		began = min(began, r.began)
