Let anybody who ends an exchange release its memory

A share has a lock now, gives back once, and takes nothing after that, so that a reader that is late leaves nothing behind (TestShareMayBeReleasedByOthers).

--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -21,12 +21,12 @@
 	mu sync.Mutex
 	// shares is nil before the first one. released is set once the request has ended.
 	// Guarded by mu.
-	shares   []buffer.Share
+	shares   []*buffer.Share
 	released bool
 }
 
 // hold holds a share until the request ends.
-func (h *heldMemory) hold(share buffer.Share) {
+func (h *heldMemory) hold(share *buffer.Share) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.released {
@@ -41,8 +41,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.released = true
-	for i := range h.shares {
-		h.shares[i].Release()
+	for _, share := range h.shares {
+		share.Release()
 	}
 	h.shares = nil
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -140,9 +140,9 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(w, body, limit)
 	}
-	share := buffer.Share{Budget: &g.bodyMemory}
+	share := &buffer.Share{Budget: &g.bodyMemory}
 	var err error
-	q.body, err = buffer.ReadAll(body, q.http.ContentLength, math.MaxInt64, &share)
+	q.body, err = buffer.ReadAll(body, q.http.ContentLength, math.MaxInt64, share)
 	q.memory.hold(share)
 	var tooLarge *http.MaxBytesError
 	switch {
--- a/internal/transport/buffer/budget.go
+++ b/internal/transport/buffer/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 	"sync/atomic"
 )
 
@@ -52,31 +53,46 @@
 	}
 }
 
-// Share is what one message takes of a budget. The zero value takes of none. It may be
-// used by one goroutine at a time.
+// Share is what one message takes of a budget. The zero value takes of none. It is safe
+// for concurrent use: whoever ends an exchange may release it while it is read.
 type Share struct {
 	Budget *Budget
 
-	// size is that of the message, and taken what it takes of the budget.
-	size, taken int64
+	mu sync.Mutex
+	// taken is what the message takes of the budget, and released is set once it must
+	// not take any more. Guarded by mu.
+	taken    int64
+	released bool
 }
 
-// Resize sets the size of the message in bytes. If a larger one is not left, it fails
-// with [ErrExhausted] and the size stays.
+// Resize sets the size of the message in bytes. If a larger one is not left, or the
+// share was released, it fails with [ErrExhausted] and the size stays. A nil share takes
+// of no budget.
 func (s *Share) Resize(size int64) error {
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	counted := max(0, size-FreeBytes)
 	switch more := counted - s.taken; {
-	case more > 0 && !s.Budget.take(more):
+	case more > 0 && (s.released || !s.Budget.take(more)):
 		return ErrExhausted
 	case more < 0:
 		s.Budget.give(-more)
 	}
-	s.size, s.taken = size, counted
+	s.taken = counted
 	return nil
 }
 
-// Release returns all that the message takes, which is no longer held.
+// Release returns all that the message takes, which is no longer held. It may be called
+// again, and on nil.
 func (s *Share) Release() {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.Budget.give(s.taken)
-	s.size, s.taken = 0, 0
+	s.taken, s.released = 0, true
 }
--- a/internal/transport/buffer/buffer_test.go
+++ b/internal/transport/buffer/buffer_test.go
@@ -77,3 +77,25 @@
 	}
 	c.Check(b.Used(), qt.Equals, int64(0))
 }
+
+// TestShareMayBeReleasedByOthers guards against a race between the reader of a message and
+// whoever ends its exchange, and against memory that is taken after the release and never
+// given back.
+func TestShareMayBeReleasedByOthers(t *testing.T) {
+	c := qt.New(t)
+	b := &Budget{Max: 100 * BlockBytes}
+	share := &Share{Budget: b}
+	var running sync.WaitGroup
+	running.Go(func() {
+		for size := int64(0); size < 50*BlockBytes && share.Resize(size) == nil; size += BlockBytes {
+			continue
+		}
+	})
+	for range 2 {
+		running.Go(share.Release)
+	}
+	running.Wait()
+	c.Check(b.Used(), qt.Equals, int64(0))
+	c.Check(share.Resize(10*BlockBytes), qt.Equals, ErrExhausted)
+	(*Share)(nil).Release()
+}
--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,8 +47,9 @@
 	Reused bool
 
 	body io.Reader
-	// share is what the body that ReadAll has read takes of the pool's memory.
-	share   buffer.Share
+	// share is what the body that ReadAll reads takes of the pool's memory; nil once
+	// TakeShare has returned it.
+	share   atomic.Pointer[buffer.Share]
 	pool    *Pool
 	address string
 	conn    *connection
@@ -109,7 +111,7 @@
 	if err != nil {
 		return nil, fail(err)
 	}
-	return &Response{
+	out := &Response{
 		Status:         response.StatusCode,
 		Header:         response.Header,
 		ContentLength:  response.ContentLength,
@@ -119,11 +121,12 @@
 		pool:           p,
 		address:        r.Address,
 		conn:           conn,
-		share:          buffer.Share{Budget: p.Memory},
 		stop:           stop,
 		sent:           sent,
 		keep:           keepDuration(response),
-	}, nil
+	}
+	out.share.Store(&buffer.Share{Budget: p.Memory})
+	return out, nil
 }
 
 // arrivalAfter returns after what time a request counts as arrived. An upstream need not
@@ -241,7 +244,7 @@
 func (r *Response) ReadAll(ctx context.Context, max int64) ([]byte, error) {
 	r.conn.source.limit(2*max + bufferSize)
 	defer r.conn.source.unlimit()
-	body, err := readBody(r, r.ContentLength, max, &r.share)
+	body, err := readBody(r, r.ContentLength, max, r.share.Load())
 	if err != nil {
 		return nil, exchangeError(ctx, err, r.Reused)
 	}
@@ -250,16 +253,12 @@
 
 // TakeShare returns what the body takes of the memory of the pool. The caller must
 // release it once the body is no longer held.
-func (r *Response) TakeShare() buffer.Share {
-	share := r.share
-	r.share = buffer.Share{}
-	return share
-}
+func (r *Response) TakeShare() *buffer.Share { return r.share.Swap(nil) }
 
 // Close ends the exchange. The connection is kept for reuse only if the whole
 // response was read and the whole request was written.
 func (r *Response) Close() {
-	r.share.Release()
+	r.share.Load().Release()
 	running := r.stop()
 	r.conn.endExchange()
 	switch {
--- a/internal/transport/upstream/services.go
+++ b/internal/transport/upstream/services.go
@@ -61,7 +61,7 @@
 	Header http.Header
 	Body   []byte
 
-	share buffer.Share
+	share *buffer.Share
 }
 
 // Release returns the memory of the body, which is no longer held.
@@ -211,8 +211,8 @@
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return nil, protocolError("answer without length")
 	}
-	share := buffer.Share{Budget: &s.memory}
-	body, err := buffer.ReadAll(response.Body, response.ContentLength, MaxResponseBytes, &share)
+	share := &buffer.Share{Budget: &s.memory}
+	body, err := buffer.ReadAll(response.Body, response.ContentLength, MaxResponseBytes, share)
 	if err == nil {
 		return &Response{response.StatusCode, response.Header, body, share}, nil
 	}
