--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -121,11 +121,12 @@
 	// Store is sent beside the other fields, see [Update]. It is the zero value
 	// in news of a build that does not know it.
 	Store StoreNews `cbor:"-"`
-	// Retries, Parts, FaultNews and Reach are sent like Store.
+	// Retries, Parts, FaultNews, Reach and Demand are sent like Store.
 	Retries   RetryNews       `cbor:"-"`
 	Parts     []PartSuspicion `cbor:"-"`
 	FaultNews FaultNews       `cbor:"-"`
 	Reach     ReachNews       `cbor:"-"`
+	Demand    DemandNews      `cbor:"-"`
 }
 
 // Check returns an error if n has another version, lacks its sender, or exceeds a
--- a/internal/protocol/peering/update.go
+++ b/internal/protocol/peering/update.go
@@ -18,17 +18,18 @@
 	Parts   []PartSuspicion `cbor:",omitempty"`
 	Faults  FaultNews
 	Reach   ReachNews
+	Demand  DemandNews
 }
 
 // NewUpdate returns the message that carries n.
 func NewUpdate(n *News) *Update {
-	return &Update{News: n, Store: n.Store, Retries: n.Retries, Parts: n.Parts, Faults: n.FaultNews, Reach: n.Reach}
+	return &Update{News: n, Store: n.Store, Retries: n.Retries, Parts: n.Parts, Faults: n.FaultNews, Reach: n.Reach, Demand: n.Demand}
 }
 
 // Unwrap returns the news with what the message carries beside it. u.News must not be
 // nil.
 func (u *Update) Unwrap() *News {
-	u.News.Store, u.News.Retries, u.News.Parts, u.News.FaultNews, u.News.Reach = u.Store, u.Retries, u.Parts, u.Faults, u.Reach
+	u.News.Store, u.News.Retries, u.News.Parts, u.News.FaultNews, u.News.Reach, u.News.Demand = u.Store, u.Retries, u.Parts, u.Faults, u.Reach, u.Demand
 	return u.News
 }
 
