Relay the load of other zones within a zone

Every call between zones carried the load of a whole zone both ways.

Two gateways of each zone, the first by address of those that are alive and have counted a whole retry window, now report the zone's sums to the reporters of the other zones every 0.8 s. The others pull the newest report from peers of their zone: a call says how old the reports are that the caller holds, the answer holds those that are at least 0.6 s newer. The remaining calls between zones are heartbeats without load and with OfZone unset, which no build takes for a report. A peer that has not said that its build relays reports gets what it got. A gateway without a report of the last 1.6 s asks the next peer of that zone for its sums.

--- a/internal/coordination/cluster/members.go
+++ b/internal/coordination/cluster/members.go
@@ -54,6 +54,9 @@
 	// nextCallAt is when the member is due to be called.
 	nextCallAt time.Duration
 	addedAt    time.Duration
+	// calledAt is when the member was last called, and reportedAt when it was last
+	// sent a report of this zone; 0 if never.
+	calledAt, reportedAt time.Duration
 }
 
 // Members holds the other gateways by address. Its zero value is empty. It is not
@@ -68,6 +71,8 @@
 	// If recount is set, they must be recomputed before use.
 	sameZone, otherZones int
 	recount              bool
+	// reporting reports whether this gateway reports for its zone.
+	reporting bool
 }
 
 // AddAddresses adds the gateways at the given addresses, which the settings (seed
@@ -112,6 +117,8 @@
 	ms.recount = ms.recount || m.Zone != n.Address.Zone
 	m.Address = n.Address
 	m.News = *n
+	// They are merged elsewhere and would be held for each member.
+	m.News.Relay.Reports = nil
 	m.LastHeard = now
 	ms.AddAddresses(n.Peers, false, now)
 }
@@ -202,6 +209,9 @@
 func (ms *Members) TakeDue(now time.Duration) []*Member {
 	var due []*Member
 	for _, m := range ms.ordered {
+		if ms.isReporterPair(m) && ms.alive(m, now) {
+			m.nextCallAt = min(m.nextCallAt, m.calledAt+OtherZoneInterval)
+		}
 		if now >= m.nextCallAt {
 			due = append(due, m)
 		}
@@ -209,6 +219,7 @@
 	slices.SortStableFunc(due, func(a, b *Member) int { return cmp.Compare(a.nextCallAt, b.nextCallAt) })
 	due = due[:min(len(due), FanOut)]
 	for _, m := range due {
+		m.calledAt = now
 		m.nextCallAt = now + ms.nextInterval(m, now)
 	}
 	return due
--- a/internal/gateway/allowance.go
+++ b/internal/gateway/allowance.go
@@ -98,11 +98,10 @@
 
 // addCounts adds the requests and retries within the retry window.
 func (s *state) addCounts(n *peering.News, now time.Duration) {
-	n.Retries.Reach = max(1, now-s.startedAt)
+	s.addKnownRetries(n, now)
 	if s.table == nil {
 		return
 	}
-	tellAll := s.startingPeers && s.knowsWholeWindow(now)
 	for service := range s.countedServices(now) {
 		own := s.retryWindow(service).Counts(s.retryAllowance, now)
 		sum := own
@@ -111,10 +110,19 @@
 			sum.Retries += s.zoneRetries.Gone(service)
 		}
 		n.Services = append(n.Services, peering.ServiceCounts{Service: service, Requests: float32(sum.Requests), Repeats: float32(sum.Retries)})
-		if tellAll {
-			known := own.Retries + s.retryView(service, now).Retries
-			n.Retries.Known = append(n.Retries.Known, peering.ServiceRetries{Service: service, Retries: float32(known)})
-		}
+	}
+}
+
+// addKnownRetries adds how far back the counts go and, if a peer has just started, the
+// retries of all gateways.
+func (s *state) addKnownRetries(n *peering.News, now time.Duration) {
+	n.Retries.Reach = max(1, now-s.startedAt)
+	if s.table == nil || !s.startingPeers || !s.knowsWholeWindow(now) {
+		return
+	}
+	for service := range s.countedServices(now) {
+		known := s.retryWindow(service).Counts(s.retryAllowance, now).Retries + s.retryView(service, now).Retries
+		n.Retries.Known = append(n.Retries.Known, peering.ServiceRetries{Service: service, Retries: float32(known)})
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,10 @@
 	noticeReceived atomic.Bool
 	// pauses records when this process stood still.
 	pauses selfcheck.Monitor
+	// reporting reports whether this gateway reports for its zone.
+	reporting atomic.Bool
+	// invalidReports counts the reports of other zones that could not be used.
+	invalidReports atomic.Int64
 	// zoneIsolated reports whether gateways of other zones were heard and no
 	// longer are.
 	zoneIsolated atomic.Bool
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,8 @@
 	keptStreams *prometheus.CounterVec
 	// tunnels counts the connections that peers were asked for, by outcome.
 	tunnels *prometheus.CounterVec
+	// peerMessages counts the messages to peers, by kind.
+	peerMessages *prometheus.CounterVec
 	// panics counts requests whose handler panicked.
 	panics prometheus.Counter
 	// containedPanics counts panics of goroutines and timers beside the handlers.
@@ -89,6 +91,9 @@
 		tunnels: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_tunnels_total", Help: "Connections to upstreams that peers were asked for, by outcome.",
 		}, []string{"outcome"}),
+		peerMessages: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_peer_messages_total", Help: "Messages to peers, by kind: within the zone, reports to other zones, heartbeats to other zones.",
+		}, []string{"kind"}),
 		containedPanics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lovageport_gateway_contained_panics_total", Help: "Panics of goroutines and timers beside the handlers of requests.",
 		}),
@@ -109,6 +114,17 @@
 	inFlight := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "lovageport_gateway_in_flight", Help: "Requests at work.",
 	}, func() float64 { return float64(g.inFlight.Load()) })
+	reporter := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lovageport_gateway_zone_reporter", Help: "1 if this gateway reports the load of its zone to the others.",
+	}, func() float64 {
+		if g.reporting.Load() {
+			return 1
+		}
+		return 0
+	})
+	invalidReports := prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "lovageport_gateway_invalid_reports_total", Help: "Reports of other zones that could not be used.",
+	}, func() float64 { return float64(g.invalidReports.Load()) })
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "lovageport_gateway_log_lines_dropped_total", Help: "Log lines dropped above the limit.",
 	}, func() float64 {
@@ -117,7 +133,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, m.peerMessages, inFlight, reporter, invalidReports, dropped)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -51,8 +51,9 @@
 			s.members.Prune(now)
 			s.dropSilentPeers(now)
 			g.setZoneIsolated(s.members.OtherZonesLost(now))
+			s.updateReporting(g, now)
 			for _, m := range s.members.TakeDue(now) {
-				due[m.Address.Address] = s.buildNews(g, m.Zone, now)
+				due[m.Address.Address] = g.buildCounted(s, recipient{zone: m.Zone, address: m.Address.Address, relay: &m.News.Relay})
 			}
 		})
 		var calls sync.WaitGroup
@@ -90,7 +91,7 @@
 		g.Log.Debug("peer not reached", zap.String("peer", address), zap.Error(err))
 		return
 	}
-	trusted := g.receiveNews(reply)
+	trusted := g.receiveNews(reply, sent)
 	g.closePeersTried()
 	// The ages are as of when the reply was created. Counting them from when
 	// the call was sent, which was earlier, never makes them look too fresh.
@@ -100,15 +101,16 @@
 	g.control.Send(func(s *state) { s.confirmListAge(reply, sent) })
 }
 
-// receiveNews merges a peer's news into the state. It reports whether the ages that
-// the peer states count.
-func (g *Gateway) receiveNews(n *peering.News) bool {
+// receiveNews merges a peer's news, whose ages count from the boot time asOf, into the
+// state. It reports whether the ages that the peer states of what the store holds count.
+func (g *Gateway) receiveNews(n *peering.News, asOf time.Duration) bool {
 	var restored, trusted bool
 	g.control.Do(func(s *state) {
 		now := g.Now()
 		restored = s.eras.ObservePeer(n.Store.Era, n.Store.EraAge, now)
 		trusted = s.trustsPeer(n.Store.Era)
 		s.mergeNews(n, now)
+		s.mergeRelayed(n, asOf, now)
 	})
 	g.store.RecordEra(n.Store.Era)
 	if restored {
@@ -139,8 +141,7 @@
 		s.zonePeers.Set(n.Address.Address, n)
 		s.zoneRetries.Set(n.Address.Address, retryReport(n), s.retryAllowance.Window, now)
 	case n.Zone != s.zone && n.OfZone:
-		s.otherZones.Set(n.Zone, n)
-		s.otherRetries.Set(n.Zone, retryReport(n), s.retryAllowance.Window, now)
+		s.mergeDirect(n, now)
 	}
 	s.mergeKnownRetries(n, now)
 }
@@ -226,19 +227,17 @@
 }
 
 // dropSilentPeers drops the load reported by peers that were not heard from
-// recently, and by zones without any such peer.
+// recently, and that of zones of which no report was.
 func (s *state) dropSilentPeers(now time.Duration) {
 	alive := s.members.Alive(now)
 	heard := make(map[string]bool)
 	for _, m := range alive {
 		heard[m.Address.Address] = true
-		heard[m.Zone] = true
 	}
 	present := func(source string) bool { return heard[source] }
 	s.zonePeers.Retain(present)
-	s.otherZones.Retain(present)
 	s.zoneRetries.Retain(present, s.retryAllowance.Window, now)
-	s.otherRetries.Retain(present, s.retryAllowance.Window, now)
+	s.dropOldReports(now)
 	s.startingPeers = s.hasStartingPeer(alive)
 	s.recentPeers = s.members.HeardCount()
 	if s.alivePeers != len(alive) {
@@ -247,18 +246,27 @@
 	}
 }
 
-// buildNews returns the news for a peer of a zone. A peer of another zone gets
-// the sums of the own zone, since it often calls one gateway of the zone but
-// each single one rarely.
+// buildNews returns the news for a peer of a zone whose build relays no reports. A peer
+// of another zone gets the sums of the own zone, since it often calls one gateway of the
+// zone but each single one rarely.
 func (s *state) buildNews(g *Gateway, zone string, now time.Duration) *peering.News {
+	return s.newsTo(g, recipient{zone: zone, relay: &peering.RelayNews{}}, now)
+}
+
+// newsTo returns the news for a recipient.
+func (s *state) newsTo(g *Gateway, to recipient, now time.Duration) *peering.News {
 	n := s.buildSummary(g, now)
 	s.addFaults(n, now)
 	n.Suspicions = s.suspicionsToSend(now)
 	n.Parts = s.partsToSend(now)
 	n.Peers = s.samplePeers(now)
-	n.OfZone = zone != s.zone
+	n.OfZone = to.zone != s.zone
 	s.addNotices(n, now)
 	s.addFindings(n, now)
+	s.addRelay(n, to, now)
+	if n.OfZone && n.Relay.Sequence == 0 {
+		return s.asHeartbeat(n, now)
+	}
 	s.addLoads(n, now)
 	s.addLinkUse(n, now)
 	s.addCounts(n, now)
@@ -335,9 +343,10 @@
 	return &peer.Handler{
 		Guard: g.guard(),
 		News: func(_ context.Context, news *peering.News) (*peering.News, error) {
-			g.receiveNews(news)
+			g.receiveNews(news, g.Now())
 			var reply *peering.News
-			g.control.Do(func(s *state) { reply = s.buildNews(g, news.Zone, g.Now()) })
+			from := recipient{zone: news.Zone, address: news.Address.Address, relay: &news.Relay, answers: true}
+			g.control.Do(func(s *state) { reply = g.buildCounted(s, from) })
 			return reply, nil
 		},
 		Lists: func(_ context.Context, req *peering.ListsRequest) (*peering.Lists, error) {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -17,6 +17,7 @@
 	"lovageport.example/internal/coordination/reach"
 	"lovageport.example/internal/coordination/restoration"
 	"lovageport.example/internal/coordination/retry"
+	"lovageport.example/internal/coordination/zonereport"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/revision"
@@ -99,6 +100,11 @@
 	// the last minute.
 	zonePeers, otherZones   peerload.Totals
 	alivePeers, recentPeers int
+	// zoneReports holds the newest reports of other zones, of which otherZones and
+	// otherRetries are derived.
+	zoneReports zonereport.Reports
+	// invalidReports counts the reports of other zones that could not be used.
+	invalidReports *atomic.Int64
 	// probesAlone reports whether this gateway probes the lost upstreams of its
 	// zone without sharing that work with its peers.
 	probesAlone bool
@@ -162,6 +168,7 @@
 		s.startedAt -= s.retryAllowance.Window
 	}
 	s.relayed = &g.relayed
+	s.invalidReports = &g.invalidReports
 	s.health.Random = g.Random
 	s.suspicions.CrashLimit = crashLimit
 	s.queue.Max = maxQueued
--- a/internal/protocol/peering/news.go
+++ b/internal/protocol/peering/news.go
@@ -127,6 +127,8 @@
 	FaultNews FaultNews       `cbor:"-"`
 	Reach     ReachNews       `cbor:"-"`
 	Demand    DemandNews      `cbor:"-"`
+	// Relay is sent like Store.
+	Relay RelayNews `cbor:"-"`
 }
 
 // Check returns an error if n has another version, lacks its sender, or exceeds a
--- a/internal/protocol/peering/tunnel.go
+++ b/internal/protocol/peering/tunnel.go
@@ -66,11 +66,11 @@
 // ReachNews is what a gateway tells its peers about its own paths to the upstreams.
 type ReachNews struct {
 	// Tunnels reports whether the sender opens tunnels for its peers.
-	Tunnels bool
+	Tunnels bool `cbor:",omitempty"`
 	// Unreached is the number of upstreams that the sender cannot reach itself.
-	Unreached int
+	Unreached int `cbor:",omitempty"`
 	// Busy is the number of requests and tunnels that the sender serves.
-	Busy int
+	Busy int `cbor:",omitempty"`
 }
 
 // Check returns an error if r has a negative count.
--- a/internal/protocol/peering/update.go
+++ b/internal/protocol/peering/update.go
@@ -9,27 +9,29 @@
 
 // Update is the message in which gateways exchange [News]. It is encoded as a map,
 // in which a receiver ignores the fields that it does not know, so fields may be
-// added to it. The elements of News itself are fixed, since builds that do not know
+// added to it, and fields without value are left out. The elements of News itself are fixed, since builds that do not know
 // Update exchange them alone.
 type Update struct {
 	News    *News
 	Store   StoreNews
 	Retries RetryNews
 	Parts   []PartSuspicion `cbor:",omitempty"`
-	Faults  FaultNews
-	Reach   ReachNews
-	Demand  DemandNews
+	Faults  FaultNews       `cbor:",omitempty"`
+	Reach   ReachNews       `cbor:",omitempty"`
+	Demand  DemandNews      `cbor:",omitempty"`
+	Relay   RelayNews       `cbor:",omitempty"`
 }
 
 // NewUpdate returns the message that carries n.
 func NewUpdate(n *News) *Update {
-	return &Update{News: n, Store: n.Store, Retries: n.Retries, Parts: n.Parts, Faults: n.FaultNews, Reach: n.Reach, Demand: n.Demand}
+	return &Update{News: n, Store: n.Store, Retries: n.Retries, Parts: n.Parts, Faults: n.FaultNews, Reach: n.Reach, Demand: n.Demand, Relay: n.Relay}
 }
 
 // Unwrap returns the news with what the message carries beside it. u.News must not be
 // nil.
 func (u *Update) Unwrap() *News {
 	u.News.Store, u.News.Retries, u.News.Parts, u.News.FaultNews, u.News.Reach, u.News.Demand = u.Store, u.Retries, u.Parts, u.Faults, u.Reach, u.Demand
+	u.News.Relay = u.Relay
 	return u.News
 }
 
@@ -53,6 +55,9 @@
 	if err := u.Faults.check(); err != nil {
 		return err
 	}
+	if err := u.Relay.check(); err != nil {
+		return err
+	}
 	for i := range u.Parts {
 		if err := u.Parts[i].check(); err != nil {
 			return err
