--- a/internal/protocol/relay/relay.go
+++ b/internal/protocol/relay/relay.go
@@ -28,11 +28,20 @@
 	// SharedParts are the IDs of the parts of the prompt that other requests may
 	// share, in order. The last part is the request's own and not one of them.
 	SharedParts []string
+	// Prefix holds the leading ones of these parts with their lengths, up to the
+	// first one that has no ID or no valid length.
+	Prefix []PromptPart
 	// ResumeAfter is the ID of the last event that the caller has received;
 	// empty if the stream starts at the beginning.
 	ResumeAfter string
 }
 
+// PromptPart is a part of a prompt.
+type PromptPart struct {
+	ID     string
+	Tokens int
+}
+
 // Stage is one stage of a chain: a range of layers and the upstream that runs
 // them.
 type Stage struct {
