Estimate which engines cache a prompt's prefix and weigh it in the cost of chains

The saved time is subtracted from the cost of a stage with the weight that a backlog has, so that a holder with a backlog longer by that time has no advantage; it is bounded below the costs of a stage without capacity and of a link that may be cut.

--- a/internal/coordination/pathfinding/cost.go
+++ b/internal/coordination/pathfinding/cost.go
@@ -134,11 +134,15 @@
 
 // backlogCost returns the cost of waiting until earlier prompts have been read.
 func (f *finder) backlogCost(load *Load) float64 {
-	weight := backlogWeight
+	return f.backlogWeight() * load.Backlog.Seconds() * 1e3
+}
+
+// backlogWeight returns the cost of a millisecond until the prompt has been read.
+func (f *finder) backlogWeight() float64 {
 	if f.q.Urgent {
-		weight = urgentBacklogWeight
+		return urgentBacklogWeight
 	}
-	return weight * load.Backlog.Seconds() * 1e3
+	return backlogWeight
 }
 
 // prefillTime returns how long a holder takes to read the request's prompt for a
--- a/internal/coordination/pathfinding/search.go
+++ b/internal/coordination/pathfinding/search.go
@@ -36,6 +36,9 @@
 	// PreferFirst is the instance that is preferred as first stage; empty for
 	// none.
 	PreferFirst string
+	// Cached returns what an upstream probably caches of the prompt; nil if none
+	// caches anything.
+	Cached func(u *fleet.Upstream) Cached
 }
 
 // Chain is the result of a search.
@@ -51,6 +54,12 @@
 	// read: the longest backlog, since the stages work off theirs at the same
 	// time, and then the time of each stage for the prompt.
 	PrefillDelay time.Duration
+	// CachedTokens are the numbers of prompt tokens that each stage probably need not
+	// read. PrefixSaving is the time that they save, by which PrefillDelay is
+	// shorter, and PrefixGain what it would be if the stages certainly cached what they
+	// probably do. CachedTokens is nil if nothing is cached.
+	CachedTokens             []float64
+	PrefixSaving, PrefixGain time.Duration
 }
 
 // node is the cheapest way found to run the layers up to a bound, with the last
@@ -101,6 +110,8 @@
 	// loads and jitter are indexed by holder.
 	loads  []Load
 	jitter []float64
+	// cached is indexed by holder, too; nil if nothing is cached.
+	cached []Cached
 	// links are indexed by the two zones.
 	links [][]Link
 	// start and stop are the bounds between which the layers are to be run.
@@ -123,6 +134,7 @@
 			f.jitter[i] = f.q.Jitter()
 		}
 	}
+	f.snapshotCached()
 	f.links = make([][]Link, len(f.m.zones))
 	for a, from := range f.m.zones {
 		f.links[a] = make([]Link, len(f.m.zones))
@@ -190,6 +202,9 @@
 			if first {
 				cost += f.firstStageCost(h)
 			}
+			if f.cached != nil {
+				cost -= f.prefixDiscount(h, fleet.Range{From: at, To: m.bounds[j]})
+			}
 			to := &nodes[j][m.zoneOf[h]]
 			if !to.reached || cost < to.cost {
 				*to = node{cost: cost, holder: h, prevBound: i, prevZone: zone, reached: true}
@@ -205,6 +220,7 @@
 	var chain Chain
 	var longest time.Duration
 	seen := make([]bool, len(f.m.Holders))
+	prefix := f.newPrefixUse()
 	i, zone := f.stop, f.endZone
 	for i > f.start {
 		n := nodes[i][zone]
@@ -218,6 +234,7 @@
 		chain.Fill = max(chain.Fill, fill)
 		chain.PrefillDelay += f.prefillTime(n.holder, layers.Len())
 		longest = max(longest, f.backlog(n.holder))
+		prefix.add(n.holder, layers)
 		chain.Full = chain.Full || fill > overcommitLimit || f.links[n.prevZone][zone].Full
 		if n.prevBound == 0 && f.start == 0 {
 			chain.Full = chain.Full || f.slotUse(n.holder) > 1
@@ -225,6 +242,7 @@
 		i, zone = n.prevBound, n.prevZone
 	}
 	chain.PrefillDelay += longest
+	prefix.apply(&chain)
 	slices.Reverse(chain.Stages)
 	return chain, true
 }
--- a/internal/setting/gateway.go
+++ b/internal/setting/gateway.go
@@ -21,6 +21,7 @@
 	Platform GatewayPlatform
 	Peers    GatewayPeers
 	Bounds   Bounds
+	Prefixes Prefixes `toml:",omitempty"`
 	// FirstStart states that the whole system starts for the first time, so that
 	// no process has sent anything before.
 	FirstStart bool `toml:",omitempty"`
@@ -68,6 +69,16 @@
 	RetryWindow declaration.Duration `toml:",omitempty"`
 }
 
+// Prefixes describes what the engines cache of the prompts that they have read.
+type Prefixes struct {
+	// Retention is how long an engine keeps the beginning of a prompt that no request
+	// uses; 0 if it keeps nothing after a request.
+	Retention declaration.Duration `toml:",omitempty"`
+	// Shared states that an engine uses for an account what it keeps of the prompts of
+	// others.
+	Shared bool `toml:",omitempty"`
+}
+
 // Defaults of a gateway's settings that may be left out.
 const (
 	DefaultStoreTimeout = time.Second
@@ -123,6 +134,8 @@
 	c.requireNotNegative("Bounds", "Revocation", g.Bounds.Revocation)
 	c.requireNotNegative("Bounds", "Configuration", g.Bounds.Configuration)
 	c.requireNotNegative("Bounds", "RetryWindow", g.Bounds.RetryWindow)
+	c.requireNotNegative("Prefixes", "Retention", g.Prefixes.Retention)
+	c.require(!g.Prefixes.Shared || g.Prefixes.Retention.Duration != 0, "Prefixes", "Shared", "has no effect without Retention")
 	c.require(g.Bounds.RetryShare >= 0, "Bounds", "RetryShare", "must not be negative")
 	c.require(g.Bounds.RetrySlack >= 0, "Bounds", "RetrySlack", "must not be negative")
 	if g.Log.Level != "" {
