Send prompts to engines that probably cache their prefix, where the settings say so

Clients whose prompts begin alike get their first event sooner on engines that keep prefixes. Shared lets an account use what engines keep of the prompts of others.

What an engine has read is recorded at the first event, which shows that it was read, and compared to what was expected. A restart, other layers or another version of the weights discard it. The line "place given" states the expectation, and lovageport_gateway_prefix_tokens_total counts it with its outcomes.

go test ./internal/gateway passes; no test of the gateway with the feature on yet.

--- a/internal/coordination/prefixcache/cache.go
+++ b/internal/coordination/prefixcache/cache.go
@@ -205,18 +205,20 @@
 }
 
 // SetVersion records the version of an engine's weights. What the engine cached
-// with others is discarded.
-func (c *Cache) SetVersion(id Engine, version uint64) {
+// with others is discarded; the bool reports whether there were others.
+func (c *Cache) SetVersion(id Engine, version uint64) bool {
 	if !c.Enabled() || version == 0 {
-		return
+		return false
 	}
 	e := c.engineFor(id)
-	if e.version != 0 && e.version != version {
+	changed := e.version != 0 && e.version != version
+	if changed {
 		e.lost = true
 		e = &engine{id: id, baseline: e.baseline}
 		c.engines[id.Instance] = e
 	}
 	e.version = version
+	return changed
 }
 
 // Retain discards the records of engines for which live returns false.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -311,6 +311,6 @@
 	q.beginSend(to.upstream.Instance)
 	s.log.Info("place given", zap.String("request", q.ID), zap.Int("attempt", q.countAttempt()), zap.String("upstream", to.upstream.Instance),
 		zap.Stringer("chain", to), zap.Int("stages", len(to.chain)), zap.Int("zone_changes", zoneChanges(s.zone, to)), zap.Float64("fill", math.Round(to.utilization*1000)/1000), zap.Duration("predicted_first", to.predictedFirst),
-		zap.Float64("tokens", q.tokens), zap.Duration("list_age", now-s.listedAt), zap.Int("peers", s.alivePeers))
+		zap.Float64("tokens", q.tokens), zap.Duration("list_age", now-s.listedAt), zap.Int("peers", s.alivePeers), to.prefix.logField())
 	return to, nil
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -43,6 +43,8 @@
 	start, passable int
 	// event holds the checked lines of the event that is not complete yet.
 	event eventFields
+	// version is the version of the weights that was stated last; 0 if none was.
+	version uint64
 	// sinceID is the number of bytes since the last event with an ID.
 	sinceID int
 	// invalid is why the data after the checked lines is not passed on, and readErr
@@ -124,6 +126,9 @@
 		return r.event.add(line)
 	}
 	event, start := r.event, r.start
+	if event.version > 0 {
+		r.version = event.version
+	}
 	r.event, r.start = eventFields{}, r.checked
 	switch {
 	case event.hasID:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,9 @@
 	panics prometheus.Counter
 	// containedPanics counts panics of goroutines and timers beside the handlers.
 	containedPanics prometheus.Counter
+	// prefixTokens counts prompt tokens that engines were expected to cache, by what
+	// the first event has shown.
+	prefixTokens *prometheus.CounterVec
 	// pauses is how long this process stood still at a time.
 	pauses       prometheus.Histogram
 	tableVersion prometheus.Gauge
@@ -95,6 +98,9 @@
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lovageport_gateway_handler_panics_total", Help: "Requests whose handler panicked.",
 		}),
+		prefixTokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_prefix_tokens_total", Help: "Prompt tokens that engines were expected to cache (predicted), and those of them that the first event confirmed or missed.",
+		}, []string{"outcome"}),
 		pauses: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lovageport_gateway_pause_seconds", Help: "Times that this process stood still.",
 			Buckets: prometheus.ExponentialBuckets(0.05, 2, 8),
@@ -117,7 +123,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.prefixTokens, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -104,7 +104,7 @@
 	if other, ok := pool.layers.Find(full); ok && !other.Full && other.PrefillDelay+restartTime < found.PrefillDelay {
 		return to, nil
 	}
-	s.reserveStages(q, found.Stages, gap.PrevZone, now)
+	s.reserveStages(q, found.Stages, nil, gap.PrevZone, now)
 	chain := slices.Concat(to.chain[:i], found.Stages, to.chain[i+1:])
 	return s.chainTarget(chain, max(to.utilization, found.Fill)), found.Stages
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -188,6 +188,9 @@
 	utilization float64
 	// predictedFirst is the expected time until the first event; 0 if unknown.
 	predictedFirst time.Duration
+	// prefix is what the stages probably cache of the prompt; nil if that is not
+	// considered.
+	prefix *expectedPrefix
 	// retry reports whether the attempt was counted against the retry allowance.
 	retry bool
 	// activity is that of each stage, shared by all streams.
--- a/internal/gateway/selection.go
+++ b/internal/gateway/selection.go
@@ -55,6 +55,7 @@
 	}
 	out := s.chainTarget(found.Stages, found.Fill)
 	out.predictedFirst = found.PrefillDelay
+	out.prefix = s.expectPrefix(p, q, &found, now)
 	return out, nil
 }
 
@@ -89,6 +90,7 @@
 	h := q.history()
 	query.PreferFirst = h.firstStage
 	query.Urgent = h.lastEvent > 0
+	s.addCached(query, p, q, now)
 	if s.atUpstreamLimit(q) {
 		mayCall, runs := query.MayBeFirst, q.possibleRuns()
 		query.MayBeFirst = func(u *fleet.Upstream) bool { return slices.Contains(runs, u.Instance) && mayCall(u) }
@@ -188,14 +190,16 @@
 		return
 	}
 	s.loadOf(to.upstream.Instance).entering++
-	s.reserveStages(q, to.chain, to.upstream.Zone, now)
+	s.reserveStages(q, to.chain, to.prefix, to.upstream.Zone, now)
 }
 
 // reserveStages adds stages of a generation to the load of their upstreams;
-// before is the zone that their activations come from.
-func (s *state) reserveStages(q *request, stages []relay.Stage, before string, now time.Duration) {
+// before is the zone that their activations come from, and prefix what they probably
+// cache of the prompt.
+func (s *state) reserveStages(q *request, stages []relay.Stage, prefix *expectedPrefix, before string, now time.Duration) {
 	pool := s.poolOf(q)
-	for _, stage := range stages {
+	for i, stage := range stages {
+		unread := q.PromptTokens - prefix.saves(i)
 		if before != stage.Upstream.Zone {
 			s.recordTransfer(q, pool, before, stage.Upstream.Zone, now)
 		}
@@ -203,10 +207,10 @@
 		l := s.loadOf(stage.Upstream.Instance)
 		l.requests++
 		l.tokenLayers += q.tokens * float64(stage.Layers.Len())
-		l.prefillRate.Add(float64(q.PromptTokens*stage.Layers.Len()), now)
+		l.prefillRate.Add(float64(unread*stage.Layers.Len()), now)
 		if pool != nil && pool.layers != nil {
 			// The other gateways of the zone are expected to send as much.
-			reading := pool.layers.PrefillTime(stage.Upstream, q.PromptTokens, stage.Layers.Len())
+			reading := pool.layers.PrefillTime(stage.Upstream, unread, stage.Layers.Len())
 			l.prefillBacklog.Add(reading*time.Duration(s.zonePeers.Len()+1), now)
 		}
 	}
--- a/internal/gateway/sequence.go
+++ b/internal/gateway/sequence.go
@@ -122,6 +122,8 @@
 	lines          int
 	hasID, hasData bool
 	id             uint64
+	// version is the version of the weights that the event states; 0 for none.
+	version uint64
 }
 
 // add takes the next line, which is not empty, without its line end.
@@ -148,7 +150,7 @@
 		f.id, f.hasID = parseDecimal(value)
 		valid = first && f.hasID
 	case platform.VersionField:
-		_, valid = parseDecimal(value)
+		f.version, valid = parseDecimal(value)
 		valid = valid && f.lines == 1
 	default:
 		valid = false
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -13,6 +13,7 @@
 	"lovageport.example/internal/coordination/pathfinding"
 	"lovageport.example/internal/coordination/peerload"
 	"lovageport.example/internal/coordination/placement"
+	"lovageport.example/internal/coordination/prefixcache"
 	"lovageport.example/internal/coordination/quarantine"
 	"lovageport.example/internal/coordination/reach"
 	"lovageport.example/internal/coordination/restoration"
@@ -70,6 +71,8 @@
 	suspicions quarantine.Tracker
 	// parts are the parts of prompts that may crash engines.
 	parts quarantine.Parts
+	// prefixes estimates which engines cache the beginning of a prompt.
+	prefixes prefixcache.Cache
 	// cachedSuspicions are the suspicions for peers, as computed at
 	// suspicionsCachedAt.
 	cachedSuspicions   []peering.Suspicion
@@ -164,6 +167,7 @@
 	s.relayed = &g.relayed
 	s.health.Random = g.Random
 	s.suspicions.CrashLimit = crashLimit
+	s.prefixes.Retention, s.prefixes.Shared = g.Settings.Prefixes.Retention.Duration, g.Settings.Prefixes.Shared
 	s.queue.Max = maxQueued
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.entryHashes = make(map[string]uint64)
--- a/internal/gateway/streamattempt.go
+++ b/internal/gateway/streamattempt.go
@@ -47,6 +47,10 @@
 	sentAt   time.Duration
 	reads    int
 	answered bool
+	// prefixRecorded is set once the first event is recorded as feedback on what the
+	// engines cached, and version is the version of the weights recorded last.
+	prefixRecorded bool
+	version        uint64
 }
 
 // newStreamAttempt returns an attempt for which nothing was sent yet.
@@ -110,6 +114,7 @@
 			return errSuperseded
 		}
 		a.recordRead(false)
+		a.recordPrefix()
 		return nil
 	case a.firstErr != io.EOF:
 		return a.detector.attribute(a.recordBrokenStream(a.resumeAfter, a.firstErr))
@@ -137,6 +142,7 @@
 		return nil, errSuperseded
 	}
 	a.recordRead(false)
+	a.recordPrefix()
 	return events, nil
 }
 
