--- a/internal/coordination/prefixcache/cache.go
+++ b/internal/coordination/prefixcache/cache.go
@@ -221,10 +221,12 @@
 	return changed
 }
 
-// Retain discards the records of engines for which live returns false.
-func (c *Cache) Retain(live func(instance string) bool) {
+// Retain discards the records of engines that current does not return, and of those
+// that have been restarted or hold other layers. Called at each change, it also
+// discards what an engine cached that soon holds the same layers again.
+func (c *Cache) Retain(current func(instance string) (Engine, bool)) {
 	for instance, e := range c.engines {
-		if !live(instance) {
+		if id, ok := current(instance); !ok || id != e.id {
 			e.lost = true
 			delete(c.engines, instance)
 		}
--- a/internal/coordination/prefixcache/cache_test.go
+++ b/internal/coordination/prefixcache/cache_test.go
@@ -117,7 +117,11 @@
 		{"restarted", func(_ *Cache, s site) { s["e"] = Engine{"e", 2, layers} }, 0},
 		{"moved to other layers", func(_ *Cache, s site) { s["e"] = Engine{"e", 1, fleet.Range{From: 0, To: 12}} }, 0},
 		{"gone", func(_ *Cache, s site) { delete(s, "e") }, 0},
-		{"gone and back", func(c *Cache, s site) { c.Retain(func(string) bool { return false }) }, 0},
+		{"gone and back", func(c *Cache, s site) { c.Retain(func(string) (Engine, bool) { return Engine{}, false }) }, 0},
+		{"other layers for a while", func(c *Cache, s site) {
+			c.Retain(func(string) (Engine, bool) { return Engine{"e", 1, fleet.Range{From: 0, To: 5}}, true })
+		}, 0},
+		{"still there", func(c *Cache, s site) { c.Retain(func(string) (Engine, bool) { return s["e"], true }) }, 900},
 		{"new weights", func(c *Cache, s site) { c.SetVersion(s["e"], 7); c.SetVersion(s["e"], 8) }, 0},
 		{"weights known now", func(c *Cache, s site) { c.SetVersion(s["e"], 7); c.SetVersion(s["e"], 7) }, 900},
 		{"restarted and read since", func(c *Cache, s site) {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -154,7 +154,7 @@
 	s.logCoverage(now)
 	live := func(instance string) bool { return s.upstreams[instance] != nil }
 	s.health.Retain(live)
-	s.prefixes.Retain(live)
+	s.retainPrefixes()
 	s.retainPaths()
 	maps.DeleteFunc(s.loads, func(instance string, l *upstreamLoad) bool { return l.requests == 0 && !live(instance) })
 }
--- a/internal/gateway/prefixes.go
+++ b/internal/gateway/prefixes.go
@@ -75,6 +75,18 @@
 	}
 }
 
+// retainPrefixes discards what engines cached that are gone, have been restarted or
+// hold other layers.
+func (s *state) retainPrefixes() {
+	s.prefixes.Retain(func(instance string) (prefixcache.Engine, bool) {
+		u := s.upstreams[instance]
+		if u == nil {
+			return prefixcache.Engine{}, false
+		}
+		return prefixcache.EngineOf(u), true
+	})
+}
+
 // expectPrefix returns what the stages of a chain probably cache; nil if the feature
 // is off or the length of the prompt is not known.
 func (s *state) expectPrefix(p *servicePool, q *request, c *pathfinding.Chain, now time.Duration) *expectedPrefix {
