Make two tests of cached prefixes fail without what they test

Tried by breaking the code: prompts went to engines in turn, which hit the prefixes without the feature, too; and no case reached the bound of the discount.

--- a/internal/coordination/pathfinding/cached_test.go
+++ b/internal/coordination/pathfinding/cached_test.go
@@ -29,10 +29,11 @@
 	return &fleet.Upstream{Instance: name, Address: name, Zone: zone, Accelerator: "h", Slots: 10, Held: fleet.Range{From: 0, To: 80}}
 }
 
-// wholeEngine returns an engine whose accelerator h has memory for all layers.
-func wholeEngine() *fleet.Engine {
+// wholeEngine returns an engine whose accelerator h has memory for all layers and reads
+// more slowly by a factor.
+func wholeEngine(readFactor float64) *fleet.Engine {
 	e := prefillEngine()
-	e.Accelerators["h"] = fleet.Accelerator{MemoryMB: 200_000, Pace: 1, ReadFactor: 1}
+	e.Accelerators["h"] = fleet.Accelerator{MemoryMB: 200_000, Pace: 1, ReadFactor: readFactor}
 	return e
 }
 
@@ -88,7 +89,9 @@
 		loads  map[string]Load
 		adjust func(*Query)
 		zone   string
-		want   string
+		// readFactor is that of the engine; 0 for 1. With 10 the prefix saves 20 s.
+		readFactor float64
+		want       string
 	}{
 		{name: "nothing cached", loads: map[string]Load{"h1": {Requests: 1}}, want: "h2"},
 		{name: "holder is used", cached: cached, loads: map[string]Load{"h1": {Requests: 1}}, want: "h1"},
@@ -97,11 +100,11 @@
 		{name: "shorter backlog than the saving", cached: cached, loads: map[string]Load{"h1": {Backlog: 1900 * time.Millisecond}}, want: "h1"},
 		{name: "longer backlog than the saving", cached: cached, loads: map[string]Load{"h1": {Backlog: 2100 * time.Millisecond}}, want: "h2"},
 		{name: "no memory left", cached: cached, loads: map[string]Load{"h1": {TokenLayers: 1e9}}, want: "h2"},
-		{name: "no memory left, urgent", cached: cached, loads: map[string]Load{"h1": {TokenLayers: 1e9}}, adjust: func(q *Query) { q.Urgent = true }, want: "h2"},
+		{name: "no memory left, urgent", cached: cached, loads: map[string]Load{"h1": {TokenLayers: 1e9}}, readFactor: 10, adjust: func(q *Query) { q.Urgent = true }, want: "h2"},
 		{name: "no slot left", cached: cached, loads: map[string]Load{"h1": {Begun: 10}}, want: "h2"},
-		{name: "no slot left, urgent", cached: cached, loads: map[string]Load{"h1": {Begun: 10}}, adjust: func(q *Query) { q.Urgent = true }, want: "h2"},
+		{name: "no slot left, urgent", cached: cached, loads: map[string]Load{"h1": {Begun: 10}}, readFactor: 10, adjust: func(q *Query) { q.Urgent = true }, want: "h2"},
 		{name: "excluded", cached: cached, loads: map[string]Load{"h1": {Excluded: true}}, want: "h2"},
-		{name: "over a link that may be cut", cached: cached, zone: "b", adjust: func(q *Query) {
+		{name: "over a link that may be cut", cached: cached, zone: "b", readFactor: 10, adjust: func(q *Query) {
 			q.Urgent = true
 			q.Suspected = func(a, b string) bool { return true }
 		}, want: "h2"},
@@ -123,7 +126,7 @@
 			if x.adjust != nil {
 				x.adjust(q)
 			}
-			chain, ok := NewLayerMap(wholeEngine(), []*fleet.Upstream{whole(zone, "h1"), whole("a", "h2")}).Find(q)
+			chain, ok := NewLayerMap(wholeEngine(max(1, x.readFactor)), []*fleet.Upstream{whole(zone, "h1"), whole("a", "h2")}).Find(q)
 			qt.Assert(t, ok, qt.IsTrue)
 			qt.Check(t, chain.Stages[0].Upstream.Instance, qt.Equals, x.want)
 		})
