Add lovageport choose, which asks a gateway where a request would go and why

Operators see the candidates with the terms of their cost, what is excluded and for which reason, what is expected of cached prefixes, and the age of the inputs, as text or JSON, without a request being sent or anything reserved. The metrics listener answers at /choice; all its other paths serve the metrics as before.

The name is choose because explain reads logs.

--- a/cmd/lovageport/main.go
+++ b/cmd/lovageport/main.go
@@ -25,6 +25,7 @@
 	Diff     diffCommand     `cmd:"" help:"Show what apply would change."`
 	Get      getCommand      `cmd:"" help:"Print the accepted configuration."`
 	Explain  explainCommand  `cmd:"" help:"Reconstruct from logs what happened to a request."`
+	Choose   chooseCommand   `cmd:"" help:"Ask a running gateway where a request would go now, and why, without sending it."`
 	Causes   causesCommand   `cmd:"" help:"Count the causes of late and failed requests in logs."`
 	Status   statusCommand   `cmd:"" help:"Show the state of an entry, its peers and the upstreams."`
 	Withdraw withdrawCommand `cmd:"" help:"Take upstreams out of service."`
--- a/internal/coordination/pathfinding/cost.go
+++ b/internal/coordination/pathfinding/cost.go
@@ -120,10 +120,7 @@
 // by a fill level of the memory near 1, and by the backlog.
 func (f *finder) stageCost(h, layers int) float64 {
 	load := &f.loads[h]
-	holder := &f.m.Holders[h]
-	slowdown := max(1, load.Slowdown)
-	step := float64(layers) * (holder.layerMS + holder.requestMS*load.Requests) * slowdown
-	step /= 1 - min(holder.prefillMS*load.Reading/1e3*slowdown, maxUtilization)
+	step := f.stepTime(h, layers)
 	fill := f.fill(h, layers)
 	cost := step*(1+memoryWeight*fill*fill*fill*fill)*f.jitter[h] + stageOverhead + f.backlogCost(load)
 	if fill > overcommitLimit {
@@ -132,6 +129,16 @@
 	return cost
 }
 
+// stepTime returns the milliseconds that a token takes on a holder, lengthened by the
+// prompts that the engine reads in between.
+func (f *finder) stepTime(h, layers int) float64 {
+	load := &f.loads[h]
+	holder := &f.m.Holders[h]
+	slowdown := max(1, load.Slowdown)
+	step := float64(layers) * (holder.layerMS + holder.requestMS*load.Requests) * slowdown
+	return step / (1 - min(holder.prefillMS*load.Reading/1e3*slowdown, maxUtilization))
+}
+
 // backlogCost returns the cost of waiting until earlier prompts have been read.
 func (f *finder) backlogCost(load *Load) float64 {
 	return f.backlogWeight() * load.Backlog.Seconds() * 1e3
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -223,7 +223,7 @@
 		server  *http.Server
 	}{
 		{g.Settings.Listen.Health, &http.Server{Handler: g.healthHandler(), ReadHeaderTimeout: headerTimeout}},
-		{g.Settings.Listen.Metrics, &http.Server{Handler: g.metrics.handler(), ReadHeaderTimeout: headerTimeout}},
+		{g.Settings.Listen.Metrics, &http.Server{Handler: g.metricsHandler(), ReadHeaderTimeout: headerTimeout}},
 	}
 	for _, s := range servers {
 		if s.address == "" {
