--- a/internal/gateway/traffic_test.go
+++ b/internal/gateway/traffic_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 	"time"
 
@@ -551,3 +552,40 @@
 		}
 	}
 }
+
+// BenchmarkExchangeProcessor measures the processor time of the exchange of news with its
+// encoding, a second and gateway, of an earlier build and of this one. It is the time of
+// all goroutines, so that other processes don't count.
+func BenchmarkExchangeProcessor(b *testing.B) {
+	for _, gateways := range []int{30, 110} {
+		for _, earlier := range []bool{true, false} {
+			b.Run(fmt.Sprintf("gateways=%d/earlier=%v", gateways, earlier), func(b *testing.B) {
+				f := newNewsFleet(b, gateways)
+				for _, w := range f.gateways {
+					w.earlier = earlier
+				}
+				f.run(3*time.Second, nil)
+				f.count = func(_, _ *newsGateway, n *peering.News) {
+					encoded, err := cbor.Marshal(peering.NewUpdate(n))
+					qt.Assert(b, err, qt.IsNil)
+					var out peering.Update
+					qt.Assert(b, cbor.Unmarshal(encoded, &out), qt.IsNil)
+				}
+				length := cluster.OtherZoneInterval * time.Duration(max(1, gateways*2/3/6))
+				began := processorTime(b)
+				for b.Loop() {
+					f.run(length, nil)
+				}
+				used := processorTime(b) - began
+				b.ReportMetric(used.Seconds()/float64(b.N)/length.Seconds()/float64(gateways), "cores/gateway")
+			})
+		}
+	}
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime(t testing.TB) time.Duration {
+	var used syscall.Rusage
+	qt.Assert(t, syscall.Getrusage(syscall.RUSAGE_SELF, &used), qt.IsNil)
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
