Watch the store less often while peers confirm what is known

Among 110 gateways, the 107 that do not read for their zone made 1,352 watches of the store a minute without changes, and up to 6,420 with a change a second. Nearly all return what a peer has sent before: the list and the configuration are fetched from peers within about half a second.

They pause 6.5 s longer between two watches while what they know was confirmed within the time after which they would read the store themselves. The pause ends when that is over, and when a peer could not send its lists, which a watch then brings as before. By count of the intervals this leaves 802 and 1,511 a minute. Zone readers, fleets of fewer than 25 gateways and all bounds are unchanged.

--- a/internal/coordination/cluster/members_test.go
+++ b/internal/coordination/cluster/members_test.go
@@ -126,6 +126,46 @@
 	}
 }
 
+// TestConfirmedGatewaysWatchRarely guards against calls to the store that return what
+// peers have told before, and against a reader, or a gateway among few, that watches less
+// closely because of it. At 110 gateways it counts the watches of two objects in a minute.
+func TestConfirmedGatewaysWatchRarely(t *testing.T) {
+	for _, x := range []struct {
+		peers int
+		self  string
+		pause time.Duration
+	}{
+		{peers: 0, self: "h0"},
+		{peers: 12, self: "h99"},
+		{peers: manyGateways - 1, self: "h99"},
+		{peers: manyGateways, self: "h99", pause: confirmedWatchPause},
+		{peers: 109, self: "h0"},
+		{peers: 109, self: "h99", pause: confirmedWatchPause},
+	} {
+		t.Run(fmt.Sprint(x.peers, x.self), func(t *testing.T) {
+			ms := &Members{Self: address("a", x.self)}
+			for i := range x.peers {
+				ms.Update(news([]string{"a", "b", "c"}[i%3], fmt.Sprintf("h5%d", i), time.Second), time.Minute)
+			}
+			qt.Check(t, ms.ConfirmedWatchPause(time.Minute, true), qt.Equals, x.pause)
+			if x.peers < 109 || x.self == "h0" {
+				return
+			}
+			const others, objects = 107, 2
+			perMinute := func(pause, wait time.Duration) float64 {
+				return others * objects * time.Minute.Seconds() / (pause + wait).Seconds()
+			}
+			wait, usual := ms.WatchWait(time.Minute, true), ms.WatchPause(time.Minute, true)
+			// No changes, and a change every second.
+			for _, wait := range []time.Duration{wait, time.Second / 2} {
+				before, after := perMinute(usual, wait), perMinute(usual+x.pause, wait)
+				t.Logf("%.0f watches a minute, %.0f without the longer pause, if they wait %v", after, before, wait)
+				qt.Check(t, after < 0.6*before, qt.IsTrue)
+			}
+		})
+	}
+}
+
 // TestStoreRetriesDoNotGrowWithGateways guards against overloading a store that
 // is down: the first gateway of a zone calls it once a second, the others less
 // often the more gateways there are.
--- a/internal/coordination/cluster/storecalls.go
+++ b/internal/coordination/cluster/storecalls.go
@@ -28,6 +28,11 @@
 	// of upstreams younger than MaxListAge and puts configurations in force well
 	// within the 2 to 3 s that users allow.
 	maxWatchPause = 1500 * time.Millisecond
+	// confirmedWatchPause is by how much the other gateways pause longer while peers
+	// confirm what they know, if there are at least manyGateways others. Changes then
+	// come from peers too, within about half a second, so that a watch mostly returns
+	// what is known.
+	confirmedWatchPause = 6500 * time.Millisecond
 )
 
 // Maximum durations of a watch of the store.
@@ -70,6 +75,15 @@
 	return min(pause, maxWatchPause)
 }
 
+// ConfirmedWatchPause returns by how much the pause between two watches is longer than
+// WatchPause while peers, or an own read, confirm what this gateway knows.
+func (ms *Members) ConfirmedWatchPause(now time.Duration, follows bool) time.Duration {
+	if len(ms.ordered) < manyGateways || ms.IsZoneReader(now, follows) {
+		return 0
+	}
+	return confirmedWatchPause
+}
+
 // Pauses after failed calls to the store.
 const (
 	// minRetryPause and maxRetryPause bound the pause of the zone reader.
--- a/internal/gateway/listsync.go
+++ b/internal/gateway/listsync.go
@@ -170,6 +170,9 @@
 	if err != nil {
 		g.Log.Info("fetching lists from peer failed", zap.String("peer", address), zap.Error(err))
 		g.control.Do(func(s *state) { s.leaveListSource(address, g.Now()) })
+		// Peers may be too busy to send a large configuration for a while.
+		notify(g.tableWatcher.resume)
+		notify(g.upstreamWatcher.resume)
 		return
 	}
 	if lists.Table != nil && g.routing.Adopt(lists.Table) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -29,12 +29,16 @@
 	// reachable ends a sleep and a read that hangs, since the store has answered
 	// another call.
 	reachable chan struct{}
+	// resume ends the longer part of a pause, after which the watch continues.
+	resume chan struct{}
 	// read reads the complete object and returns the revision to watch from,
 	// also if it fails with platform.ErrNotFound.
 	read func(ctx context.Context) (revision.Revision, error)
 	// interval returns the pause between two watches, which lets changes that
 	// come together arrive in one response.
 	interval func() time.Duration
+	// longer returns by how much the pause is longer while the knowledge is confirmed.
+	longer func() time.Duration
 	// watch waits for changes, applies them, and returns the revision to
 	// continue from.
 	watch func(ctx context.Context, w platform.WatchOptions) (revision.Revision, error)
@@ -64,7 +68,7 @@
 		}
 		at = next
 		failures = 0
-		if w.sleep(ctx, w.interval()) {
+		if w.sleep(ctx, w.interval()) || w.pauseLonger(ctx, w.longer()) {
 			at = revision.Revision{}
 		}
 	}
@@ -153,6 +157,29 @@
 	}
 }
 
+// pauseLonger is like sleep, but ends without waking the watcher once resume is received,
+// which may have been before.
+func (w *watcher) pauseLonger(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		select {
+		case <-ctx.Done():
+		case <-w.resume:
+			cancel()
+		}
+	}()
+	woken := w.sleep(ctx, d)
+	cancel()
+	<-ended
+	return woken
+}
+
 // wakeUp makes the watcher read the object at once.
 func (w *watcher) wakeUp() { notify(w.wake) }
 
@@ -179,12 +206,12 @@
 
 // newTableWatcher returns the watcher of the configuration.
 func (g *Gateway) newTableWatcher() *watcher {
-	return &watcher{g: g, name: tableName, wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable, interval: g.watchInterval}
+	return &watcher{g: g, name: tableName, wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), resume: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable, interval: g.watchInterval, longer: g.longerTablePause}
 }
 
 // newUpstreamWatcher returns the watcher of the list of upstreams.
 func (g *Gateway) newUpstreamWatcher() *watcher {
-	return &watcher{g: g, name: listName, wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), read: g.readUpstreams, watch: g.watchUpstreams, interval: g.watchInterval}
+	return &watcher{g: g, name: listName, wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), resume: make(chan struct{}, 1), read: g.readUpstreams, watch: g.watchUpstreams, interval: g.watchInterval, longer: g.longerListPause}
 }
 
 // watchInterval returns the pause between two watches.
@@ -194,6 +221,31 @@
 	return d
 }
 
+// longerTablePause returns by how much the pause between two watches of the configuration
+// is longer.
+func (g *Gateway) longerTablePause() time.Duration {
+	age, known := g.routing.Age(g.Now())
+	return g.longerPause(func(*state) bool { return known && age < min(staleAge, g.currentAge()) })
+}
+
+// longerListPause returns by how much the pause between two watches of the list of
+// upstreams is longer.
+func (g *Gateway) longerListPause() time.Duration {
+	return g.longerPause(func(s *state) bool { return s.listedAt > 0 && g.Now()-s.listedAt < staleAge })
+}
+
+// longerPause returns by how much the pause between two watches is longer if what is known
+// was confirmed lately. wakeStaleWatchers ends the pause when it no longer is.
+func (g *Gateway) longerPause(confirmed func(s *state) bool) time.Duration {
+	var d time.Duration
+	g.control.Do(func(s *state) {
+		if confirmed(s) {
+			d = s.members.ConfirmedWatchPause(g.Now(), s.followsStore())
+		}
+	})
+	return d
+}
+
 // retryDelay returns the delay after a number of consecutive failures.
 func (g *Gateway) retryDelay(failures int) time.Duration {
 	var d time.Duration
--- a/internal/gateway/watch_test.go
+++ b/internal/gateway/watch_test.go
@@ -13,6 +13,7 @@
 
 	"lovageport.example/internal/logging"
 	"lovageport.example/internal/loop"
+	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/revision"
 	"lovageport.example/platform"
 )
@@ -47,6 +48,44 @@
 	qt.Check(t, w.sleep(t.Context(), time.Hour), qt.IsTrue)
 }
 
+// TestFailedFetchEndsLongerPause guards against a gateway that waits for the end of a long
+// pause although its peers are too busy to send it a newer configuration, against a complete
+// read where a watch suffices, and against watches without the usual pause.
+func TestFailedFetchEndsLongerPause(t *testing.T) {
+	w := &watcher{wake: make(chan struct{}, 1), resume: make(chan struct{}, 1)}
+	notify(w.resume)
+	const usual = 20 * time.Millisecond
+	began := time.Now()
+	qt.Check(t, w.sleep(t.Context(), usual), qt.IsFalse)
+	qt.Check(t, time.Since(began) >= usual, qt.IsTrue)
+	qt.Check(t, w.pauseLonger(t.Context(), time.Hour), qt.IsFalse)
+	w.wakeUp()
+	qt.Check(t, w.pauseLonger(t.Context(), time.Hour), qt.IsTrue, qt.Commentf("no longer confirmed"))
+	qt.Check(t, w.pauseLonger(t.Context(), usual), qt.IsFalse)
+	qt.Check(t, w.pauseLonger(t.Context(), 0), qt.IsFalse)
+}
+
+// TestUnconfirmedGatewayPausesNoLonger guards against a long pause of a gateway that no
+// peer confirms what it knows.
+func TestUnconfirmedGatewayPausesNoLonger(t *testing.T) {
+	g := newConfiguredGateway(t)
+	g.control.Do(func(s *state) {
+		s.listedAt = g.Now()
+		for i := range 60 {
+			host := fmt.Sprintf("0%02d", i)
+			s.members.Update(&peering.News{Version: peering.Version, Address: peering.Address{Gateway: host, Zone: s.zone, Address: host}, Follows: true}, g.Now())
+		}
+	})
+	qt.Check(t, g.longerTablePause() > 0, qt.IsTrue)
+	qt.Check(t, g.longerListPause() > 0, qt.IsTrue)
+	// The bound on configurations is 2 s.
+	g.passed.Add(int64(2 * time.Second))
+	qt.Check(t, g.longerTablePause(), qt.Equals, time.Duration(0))
+	qt.Check(t, g.longerListPause() > 0, qt.IsTrue)
+	g.passed.Add(int64(staleAge - 2*time.Second))
+	qt.Check(t, g.longerListPause(), qt.Equals, time.Duration(0))
+}
+
 // TestHangingReadEndsWhenStoreIsReachable guards against one watcher waiting for the
 // timeout of a call that was sent before the store answered the other watcher.
 func TestHangingReadEndsWhenStoreIsReachable(t *testing.T) {
