--- a/internal/coordination/cluster/reporter.go
+++ b/internal/coordination/cluster/reporter.go
@@ -55,12 +55,17 @@
 	return ms.reporting
 }
 
+// RelaysReports reports whether there are so many gateways that only reporters send load
+// between zones. Among fewer, the calls between zones are few, and a relayed report would
+// be 0.2 s older on average than one in each call.
+func (ms *Members) RelaysReports() bool { return len(ms.ordered) >= manyGateways }
+
 // Reporting reports whether this gateway reports for its zone.
 func (ms *Members) Reporting() bool { return ms.reporting }
 
 // isReporterPair reports whether this gateway and a member report to each other.
 func (ms *Members) isReporterPair(m *Member) bool {
-	return ms.reporting && m.Zone != ms.Self.Zone && m.News.Relay.Reporter
+	return ms.reporting && ms.RelaysReports() && m.Zone != ms.Self.Zone && m.News.Relay.Reporter
 }
 
 // TakeReport reports whether the gateway at an address is due to be sent a report, and
--- a/internal/coordination/cluster/storecalls.go
+++ b/internal/coordination/cluster/storecalls.go
@@ -47,7 +47,7 @@
 	// reader confirms the state.
 	otherWatchWait = 8 * time.Second
 	// manyGateways is the number of other gateways from which on
-	// largeReaderWatchWait applies.
+	// largeReaderWatchWait and confirmedWatchPause apply and reports are relayed.
 	manyGateways = 4 * fullRatePeers
 )
 
--- a/internal/gateway/zonereports.go
+++ b/internal/gateway/zonereports.go
@@ -42,13 +42,15 @@
 // sums of the own zone.
 func (s *state) addRelay(n *peering.News, to recipient, now time.Duration) {
 	n.Relay = peering.RelayNews{Supported: true, Reporter: s.members.Reporting()}
+	relays := s.members.RelaysReports()
 	switch {
+	case !n.OfZone && !relays:
 	case !n.OfZone && to.answers && to.relay.Supported:
 		n.Relay.Reports = s.zoneReports.For(to.relay.Held, now)
 	case !n.OfZone && !to.answers:
 		n.Relay.Held = s.zoneReports.Held(now)
 	case n.OfZone:
-		n.Relay.Wanted = !to.answers && s.zoneReports.IsLate(to.zone, now)
+		n.Relay.Wanted = relays && !to.answers && s.zoneReports.IsLate(to.zone, now)
 		if s.sendsReport(to, now) {
 			// Process restarts do not set the boot time back.
 			n.Relay.Sequence = now.Milliseconds() + 1
@@ -59,7 +61,7 @@
 // sendsReport reports whether a peer of another zone is to get the sums of the own zone.
 func (s *state) sendsReport(to recipient, now time.Duration) bool {
 	switch {
-	case !to.relay.Supported:
+	case !to.relay.Supported, !s.members.RelaysReports():
 		return true
 	case to.answers && to.relay.Wanted:
 		return true
