Don't choose a chain for a prefix that saves nothing

Where the feature is on, a first stage that caches the prefix no longer attracts requests whose later stages have to read all of the prompt: it needs to compute the activations for them. The search takes stages by themselves, so it is repeated without the discounts if the chain found saves nothing.

TestPrefixOfFirstStageAlone fails without this change and passes with it.

--- a/internal/coordination/pathfinding/cached.go
+++ b/internal/coordination/pathfinding/cached.go
@@ -51,7 +51,8 @@
 // backlog, so that a holder whose backlog is longer by that time has no advantage.
 //
 // Stages are taken by themselves, as the search requires: a stage must still read
-// what a later one does not cache, for which [Chain.PrefillDelay] accounts.
+// what a later one does not cache, for which [Chain.PrefillDelay] accounts. A chain
+// that saves nothing for that reason is not taken for its discount.
 func (f *finder) prefixDiscount(h int, layers fleet.Range) float64 {
 	tokens := f.cachedTokens(h, layers)
 	if tokens == 0 {
--- a/internal/coordination/pathfinding/cached_test.go
+++ b/internal/coordination/pathfinding/cached_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -165,3 +166,38 @@
 		})
 	}
 }
+
+// TestPrefixOfFirstStageAlone guards against a choice by a prefix that saves nothing, since
+// no last stage caches it, and checks that one that saves something is still chosen.
+func TestPrefixOfFirstStageAlone(t *testing.T) {
+	named := func(name string, from, to int) *fleet.Upstream {
+		u := holder("a", "a100", from, to)
+		u.Instance = name
+		return u
+	}
+	m := NewLayerMap(prefillEngine(), []*fleet.Upstream{named("f1", 0, 40), named("f2", 0, 40), named("l1", 40, 80), named("l2", 40, 80)})
+	for _, x := range []struct {
+		name   string
+		cached []string
+		want   []string
+	}{
+		{"nothing", nil, []string{"f2:0-40", "l2:40-80"}},
+		{"first stage", []string{"f1"}, []string{"f2:0-40", "l2:40-80"}},
+		{"last stage", []string{"l1"}, []string{"f2:0-40", "l1:40-80"}},
+		{"both", []string{"f1", "l1"}, []string{"f1:0-40", "l1:40-80"}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			q := query(map[string]Load{"f1": {Requests: 1}, "l1": {Requests: 1}})
+			q.PromptTokens = 51_000
+			q.Cached = func(u *fleet.Upstream) Cached {
+				if slices.Contains(x.cached, u.Instance) {
+					return Cached{Tokens: 50_000, Layers: u.Held, Probability: 1}
+				}
+				return Cached{}
+			}
+			chain, ok := m.Find(q)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Check(t, stageNames(chain), qt.DeepEquals, x.want)
+		})
+	}
+}
--- a/internal/coordination/pathfinding/search.go
+++ b/internal/coordination/pathfinding/search.go
@@ -87,9 +87,21 @@
 func (m *LayerMap) Find(q *Query) (Chain, bool) {
 	f := finder{m: m, q: q, stop: len(m.bounds) - 1}
 	f.snapshot()
+	best, found := f.search()
+	if f.cached != nil && best.PrefixGain == 0 {
+		// The stages that cache the prefix must read it all the same, since a later one
+		// does not. Their discount must not decide.
+		f.cached = nil
+		best, found = f.search()
+	}
+	return best, found
+}
+
+// search returns the cheapest chain from any zone.
+func (f *finder) search() (Chain, bool) {
 	best, found := Chain{}, false
 	bestCost := 0.0
-	for zone := range m.zones {
+	for zone := range f.m.zones {
 		cost, nodes, ok := f.searchFrom(zone)
 		if !ok || found && cost >= bestCost {
 			continue
