--- a/internal/coordination/prefixcache/cache.go
+++ b/internal/coordination/prefixcache/cache.go
@@ -53,6 +53,8 @@
 	recent   list.List
 	holdings int
 	engines  map[string]*engine
+	// searches counts the calls of Find.
+	searches int
 }
 
 // entry is a recorded prefix.
@@ -88,6 +90,17 @@
 	// prefix to the predicted one; 0 if unknown.
 	baseline float64
 	lost     bool
+	// search is what the last search that has met the engine knows of it.
+	search engineSearch
+}
+
+// engineSearch is what a search knows of an engine.
+type engineSearch struct {
+	// number is that of the search.
+	number int
+	usable bool
+	free   float64
+	best   Estimate
 }
 
 // Enabled reports whether the cache is on.
@@ -119,43 +132,43 @@
 // prefixes the one with the most expected tokens. current returns the state of an
 // engine; false if it must not be used.
 func (c *Cache) Find(prefixes []Prefix, current func(instance string) (Current, bool), now time.Duration) map[string]Estimate {
-	var out map[string]Estimate
-	var known map[string]Current
+	c.searches++
+	var holders []*engine
 	for _, p := range slices.Backward(prefixes) {
-		e := c.prefixes[p.hash]
-		if e == nil {
+		known := c.prefixes[p.hash]
+		if known == nil {
 			continue
 		}
-		for i := range e.holders {
-			h := &e.holders[i]
-			instance := h.engine.id.Instance
-			if h.engine.lost || now-h.used >= c.Retention {
-				continue
-			}
-			longer, found := out[instance]
-			if found && longer.used >= h.used {
-				// The longer prefix is as likely to be cached.
+		for i := range known.holders {
+			h := &known.holders[i]
+			e := h.engine
+			if e.lost || now-h.used >= c.Retention {
 				continue
 			}
-			at, seen := known[instance]
-			if !seen {
-				at, seen = current(instance)
-				if known == nil {
-					known, out = make(map[string]Current), make(map[string]Estimate)
-				}
-				if !seen {
-					at = Current{}
-				}
-				known[instance] = at
+			if e.search.number != c.searches {
+				at, ok := current(e.id.Instance)
+				e.search = engineSearch{number: c.searches, usable: ok && at.Engine == e.id, free: at.Free}
+				holders = append(holders, e)
 			}
-			if at.Engine != h.engine.id {
+			best := &e.search.best
+			if !e.search.usable || best.Tokens > 0 && best.used >= h.used {
+				// A longer prefix that was used as recently is as likely to be cached.
 				continue
 			}
-			if e := c.estimate(p, h, at.Free, now); !found || e.expected() > longer.expected() {
-				out[instance] = e
+			if x := c.estimate(p, h, e.search.free, now); best.Tokens == 0 || x.expected() > best.expected() {
+				*best = x
 			}
 		}
 	}
+	if len(holders) == 0 {
+		return nil
+	}
+	out := make(map[string]Estimate, len(holders))
+	for _, e := range holders {
+		if e.search.usable {
+			out[e.id.Instance] = e.search.best
+		}
+	}
 	return out
 }
 
--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -170,7 +170,7 @@
 
 // addChainCandidates adds the engines of a pool, the cheapest first.
 func (s *state) addChainCandidates(c *Choice, p *servicePool, q *request, now time.Duration) {
-	cached, _ := s.cachedPrefixes(p, q, now)
+	cached, _ := s.findCached(p, q, now)
 	for _, t := range p.layers.Explain(s.chainQuery(p, q, nil, now)) {
 		if t.Load.Excluded {
 			continue
--- a/internal/gateway/prefixes.go
+++ b/internal/gateway/prefixes.go
@@ -44,13 +44,31 @@
 	return int(p.saved[i])
 }
 
-// cachedPrefixes returns, by instance, what engines probably cache of a request's
-// prompt, and the prefixes of the prompt.
-func (s *state) cachedPrefixes(p *servicePool, q *request, now time.Duration) (map[string]prefixcache.Estimate, []prefixcache.Prefix) {
-	prefixes := s.prefixes.Prefixes(q.account, q.Prefix)
-	if len(prefixes) == 0 {
+// cachedPrefixes is what engines probably cache of a request's prompt at a time, by
+// instance.
+type cachedPrefixes struct {
+	at       time.Duration
+	pool     *servicePool
+	prefixes []prefixcache.Prefix
+	found    map[string]prefixcache.Estimate
+}
+
+// findCached returns, by instance, what engines probably cache of a request's prompt,
+// and the prefixes of the prompt. The search is made once for all parts of a decision,
+// which are made at the same time.
+func (s *state) findCached(p *servicePool, q *request, now time.Duration) (map[string]prefixcache.Estimate, []prefixcache.Prefix) {
+	if !s.prefixes.Enabled() || len(q.Prefix) == 0 {
 		return nil, nil
 	}
+	if q.cached.pool != p || q.cached.at != now {
+		prefixes := s.prefixes.Prefixes(q.account, q.Prefix)
+		q.cached = cachedPrefixes{at: now, pool: p, prefixes: prefixes, found: s.searchCached(p, prefixes, now)}
+	}
+	return q.cached.found, q.cached.prefixes
+}
+
+// searchCached returns, by instance, what engines probably cache of some prefixes.
+func (s *state) searchCached(p *servicePool, prefixes []prefixcache.Prefix, now time.Duration) map[string]prefixcache.Estimate {
 	return s.prefixes.Find(prefixes, func(instance string) (prefixcache.Current, bool) {
 		u := s.upstreams[instance]
 		if u == nil {
@@ -60,12 +78,12 @@
 		// The other gateways of the zone are expected to send as many prompts.
 		free := max(0, p.layers.Capacity(instance)-used) / float64(s.zonePeers.Len()+1)
 		return prefixcache.Current{Engine: prefixcache.EngineOf(u), Free: free}, true
-	}, now), prefixes
+	}, now)
 }
 
 // addCached adds to a search what engines probably cache of the request's prompt.
 func (s *state) addCached(query *pathfinding.Query, p *servicePool, q *request, now time.Duration) {
-	found, _ := s.cachedPrefixes(p, q, now)
+	found, _ := s.findCached(p, q, now)
 	if len(found) == 0 {
 		return
 	}
@@ -93,7 +111,7 @@
 	if !s.prefixes.Enabled() || q.PromptTokens <= 0 {
 		return nil
 	}
-	found, prefixes := s.cachedPrefixes(p, q, now)
+	found, prefixes := s.findCached(p, q, now)
 	out := &expectedPrefix{
 		prefixes: prefixes, promptTokens: q.PromptTokens, saved: c.CachedTokens,
 		full: c.PrefillDelay + c.PrefixSaving, saving: c.PrefixSaving, gain: c.PrefixGain,
--- a/internal/gateway/prefixes_test.go
+++ b/internal/gateway/prefixes_test.go
@@ -139,3 +139,40 @@
 		})
 	}
 }
+
+// BenchmarkAssign measures a choice on a large site, without the feature and with a
+// prefix of 8 parts that all engines have read.
+func BenchmarkAssign(b *testing.B) {
+	for _, x := range []struct {
+		name      string
+		retention time.Duration
+	}{{"off", 0}, {"on", time.Hour}} {
+		b.Run(x.name, func(b *testing.B) {
+			s := newLargeState(b)
+			model := s.table.Services["llm"].Engine
+			model.ReadPerSecond, model.Accelerators["big"] = 1000, fleet.Accelerator{MemoryMB: 1000, Pace: 1, ReadFactor: 1}
+			s.rebuildPools()
+			s.prefixes.Retention = x.retention
+			q := prefixRequest(s, time.Second)
+			for i := range 8 {
+				q.Prefix = append(q.Prefix, relay.PromptPart{ID: string(rune('a' + i)), Tokens: 10})
+			}
+			var stages []prefixcache.Stage
+			for _, u := range s.upstreams {
+				if u.Service == "llm" {
+					stages = append(stages, prefixcache.Stage{Engine: prefixcache.EngineOf(u), Layers: u.Held})
+				}
+			}
+			s.prefixes.RecordFirstEvent(stages, s.prefixes.Prefixes(q.account, q.Prefix), q.PromptTokens, prefixcache.FirstEvent{}, time.Second)
+			for b.Loop() {
+				next := prefixRequest(s, 2*time.Second)
+				next.Prefix = q.Prefix
+				to, err := s.assign(next, 2*time.Second)
+				if err != nil {
+					b.Fatal(err)
+				}
+				s.release(next, to)
+			}
+		})
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -45,6 +45,9 @@
 	// refused holds those of them that have only refused the request, for lack of room,
 	// with the boot time of the refusal. It is accessed only from the control loop.
 	refused map[string]time.Duration
+	// cached is what engines probably cache of the prompt, as found last. It is accessed
+	// only from the control loop.
+	cached cachedPrefixes
 	// firstEvent is the time from arrival until the first byte of the response
 	// was passed on, and longestPause the longest time between two events.
 	firstEvent, longestPause time.Duration
