Take no feedback on cached prefixes from streams whose stage was replaced

Where the feature is on, a first event after a replacement was read as a late one of the engines chosen first, and recorded their prompt as read by the one that was replaced. TestReplacedStageIsNoFeedback checks that; written with the change, not seen to fail before it.

--- a/internal/gateway/prefixes.go
+++ b/internal/gateway/prefixes.go
@@ -160,6 +160,10 @@
 	if p == nil || a.prefixRecorded && a.version == a.reader.version {
 		return
 	}
+	if !a.detector.runsOn(a.target) {
+		// A stage was replaced: the prompt was read elsewhere, and after a pause.
+		return
+	}
 	first := !a.prefixRecorded
 	a.prefixRecorded, a.version = true, a.reader.version
 	version, now := a.version, a.g.Now()
--- a/internal/gateway/prefixes_test.go
+++ b/internal/gateway/prefixes_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"lovageport.example/internal/coordination/prefixcache"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
@@ -140,6 +142,30 @@
 	}
 }
 
+// TestReplacedStageIsNoFeedback guards against a record of a prompt at an engine that was
+// replaced before it had read it, and checks that a first event is recorded otherwise.
+func TestReplacedStageIsNoFeedback(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		s, _ := newPrefixState(t, time.Minute)
+		to := assignPrefixed(t, s, time.Second)
+		now := to
+		if replaced {
+			now.chain = []relay.Stage{{Upstream: &fleet.Upstream{Instance: "other"}, Layers: to.chain[0].Layers}}
+		}
+		g := &Gateway{Log: s.log, Now: func() time.Duration { return 2 * time.Second }, control: loop.New[state]()}
+		g.metrics = newMetrics(g)
+		g.control.State = *s
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.control.Run(ctx)
+		a := &streamAttempt{g: g, q: prefixRequest(s, time.Second), target: to, sentAt: time.Second, detector: &stallDetector{target: now}}
+		a.recordPrefix()
+		var saved float64
+		g.control.Do(func(s *state) { saved = assignPrefixed(t, s, 10*time.Second).prefix.savedTokens })
+		qt.Check(t, saved > 0, qt.Equals, !replaced)
+		cancel()
+	}
+}
+
 // BenchmarkAssign measures a choice on a large site, without the feature and with a
 // prefix of 8 parts that all engines have read.
 func BenchmarkAssign(b *testing.B) {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -82,6 +82,13 @@
 	return d
 }
 
+// runsOn reports whether the stream runs on the chain of a target.
+func (d *stallDetector) runsOn(to target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Equal(d.target.chain, to.chain)
+}
+
 // setResponse sets the response of the attempt.
 func (d *stallDetector) setResponse(resp *response) {
 	d.mu.Lock()
