Start processes under clients that ignore limits, and bound what they use

What clients saw: a few hundred connections that send heads of requests or messages of peers without end make a gateway take hundreds of megabytes; the smallest VM has 136 MB, and all its clients lose their answers with the process. Silent connections take descriptors without a bound.

The tests start real processes on loopback. 320 connections each send 768 KB of a kind that never ends, or nothing, and stay open. The process must live, stay within 64 MB of resident memory and 900 or 300 descriptors, as its settings state, and afterwards answer an ordinary request, the largest one that the limits allow, and a health check. Nothing depends on times or on shares of served requests. Builds that do not know the settings get a file without them. The number of connections and the bounds stay from here on.

--- a/internal/endtoend/process_test.go
+++ b/internal/endtoend/process_test.go
@@ -165,7 +165,7 @@
 		}
 	}
 	path := filepath.Join(s.dir, name+".toml")
-	qt.Assert(s.t, os.WriteFile(path, []byte(b.String()), 0o600), qt.IsNil)
+	writeLimits(s.t, path, b.String(), "--config", manyDescriptors)
 	started := startProgram(s.t, "lovageport", "serve", "--config", path)
 	e.command, e.output, e.done = started.command, started.output, started.done
 	awaitListening(s.t, e.operators)
