Bound the heads of requests and the connections of clients

Cause: the servers of callers, health checks and metrics had no limit of heads (1 MB by default, which takes 2 to 5 MB while it is read), no limit held for the process, and none for connections. The budgets of answers and bodies were 64 MB each, whatever the machine has.

Change: - Package internal/transport/intake counts what connections hold of incomplete requests (3 bytes a byte, 160 a line; the first 8 KB are free, so that ordinary requests are not counted) for a quarter of the memory. When it is used up, the connections with the largest product of size and age are closed until an eighth is free. - The listeners of internal/transport/drain refuse a head above the limit of the configuration in force, with a reserve of 8 KB, with 431, and close connections that make room for others: those that linger, then those without a whole request, then idle ones. A connection whose head is complete is never closed, so that 431 and 503 are sent only for requests that have not run. - Table [Limits] of the settings: MemoryMB, MaxDescriptors, MaxConnections; the template fills the first two. Answers and bodies get a sixth of the memory each; without MemoryMB they keep 64 MB. The soft limit of the Go runtime follows MemoryMB. - Counters of closed connections by listener and reason, and a log line of at most two a second.

--- a/cmd/lovageport/dev.go
+++ b/cmd/lovageport/dev.go
@@ -30,6 +30,8 @@
 	devLayers      = 24
 	devLayerRate   = 2000 // layers per second
 	devSlots       = 16
+	// devHeaderBytes limits the heads of requests to the stand-ins.
+	devHeaderBytes = 64 << 10
 )
 
 // devCommand runs an entry and stand-ins for the platform and the upstreams in
@@ -84,7 +86,7 @@
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute, MaxHeaderBytes: devHeaderBytes}
 	g.Add(func() error { return server.Serve(listener) }, func(error) { server.Close() })
 	return listener.Addr().String(), nil
 }
--- a/cmd/lovageport/gateway.go
+++ b/cmd/lovageport/gateway.go
@@ -68,6 +68,9 @@
 	if err != nil {
 		return &badInputError{err}
 	}
+	if limit := settings.Limits.GoMemoryBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	output := logging.NewNonBlockingWriter(os.Stdout)
 	log, err := logging.New(output, settings.Log.Level)
 	if err != nil {
--- a/internal/endtoend/limits_test.go
+++ b/internal/endtoend/limits_test.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"lovageport.example/internal/transport/tunnel"
+	"lovageport.example/platform"
 	"lovageport.example/platform/platformtest"
 )
 
@@ -229,7 +230,7 @@
 }
 
 func (g *gatewayProcess) checkHealth() (int, error) {
-	r, err := http.NewRequest(http.MethodGet, "http://"+g.health+"/v1/readyz", nil)
+	r, err := http.NewRequest(http.MethodGet, "http://"+g.health+platform.ReadyPath, nil)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"lovageport.example/internal/state/store"
 	"lovageport.example/internal/transport/caller"
 	"lovageport.example/internal/transport/drain"
+	"lovageport.example/internal/transport/intake"
 	"lovageport.example/internal/transport/objectstore"
 	"lovageport.example/internal/transport/operator"
 	"lovageport.example/internal/transport/peer"
@@ -74,6 +75,9 @@
 	drainStarted   atomic.Bool
 	// requests ends the requests that are at work when the time of a drain is over.
 	requests drain.Requests
+	// inputMemory bounds the memory of what clients and peers have sent and that is not
+	// yet a request.
+	inputMemory intake.Memory
 	// inFlight counts the callers' requests being processed, including those
 	// that continue after their caller has disconnected.
 	inFlight atomic.Int64
@@ -89,6 +93,7 @@
 	}
 	e.startedAt = time.Now()
 	e.metrics = newMetrics()
+	e.inputMemory.Max = e.Settings.Limits.InputBytes()
 	e.control = newControlLoop()
 	e.control.OnPanic = func(value any, stack []byte) { logging.LogPanic(e.Log, "control loop panicked", value, stack) }
 	e.control.onPublish = e.metrics.observeView
@@ -167,7 +172,7 @@
 	loop.AddActor(&g, ctx, func(ctx context.Context) error {
 		return peer.Serve(ctx, listeners.peers, e.peerHandler(), e.logPeerError)
 	})
-	callers, operators := drain.NewListener(listeners.callers), drain.NewListener(listeners.operators)
+	callers, operators := e.limitCallers(listeners.callers), drain.NewListener(listeners.operators)
 	e.addServer(&g, callers, e.callerServer().HTTP())
 	e.addServer(&g, operators, e.operatorServer())
 	loop.AddActor(&g, ctx, func(ctx context.Context) error { return e.drainOnRequest(ctx, callers, operators) })
@@ -256,6 +261,24 @@
 	}).HTTP()
 }
 
+// limitCallers returns a listener of callers that keeps to the limits.
+func (e *Entry) limitCallers(l net.Listener) *drain.Listener {
+	d := drain.NewListener(l)
+	d.Memory = &e.inputMemory
+	d.MaxConns = e.Settings.Limits.CallerConnections()
+	d.MaxHeadBytes = func() int64 { return caller.MaxHeaderBytes }
+	d.OnClose = e.countClose("callers")
+	return d
+}
+
+// countClose returns a function that counts the connections of a listener that were
+// closed for a reason.
+func (e *Entry) countClose(listener string) func(intake.Reason) {
+	return func(reason intake.Reason) {
+		e.metrics.closedConns.WithLabelValues(listener, string(reason)).Inc()
+	}
+}
+
 func (e *Entry) logPeerError(err error) {
 	e.Log.Debug("peer connection ended", zap.Error(err))
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -19,6 +19,9 @@
 	refusals   *prometheus.CounterVec
 	retries    *prometheus.CounterVec
 	lateFrames prometheus.Counter
+	// closedConns counts the connections that were closed because of a limit, by
+	// listener and reason.
+	closedConns *prometheus.CounterVec
 	// containedPanics counts panics of goroutines beside the handlers.
 	containedPanics prometheus.Counter
 	firstToken      *prometheus.HistogramVec
@@ -39,6 +42,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_retries_total", Help: "Attempts that failed and were followed by another, by reason.",
 		}, []string{"reason"}),
+		closedConns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_closed_connections_total", Help: "Connections of clients and peers that were closed because of a limit, by listener and reason.",
+		}, []string{"listener", "reason"}),
 		lateFrames: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lovageport_late_frames_dropped_total", Help: "Frames of attempts that had been given up.",
 		}),
@@ -66,7 +72,7 @@
 			Name: "lovageport_upstreams_withdrawn", Help: "Upstreams that their owners have taken back.",
 		}),
 	}
-	m.registry.MustRegister(m.refusals, m.retries, m.lateFrames, m.containedPanics, m.firstToken, m.betweenTokens, m.tokens, m.generation, m.ready, m.withdrawn,
+	m.registry.MustRegister(m.refusals, m.retries, m.closedConns, m.lateFrames, m.containedPanics, m.firstToken, m.betweenTokens, m.tokens, m.generation, m.ready, m.withdrawn,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"lovageport.example/internal/transport/dial"
 	"lovageport.example/internal/transport/drain"
 	"lovageport.example/internal/transport/http1"
+	"lovageport.example/internal/transport/intake"
 	"lovageport.example/internal/transport/peer"
 	"lovageport.example/internal/transport/tunnel"
 	"lovageport.example/platform"
@@ -124,6 +125,9 @@
 	// answerMemory and bodyMemory bound the memory of the answers and of the bodies of
 	// requests that are held whole.
 	answerMemory, bodyMemory buffer.Budget
+	// inputMemory bounds the memory of what clients and peers have sent and that is not
+	// yet a request.
+	inputMemory intake.Memory
 	// inFlight is the number of callers' requests being processed.
 	inFlight atomic.Int64
 	// tasks are the calls that run in the background. They end with Run.
@@ -148,7 +152,7 @@
 	if g.dialDirect == nil {
 		g.dialDirect = dialer
 	}
-	g.answerMemory.Max, g.bodyMemory.Max = maxAnswerMemory, maxBodyMemory
+	g.setBudgets()
 	g.connPool = &http1.Pool{Dial: g.dialUpstream, Memory: &g.answerMemory, OnDial: g.metrics.connections.Inc, Keep: g.keepsConn}
 	g.tunnels.Connect = g.connectForPeer
 	g.tunnels.Guard = g.guard()
@@ -215,15 +219,14 @@
 	if err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
-	callers := drain.NewListener(callerListener)
-	callers.OnUnanswered = g.newEndLogger()
+	callers := g.limitCallers(callerListener)
 	g.addServer(&group, callers, &http.Server{Handler: g.callerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: drain.Track})
 	servers := []struct {
-		address string
-		server  *http.Server
+		name, address string
+		server        *http.Server
 	}{
-		{g.Settings.Listen.Health, &http.Server{Handler: g.healthHandler(), ReadHeaderTimeout: headerTimeout}},
-		{g.Settings.Listen.Metrics, &http.Server{Handler: g.metrics.handler(), ReadHeaderTimeout: headerTimeout}},
+		{"health", g.Settings.Listen.Health, toolServer(g.healthHandler())},
+		{"metrics", g.Settings.Listen.Metrics, toolServer(g.metrics.handler())},
 	}
 	for _, s := range servers {
 		if s.address == "" {
@@ -233,7 +236,7 @@
 		if err != nil {
 			return fmt.Errorf("gateway: %w", err)
 		}
-		g.addServer(&group, listener, s.server)
+		g.addServer(&group, g.limitTool(listener, s.name), s.server)
 	}
 	loop.AddActor(&group, ctx, func(ctx context.Context) error { return g.drainOnRequest(ctx, callers) })
 	g.Log.Info("started", zap.String("zone", g.Settings.Zone), zap.String("version", g.Version))
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -1,19 +1,75 @@
 package gateway
 
 import (
+	"net"
+	"net/http"
 	"sync"
+	"sync/atomic"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"lovageport.example/internal/transport/buffer"
+	"lovageport.example/internal/transport/drain"
+	"lovageport.example/internal/transport/intake"
 )
 
-// What the messages that are held whole may take together, in bytes. The smallest VMs
-// have 284 MB. The first [buffer.FreeBytes] of each message do not count.
-const (
-	// maxAnswerMemory is for the answers of upstreams, and single events of streams.
-	maxAnswerMemory = 64 << 20
-	// maxBodyMemory is for the bodies of callers' requests.
-	maxBodyMemory = 64 << 20
-)
+// toolHeadBytes bounds the heads of requests for health checks and metrics.
+const toolHeadBytes = 8 << 10
+
+// setBudgets sets what messages and incomplete requests may take together. The first
+// [buffer.FreeBytes] of each answer and body, and the first [intake.FreeBytes] of each
+// incomplete request, do not count.
+func (g *Gateway) setBudgets() {
+	l := &g.Settings.Limits
+	g.answerMemory.Max, g.bodyMemory.Max, g.inputMemory.Max = l.AnswerBytes(), l.BodyBytes(), l.InputBytes()
+}
+
+// limitCallers returns a listener of callers that keeps to the limits.
+func (g *Gateway) limitCallers(l net.Listener) *drain.Listener {
+	d := drain.NewListener(l)
+	d.OnUnanswered = g.newEndLogger()
+	d.Memory = &g.inputMemory
+	d.MaxConns = g.Settings.Limits.CallerConnections()
+	d.OnClose = g.newCloseCounter("callers")
+	d.MaxHeadBytes = func() int64 {
+		if t := g.routing.Table(); t != nil {
+			return int64(t.Limits.MaxHeaderBytes)
+		}
+		return 0
+	}
+	return d
+}
+
+// limitTool returns a listener for health checks or metrics that keeps to the limits.
+func (g *Gateway) limitTool(l net.Listener, name string) *drain.Listener {
+	d := drain.NewListener(l)
+	d.Memory = &g.inputMemory
+	d.MaxConns = g.Settings.Limits.ToolConnections()
+	d.OnClose = g.newCloseCounter(name)
+	d.MaxHeadBytes = func() int64 { return toolHeadBytes }
+	return d
+}
+
+// toolServer returns a server for health checks or metrics.
+func toolServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: toolHeadBytes, ConnState: drain.Track}
+}
+
+// newCloseCounter returns a function that counts the connections of a listener that were
+// closed for a reason. It logs them up to a rate, with the number of those left out.
+func (g *Gateway) newCloseCounter(listener string) func(intake.Reason) {
+	limiter := rate.NewLimiter(endsPerSecond, endsBurst)
+	var skipped atomic.Int64
+	return func(reason intake.Reason) {
+		g.metrics.closedConns.WithLabelValues(listener, string(reason)).Inc()
+		if !limiter.Allow() {
+			skipped.Add(1)
+			return
+		}
+		g.Log.Warn("connection closed", zap.String("listener", listener), zap.String("reason", string(reason)), zap.Int64("skipped", skipped.Swap(0)))
+	}
+}
 
 // heldMemory is what a request holds of the budgets of the process until it ends. It may
 // be used by many goroutines.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,9 @@
 	firstByte   *prometheus.HistogramVec
 	requestTime *prometheus.HistogramVec
 	connections prometheus.Counter
+	// closedConns counts the connections that were closed because of a limit, by
+	// listener and reason.
+	closedConns *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
 	orders      *prometheus.CounterVec
 	// lostStages counts the stages that streams have lost, by whether they were
@@ -68,6 +71,9 @@
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lovageport_gateway_upstream_connections_total", Help: "Connections opened to upstreams.",
 		}),
+		closedConns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_closed_connections_total", Help: "Connections of clients and peers that were closed because of a limit, by listener and reason.",
+		}, []string{"listener", "reason"}),
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_store_calls_total", Help: "Calls of the platform's store, by method.",
 		}, []string{"method"}),
@@ -117,7 +123,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.closedConns, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
 	return m
 }
 
--- a/internal/setting/gateway.go
+++ b/internal/setting/gateway.go
@@ -21,6 +21,7 @@
 	Platform GatewayPlatform
 	Peers    GatewayPeers
 	Bounds   Bounds
+	Limits   Limits `toml:",omitempty"`
 	// FirstStart states that the whole system starts for the first time, so that
 	// no process has sent anything before.
 	FirstStart bool `toml:",omitempty"`
@@ -125,6 +126,7 @@
 	c.requireNotNegative("Bounds", "RetryWindow", g.Bounds.RetryWindow)
 	c.require(g.Bounds.RetryShare >= 0, "Bounds", "RetryShare", "must not be negative")
 	c.require(g.Bounds.RetrySlack >= 0, "Bounds", "RetrySlack", "must not be negative")
+	g.Limits.check(c)
 	if g.Log.Level != "" {
 		_, err := zapcore.ParseLevel(g.Log.Level)
 		c.require(err == nil, "Log", "Level", "%q is not a log level: use debug, info, warn or error", g.Log.Level)
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -95,6 +95,7 @@
 	Operators Operators `toml:",omitempty"`
 	Requests  Requests  `toml:",omitempty"`
 	Drain     Drain     `toml:",omitempty"`
+	Limits    Limits    `toml:",omitempty"`
 	Log       Log       `toml:",omitempty"`
 }
 
@@ -170,6 +171,7 @@
 	c.requireNotNegative("Drain", "Notice", s.Drain.Notice)
 	c.require(s.Requests.MaxBodyBytes >= 0, "Requests", "MaxBodyBytes", "must not be negative")
 	c.require(s.Requests.MaxQueue >= 0, "Requests", "MaxQueue", "must not be negative")
+	s.Limits.check(c)
 	if s.Log.Level != "" {
 		_, err := zapcore.ParseLevel(s.Log.Level)
 		c.require(err == nil, "Log", "Level", "%q is not a log level: use debug, info, warn or error", s.Log.Level)
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -35,9 +35,10 @@
 
 // Timeouts and size limits of connections.
 const (
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 32 << 10
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// MaxHeaderBytes limits the head of a request.
+	MaxHeaderBytes = 32 << 10
 	maxKeyBytes    = 256
 	// maxBodyMemory limits what the bodies of requests take together, in bytes. The
 	// first [buffer.FreeBytes] of each do not count.
@@ -139,7 +140,7 @@
 		Handler:           router,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    MaxHeaderBytes,
 	}
 }
 
--- a/internal/transport/drain/conn.go
+++ b/internal/transport/drain/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lovageport.example/internal/transport/intake"
 )
 
 // conn is a connection that a drain may end while it is quiet.
@@ -38,6 +40,23 @@
 	served    int
 	answering bool
 	cause     error
+	// active is set from the end of the head of a request until the server waits for
+	// the next one. head and lines count the bytes and the line ends that were read
+	// while it was not set.
+	active      bool
+	head, lines int64
+	// holder is what the head takes of the memory of the listener.
+	holder intake.Holder
+	// reason is why the listener closes the connection, and refused is set once that
+	// has begun.
+	reason  intake.Reason
+	refused bool
+	// openedAt is when the connection was accepted. lingering is set once the server
+	// has closed it, and leaving once the listener makes room by it; leaving is guarded
+	// by the mu of the listener.
+	openedAt  time.Time
+	lingering bool
+	leaving   bool
 }
 
 // Read implements [io.Reader]. It returns [io.EOF] if a drain ends the connection.
@@ -45,9 +64,14 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
-			c.recordRequest(n)
+			if reason := c.recordRequest(p[:n]); reason != "" {
+				return 0, c.refuse(reason)
+			}
 			return n, err
 		}
+		if reason := c.evictedFor(); reason != "" {
+			return 0, c.refuse(reason)
+		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.recordEnd(err)
 			return n, err
@@ -75,11 +99,115 @@
 // interim begins the only response of the server that is no answer.
 var interim = []byte("HTTP/1.1 100 ")
 
-func (c *conn) recordRequest(n int) {
+// recordRequest records what was read. It returns why the connection must be closed, or
+// an empty reason.
+func (c *conn) recordRequest(text []byte) intake.Reason {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.busy = true
-	c.read += int64(n)
+	c.read += int64(len(text))
+	if c.active || !c.listener.limitsHeads() {
+		c.mu.Unlock()
+		return ""
+	}
+	c.head += int64(len(text))
+	c.lines += int64(bytes.Count(text, lineEnd))
+	head, size, reason := c.head, intake.HeadCost(c.head, c.lines), c.reason
+	c.mu.Unlock()
+	switch {
+	case reason != "":
+		return reason
+	case head > c.listener.maxHead():
+		return intake.HeadTooLarge
+	case !c.listener.Memory.Hold(&c.holder, size):
+		return intake.MemoryFull
+	}
+	return ""
+}
+
+var lineEnd = []byte("\n")
+
+// recordActive records that the head of a request is complete.
+func (c *conn) recordActive() {
+	c.mu.Lock()
+	held := intake.HeadCost(c.head, c.lines) > intake.FreeBytes
+	c.active, c.head, c.lines = true, 0, 0
+	if c.reason != "" && !c.refused {
+		// The request has arrived before the connection was closed.
+		c.reason = ""
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+	c.mu.Unlock()
+	if held {
+		c.listener.Memory.Settle(&c.holder)
+	}
+}
+
+// evict has the server close the connection for a reason, unless the head of a request
+// is complete.
+func (c *conn) evict(reason intake.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.active || c.closed || c.reason != "" {
+		return
+	}
+	c.reason = reason
+	// If this fails the connection has ended.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// evictedFor returns why the connection is being closed, or an empty reason.
+func (c *conn) evictedFor() intake.Reason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reason
+}
+
+const (
+	// refusalTime bounds the write of an answer to an incomplete request.
+	refusalTime = 100 * time.Millisecond
+	// refusedLinger bounds the bytes that are discarded after such an answer.
+	refusedLinger = 64 << 10
+)
+
+// Answers to requests that are incomplete and will not be read. They have not run.
+const (
+	tooLargeAnswer = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\nrequest header too large\n"
+	fullAnswer     = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\nConnection: close\r\n\r\ntoo many incomplete requests\n"
+)
+
+// errRefused is returned by reads of a connection that is closed for a reason. The server
+// sends no answer of its own after a [net.OpError].
+var errRefused = errors.New("drain: connection closed")
+
+// refuse answers the incomplete request of a connection that is closed for a reason, and
+// returns the error of its reads.
+func (c *conn) refuse(reason intake.Reason) error {
+	c.mu.Lock()
+	again, begun := c.refused, c.head > 0
+	c.refused, c.reason = true, reason
+	// The answer is no answer of the server, but the end need not be reported as one
+	// without any.
+	c.answering = true
+	// A connection that has sent nothing is closed at once, and one that makes room too.
+	c.ended = !begun || reason == intake.TooManyConnections
+	c.mu.Unlock()
+	err := &net.OpError{Op: "read", Net: "tcp", Err: errRefused}
+	if again {
+		return err
+	}
+	c.listener.Memory.End(&c.holder)
+	if c.listener.OnClose != nil {
+		c.listener.OnClose(reason)
+	}
+	answer := fullAnswer
+	if reason == intake.HeadTooLarge {
+		answer = tooLargeAnswer
+	}
+	if begun && c.Conn.SetWriteDeadline(time.Now().Add(refusalTime)) == nil {
+		// It fails only if the caller has gone or does not read.
+		_, _ = c.Conn.Write([]byte(answer))
+	}
+	return err
 }
 
 // recordEnd records that a read has failed with an error, or that a drain ends the
@@ -92,10 +220,15 @@
 
 func (c *conn) recordQuiet() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.busy, c.quietSince, c.deadlines = false, time.Now(), 0
 	c.served++
 	c.answering = false
+	held := c.active
+	c.active, c.head, c.lines = false, 0, 0
+	c.mu.Unlock()
+	if held {
+		c.listener.Memory.Drop(&c.holder)
+	}
 }
 
 // isQuiet reports whether the connection has had no request for quietPeriod. The
@@ -140,6 +273,10 @@
 	c.deadlines++
 	c.busy = c.busy || c.deadlines > 1
 	c.deadline = t
+	if c.reason != "" && !c.active {
+		// The read that follows must find out why the connection is closed.
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -175,8 +312,10 @@
 	c.mu.Lock()
 	again, ended := c.closed, c.ended
 	c.closed = true
+	c.lingering = true
 	end, unanswered := c.unanswered()
 	c.mu.Unlock()
+	c.listener.Memory.End(&c.holder)
 	if report := c.listener.OnUnanswered; report != nil && unanswered && !again {
 		report(end)
 	}
@@ -222,8 +361,15 @@
 	if c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return
 	}
+	c.mu.Lock()
+	refused := c.refused
+	c.mu.Unlock()
+	var from io.Reader = c.Conn
+	if refused {
+		from = io.LimitReader(from, refusedLinger)
+	}
 	// Any error ends the wait.
-	_, _ = io.Copy(io.Discard, c.Conn)
+	_, _ = io.Copy(io.Discard, from)
 }
 
 // readable reports whether a connection has data or has been closed by its peer,
--- a/internal/transport/drain/listener.go
+++ b/internal/transport/drain/listener.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"lovageport.example/internal/transport/intake"
 )
 
 const (
@@ -33,6 +35,16 @@
 	// OnUnanswered is called when the server closes a connection on which a request
 	// was begun and not answered, if not nil. It is set before the server starts.
 	OnUnanswered func(End)
+	// MaxHeadBytes returns the limit of the head of a request, or 0 for that of
+	// [http.Server], which also bounds it; nil for the latter. A head may exceed it by
+	// headReserve. Like the fields below it is set before the server starts.
+	MaxHeadBytes func() int64
+	// Memory is what the heads of incomplete requests may hold; nil for no bound.
+	Memory *intake.Memory
+	// MaxConns is the number of connections that may be open; 0 for no bound.
+	MaxConns int
+	// OnClose is called when a connection is closed for a reason, if not nil.
+	OnClose func(intake.Reason)
 	// stopped is closed when Accept has returned an error.
 	stopped      chan struct{}
 	closeStopped func()
@@ -41,6 +53,28 @@
 	// draining is set when a drain has begun.
 	draining bool
 	conns    map[*conn]struct{}
+	// leaving counts the connections that have been chosen to make room and are still
+	// open.
+	leaving int
+}
+
+// headReserve is how much a head may exceed its limit. The server reads up to 4 KB of
+// what follows a head together with its end; as much is for what proxies add.
+const headReserve = 8 << 10
+
+// limitsHeads reports whether heads are counted.
+func (l *Listener) limitsHeads() bool { return l.MaxHeadBytes != nil || l.Memory != nil }
+
+// maxHead returns the number of bytes at which a head is refused.
+func (l *Listener) maxHead() int64 {
+	if l.MaxHeadBytes == nil {
+		return http.DefaultMaxHeaderBytes
+	}
+	limit := l.MaxHeadBytes()
+	if limit <= 0 {
+		return http.DefaultMaxHeaderBytes
+	}
+	return min(limit+headReserve, http.DefaultMaxHeaderBytes)
 }
 
 // NewListener returns a Listener that accepts connections from l.
@@ -53,26 +87,44 @@
 // Accept implements [net.Listener]. Once a drain has closed the listener it
 // returns [http.ErrServerClosed].
 func (l *Listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if err != nil {
-		l.closeStopped()
-		if l.draining && errors.Is(err, net.ErrClosed) {
-			return nil, http.ErrServerClosed
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.closeStopped()
+			if l.draining && errors.Is(err, net.ErrClosed) {
+				return nil, http.ErrServerClosed
+			}
+			return nil, err
 		}
-		return nil, err
+		if !l.makeRoom() {
+			accepted.Close()
+			continue
+		}
+		now := time.Now()
+		c := &conn{Conn: accepted, listener: l, quietSince: now, openedAt: now}
+		c.holder.Evict = func() { c.evict(intake.MemoryFull) }
+		l.mu.Lock()
+		l.conns[c] = struct{}{}
+		l.mu.Unlock()
+		return c, nil
 	}
-	c := &conn{Conn: accepted, listener: l, quietSince: time.Now()}
-	l.conns[c] = struct{}{}
-	return c, nil
 }
 
-// Track records that a connection waits for its next request. It is meant for
+// Track records that a connection waits for its next request, or that the head of a
+// request is complete. It is meant for
 // [http.Server.ConnState].
 func Track(c net.Conn, state http.ConnState) {
-	if c, ok := c.(*conn); ok && state == http.StateIdle {
-		c.recordQuiet()
+	tracked, ok := c.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		tracked.recordActive()
+	case http.StateIdle:
+		tracked.recordQuiet()
 	}
 }
 
@@ -134,5 +186,8 @@
 func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if _, open := l.conns[c]; open && c.leaving {
+		l.leaving--
+	}
 	delete(l.conns, c)
 }
--- a/internal/transport/operator/server.go
+++ b/internal/transport/operator/server.go
@@ -112,9 +112,13 @@
 		Protocols:         protocols,
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       time.Minute,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
+// maxHeaderBytes limits the head of a request.
+const maxHeaderBytes = 32 << 10
+
 // service implements the generated interface OperatorServiceHandler.
 type service struct{ backend Backend }
 
