Bound what senders make the listener of peers hold before they are known

What clients saw: 320 connections with a message of a peer without end made a gateway take 331 to 379 MB and an entry 443 MB; silent ones kept their descriptors without a bound.

Cause: each connection buffers a message of up to 1 MB, and up to three times that while it grows, for any sender; the prefix that tells tunnels from calls was awaited without a deadline.

Change: a connection counts for the memory of incomplete requests, at twice the bytes since the last answer. Until its first call is answered without an error, or its request for a tunnel is understood, it may send 256 KB, has 5 s, and is one of a bounded number, of which the oldest is closed. The multiplexer of tunnels and calls is a part of internal/transport/tunnel, since that of drpc hides the connection below. The soft limit of the Go runtime leaves 24 MB and an eighth of the memory instead of 20 MB and a sixteenth: a run reached 61 MB of 64 before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -170,7 +170,7 @@
 	loop.AddActor(&g, ctx, e.sweepClaims)
 	loop.AddActor(&g, ctx, e.retryQueue.run)
 	loop.AddActor(&g, ctx, func(ctx context.Context) error {
-		return peer.Serve(ctx, listeners.peers, e.peerHandler(), e.logPeerError)
+		return peer.Serve(ctx, e.limitPeers(listeners.peers), e.peerHandler(), e.logPeerError)
 	})
 	callers, operators := e.limitCallers(listeners.callers), drain.NewListener(listeners.operators)
 	e.addServer(&g, callers, e.callerServer().HTTP())
@@ -271,6 +271,16 @@
 	return d
 }
 
+// limitPeers returns a listener of peers that keeps to the limits.
+func (e *Entry) limitPeers(l net.Listener) *intake.Listener {
+	return &intake.Listener{
+		Listener:   l,
+		Memory:     &e.inputMemory,
+		MaxUnknown: e.Settings.Limits.UnknownPeerConnections(),
+		OnClose:    e.countClose("peers"),
+	}
+}
+
 // countClose returns a function that counts the connections of a listener that were
 // closed for a reason.
 func (e *Entry) countClose(listener string) func(intake.Reason) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -209,7 +209,7 @@
 	loop.AddActor(&group, ctx, g.closeIdleConnections)
 	loop.AddActor(&group, ctx, g.applyReloads)
 	loop.AddActor(&group, ctx, g.checkPaths)
-	tunnels, calls, split := tunnel.Split(peerListener)
+	tunnels, calls, split := tunnel.Split(g.limitPeers(peerListener))
 	loop.AddActor(&group, ctx, split)
 	loop.AddActor(&group, ctx, func(ctx context.Context) error { return g.tunnels.Serve(ctx, tunnels) })
 	loop.AddActor(&group, ctx, func(ctx context.Context) error {
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -51,6 +51,16 @@
 	return d
 }
 
+// limitPeers returns a listener of peers that keeps to the limits.
+func (g *Gateway) limitPeers(l net.Listener) *intake.Listener {
+	return &intake.Listener{
+		Listener:   l,
+		Memory:     &g.inputMemory,
+		MaxUnknown: g.Settings.Limits.UnknownPeerConnections(),
+		OnClose:    g.newCloseCounter("peers"),
+	}
+}
+
 // toolServer returns a server for health checks or metrics.
 func toolServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: toolHeadBytes, ConnState: drain.Track}
--- a/internal/setting/limits.go
+++ b/internal/setting/limits.go
@@ -37,9 +37,10 @@
 	bodyShare   = 6
 	// uncountedMB is what the Go runtime does not count for its soft limit, mostly the
 	// binary, and overshootShare the part of the memory by which it may exceed that
-	// limit between two collections: one in sixteen.
-	uncountedMB    = 20
-	overshootShare = 16
+	// limit between two collections: one in eight. With one in sixteen and 20 MB a
+	// process that states 64 MB reached 61 under heads of many short lines.
+	uncountedMB    = 24
+	overshootShare = 8
 	// otherSockets is the part of the sockets that callers leave for the store, the
 	// peers and the upstreams: one in four.
 	otherSockets = 4
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -8,15 +8,21 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
+	"syscall"
+	"time"
 
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
 	"lovageport.example/internal/guard"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/protocol/peering"
+	"lovageport.example/internal/transport/intake"
 )
 
 // Names of the calls on the wire.
@@ -78,6 +84,9 @@
 	if panicked := h.Guard.Run("", func() { out, err = f(ctx, in) }); panicked != nil {
 		return nil, errPanicked
 	}
+	if conn, ok := drpcctx.Transport(ctx); ok && err == nil {
+		intake.Admit(conn)
+	}
 	return out, err
 }
 
@@ -160,7 +169,45 @@
 	if err := mux.Register(h, rpcDescription{messageCodec}); err != nil {
 		return fmt.Errorf("peer: %w", err)
 	}
-	return drpcserver.NewWithOptions(mux, drpcserver.Options{Log: log, Manager: limitMessages(maxCallBytes)}).Serve(ctx, listener)
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Log: log, Manager: limitMessages(maxCallBytes)})
+	ctx, cancel := context.WithCancel(ctx)
+	var conns sync.WaitGroup
+	defer conns.Wait()
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case ctx.Err() != nil:
+			if err == nil {
+				conn.Close()
+			}
+			return nil
+		case isTemporary(err):
+			log(err)
+			loop.Sleep(ctx, acceptPause)
+			continue
+		case err != nil:
+			return fmt.Errorf("peer: %w", err)
+		}
+		conns.Go(func() {
+			// The transport lets the handler admit the sender.
+			if err := server.ServeOne(drpcctx.WithTransport(ctx, conn), conn); err != nil {
+				log(err)
+			}
+		})
+	}
+}
+
+// acceptPause is the wait before connections are accepted again after a lack of
+// descriptors.
+const acceptPause = 500 * time.Millisecond
+
+// isTemporary reports whether Accept may succeed later.
+func isTemporary(err error) bool {
+	var lack syscall.Errno
+	return errors.As(err, &lack) && lack.Temporary()
 }
 
 // Size limits of messages, which drpc buffers whole before decoding.
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -13,11 +13,11 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"storj.io/drpc/drpcmigrate"
 
 	"lovageport.example/internal/guard"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/transport/dial"
+	"lovageport.example/internal/transport/intake"
 )
 
 // Prefix begins a tunnel. The first bytes of a call of a peer differ from it.
@@ -121,9 +121,11 @@
 }
 
 // serve serves one tunnel.
-func (s *Server) serve(ctx context.Context, conn net.Conn) error {
+func (s *Server) serve(ctx context.Context, accepted net.Conn) error {
 	s.open.Add(1)
 	defer s.open.Add(-1)
+	conn := intake.Socket(accepted)
+	defer accepted.Close()
 	stop := context.AfterFunc(ctx, func() { reset(conn) })
 	defer stop()
 	defer conn.Close()
@@ -134,9 +136,10 @@
 		return fmt.Errorf("tunnel: %w", err)
 	}
 	var request peering.TunnelRequest
-	if err := decode(conn, &request); err != nil {
+	if err := decode(accepted, &request); err != nil {
 		return err
 	}
+	intake.Admit(accepted)
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
 		return fmt.Errorf("tunnel: %w", err)
 	}
@@ -255,10 +258,3 @@
 		time.Sleep(acceptPause)
 	}
 }
-
-// Split divides a listener into one for tunnels and one for other connections. Both
-// accept while run runs.
-func Split(l net.Listener) (tunnels, others net.Listener, run func(ctx context.Context) error) {
-	mux := drpcmigrate.NewListenMux(patientListener{l}, len(Prefix))
-	return mux.Route(Prefix), mux.Default(), mux.Run
-}
