Close connections of senders that a peer's server no longer reads, and derive the entry's budgets

What clients saw: nothing yet. A new fuzz target for the listener of peers found that a message without a call leaves its connection open without end: the server of drpc then waits for another stream and does not read, so that neither the end of the connection nor a read deadline ends it.

Change: the time for the first call is a timer that closes the connection and ends what serves it. The entry's budgets of answers and bodies follow [Limits] too, and its soft limit of the Go runtime; without settings they keep 64 MB each.

--- a/cmd/lovageport/serve.go
+++ b/cmd/lovageport/serve.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"lovageport.example/internal/entry"
@@ -29,6 +30,9 @@
 	if err != nil {
 		return &badInputError{err}
 	}
+	if limit := settings.Limits.GoMemoryBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	ctx, drain := stopSignals()
 	e := &entry.Entry{
 		Settings: settings,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,6 +114,7 @@
 	e.engineClient.Running = e.running
 	e.serviceClient = upstream.NewServiceClient(e.Dial)
 	e.serviceClient.Running = e.running
+	e.serviceClient.LimitMemory(e.Settings.Limits.AnswerBytes())
 	e.peerClient = &peer.Client{Dial: e.Dial, Timeout: peerTimeout}
 	e.prepareState()
 	e.metrics.gauge("lovageport_in_flight", "Requests of callers in flight.", func() float64 { return float64(e.inFlight.Load()) })
@@ -242,6 +243,7 @@
 		Timeout:      e.Settings.Requests.Timeout.Duration,
 		BodyTimeout:  e.Settings.Requests.BodyTimeout.Duration,
 		MaxBodyBytes: e.Settings.Requests.MaxBodyBytes,
+		BodyMemory:   e.Settings.Limits.BodyBytes(),
 		Backend: caller.Backend{
 			NewRequest:   e.newRequestID,
 			Authenticate: e.authenticate,
--- a/internal/transport/caller/server.go
+++ b/internal/transport/caller/server.go
@@ -40,9 +40,6 @@
 	// MaxHeaderBytes limits the head of a request.
 	MaxHeaderBytes = 32 << 10
 	maxKeyBytes    = 256
-	// maxBodyMemory limits what the bodies of requests take together, in bytes. The
-	// first [buffer.FreeBytes] of each do not count.
-	maxBodyMemory = 64 << 20
 	// writeTimeout is how long a caller may block a write of a response.
 	writeTimeout = 10 * time.Second
 )
@@ -121,6 +118,9 @@
 	BodyTimeout time.Duration
 	// MaxBodyBytes is the maximum size of a request body.
 	MaxBodyBytes int64
+	// BodyMemory limits what the bodies of requests take together, in bytes; 0 for no
+	// limit. The first [buffer.FreeBytes] of each do not count.
+	BodyMemory int64
 
 	// bodies bounds the memory of bodies; HTTP sets its limit.
 	bodies buffer.Budget
@@ -128,7 +128,7 @@
 
 // HTTP returns the HTTP server for callers.
 func (s *Server) HTTP() *http.Server {
-	s.bodies.Max = maxBodyMemory
+	s.bodies.Max = s.BodyMemory
 	router := chi.NewRouter()
 	router.Post("/v1/chat/completions", s.handle(s.chat))
 	router.Post("/v1/completions", s.handle(s.completion))
--- a/internal/transport/intake/listener.go
+++ b/internal/transport/intake/listener.go
@@ -49,10 +49,10 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: accepted, listener: l, limit: firstMessageBytes, deadline: time.Now().Add(firstMessageTimeout)}
+	c := &Conn{Conn: accepted, listener: l, limit: firstMessageBytes}
 	c.holder.Evict = func() { c.closeFor(MemoryFull) }
-	// It fails only if the connection has ended.
-	_ = accepted.SetReadDeadline(c.deadline)
+	// A read deadline would not do, since the reader may wait for something else.
+	c.late = time.AfterFunc(firstMessageTimeout, func() { c.closeFor(TooSlow) })
 	l.mu.Lock()
 	var oldest *Conn
 	if l.MaxUnknown > 0 && len(l.unknown) >= l.MaxUnknown {
@@ -84,26 +84,24 @@
 	net.Conn
 	listener *Listener
 	holder   Holder
+	// late closes the connection unless it is admitted in time.
+	late *time.Timer
 
 	mu sync.Mutex
-	// limit bounds the bytes of a message. deadline is when the first one must have
-	// been answered; zero once the connection is admitted. read counts the bytes since
-	// the last write, or of all if the connection is not admitted. closed is set once
-	// the connection was closed here. Guarded by mu.
-	limit    int64
-	deadline time.Time
-	read     int64
-	closed   bool
+	// limit bounds the bytes of a message. admitted is set once the sender is a peer.
+	// read counts the bytes since the last write, or of all if the connection is not
+	// admitted. closed is set once the connection was closed here, which calls
+	// afterClose. Guarded by mu.
+	limit            int64
+	admitted, closed bool
+	read             int64
+	afterClose       func()
 }
 
 // Read implements [net.Conn]. It fails at the limit of a message.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
-		var timeout net.Error
-		if errors.As(err, &timeout) && timeout.Timeout() && !c.isAdmitted() {
-			c.closeFor(TooSlow)
-		}
 		return n, err
 	}
 	c.mu.Lock()
@@ -121,17 +119,10 @@
 	return n, err
 }
 
-// isAdmitted reports whether the sender is a peer.
-func (c *Conn) isAdmitted() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.deadline.IsZero()
-}
-
 // Write implements [net.Conn]. What is written to a peer answers its message.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	answered := c.deadline.IsZero() && c.read > 0
+	answered := c.admitted && c.read > 0
 	if answered {
 		c.read = 0
 	}
@@ -142,25 +133,6 @@
 	return c.Conn.Write(p)
 }
 
-// SetReadDeadline implements [net.Conn]. Until the connection is admitted, its own
-// deadline holds if it is earlier.
-func (c *Conn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.deadline.IsZero() && (t.IsZero() || t.After(c.deadline)) {
-		t = c.deadline
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// SetDeadline implements [net.Conn].
-func (c *Conn) SetDeadline(t time.Time) error {
-	if err := c.SetReadDeadline(t); err != nil {
-		return err
-	}
-	return c.Conn.SetWriteDeadline(t)
-}
-
 // Close implements [net.Conn].
 func (c *Conn) Close() error {
 	c.end()
@@ -173,12 +145,16 @@
 // end gives up what the connection holds. It reports false if it was called before.
 func (c *Conn) end() bool {
 	c.mu.Lock()
-	again := c.closed
+	again, afterClose := c.closed, c.afterClose
 	c.closed = true
 	c.mu.Unlock()
 	if again {
 		return false
 	}
+	c.late.Stop()
+	if afterClose != nil {
+		afterClose()
+	}
 	c.listener.forget(c)
 	c.listener.Memory.End(&c.holder)
 	return true
@@ -195,14 +171,11 @@
 // admit has the connection be that of a peer.
 func (c *Conn) admit() {
 	c.mu.Lock()
-	known := c.deadline.IsZero()
-	c.limit, c.deadline = messageBytes, time.Time{}
-	if !known {
-		// It fails only if the connection has ended.
-		_ = c.Conn.SetReadDeadline(time.Time{})
-	}
+	again := c.admitted
+	c.limit, c.admitted = messageBytes, true
 	c.mu.Unlock()
-	if !known {
+	if !again {
+		c.late.Stop()
 		c.listener.forget(c)
 	}
 }
@@ -213,14 +186,36 @@
 // Admit records that the sender on a connection is a peer. It has no effect on
 // connections that no [Listener] has accepted.
 func Admit(conn any) {
+	if c := find(conn); c != nil {
+		c.admit()
+	}
+}
+
+// AfterClose has f be called when a connection is closed, also by its [Listener]. It has
+// no effect on connections that none has accepted. f must not block.
+func AfterClose(conn net.Conn, f func()) {
+	c := find(conn)
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	closed := c.closed
+	c.afterClose = f
+	c.mu.Unlock()
+	if closed {
+		f()
+	}
+}
+
+// find returns the connection that a [Listener] has accepted below all wrappers, or nil.
+func find(conn any) *Conn {
 	for {
 		if c, ok := conn.(*Conn); ok {
-			c.admit()
-			return
+			return c
 		}
 		w, ok := conn.(wrapper)
 		if !ok {
-			return
+			return nil
 		}
 		conn = w.NetConn()
 	}
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -192,8 +192,13 @@
 			return fmt.Errorf("peer: %w", err)
 		}
 		conns.Go(func() {
-			// The transport lets the handler admit the sender.
-			if err := server.ServeOne(drpcctx.WithTransport(ctx, conn), conn); err != nil {
+			// A connection that is closed while the server waits for a call, and does
+			// not read, would go unnoticed. The transport lets the handler admit the
+			// sender.
+			ctx, cancel := context.WithCancel(drpcctx.WithTransport(ctx, conn))
+			defer cancel()
+			intake.AfterClose(conn, cancel)
+			if err := server.ServeOne(ctx, conn); err != nil {
 				log(err)
 			}
 		})
--- a/internal/transport/upstream/services.go
+++ b/internal/transport/upstream/services.go
@@ -24,9 +24,10 @@
 const (
 	// MaxResponseBytes limits one body.
 	MaxResponseBytes = 8 << 20
-	// maxResponseMemory limits what the bodies of a client take together, in bytes. The
-	// first [buffer.FreeBytes] of each do not count.
-	maxResponseMemory = 64 << 20
+	// defaultResponseMemory limits what the bodies of a client take together, in bytes,
+	// unless LimitMemory sets another limit. The first [buffer.FreeBytes] of each do
+	// not count.
+	defaultResponseMemory = 64 << 20
 )
 
 // ServiceCall is one attempt to call a plain service.
@@ -84,7 +85,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	s := &ServiceClient{memory: buffer.Budget{Max: maxResponseMemory}}
+	s := &ServiceClient{memory: buffer.Budget{Max: defaultResponseMemory}}
 	s.dial = limitDial(dial, &s.Running)
 	s.pooled = newServiceClient(&http.Transport{
 		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
@@ -96,6 +97,10 @@
 	return s
 }
 
+// LimitMemory limits what the bodies of responses take together, in bytes. It must not be
+// called after the first call.
+func (s *ServiceClient) LimitMemory(bytes int64) { s.memory.Max = bytes }
+
 func newServiceClient(transport *http.Transport) *http.Client {
 	return &http.Client{
 		Transport: transport,
