Close connections whose bodies do not come when others need room

What clients saw: requests whose body never arrives kept their connections for as long as their clients liked, also without a key: the server awaits the body before it answers, without a deadline. At the limit of connections they counted as in use, so that no other client was accepted.

Change: a connection that awaits a body for 250 ms makes room after those without a whole head. Its request has not run, since handlers read bodies whole; the read of the body fails, as at the end of the connection. A connection that was chosen and got its request after all counts again.

Two cases of TestGatewayLimitsClients and TestDevLimitsClients are new, with the load and the bounds of the others.

--- a/internal/endtoend/limits_test.go
+++ b/internal/endtoend/limits_test.go
@@ -69,7 +69,8 @@
 	if err := r.Header.Write(&fields); err != nil {
 		panic(err)
 	}
-	post := "POST /book/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\n" + fields.String() + "Transfer-Encoding: chunked\r\n\r\n"
+	line := "POST /book/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\n"
+	post := line + fields.String() + "Transfer-Encoding: chunked\r\n\r\n"
 	heads := []flood{
 		{"request line without end", "GET /", strings.Repeat("x", 512)},
 		{"header value without end", get + "X: ", strings.Repeat("x", 512)},
@@ -95,7 +96,10 @@
 			flood{"requests without reading", "", get + "\r\n"},
 		)},
 		{"callers", manyDescriptors, largeHeadBytes, heads},
-		{"callers", fewDescriptors, usualHeadBytes, silent},
+		{"callers", fewDescriptors, usualHeadBytes, append(silent,
+			flood{"bodies that do not come", line + fields.String() + "Content-Length: 1000\r\n\r\n", ""},
+			flood{"bodies of strangers that do not come", line + "Content-Length: 1000\r\n\r\n", ""},
+		)},
 		{"health", fewDescriptors, usualHeadBytes, append(silent, heads[1])},
 		{"metrics", fewDescriptors, usualHeadBytes, append(silent, heads[1])},
 		{"peers", manyDescriptors, usualHeadBytes, peerFloods()},
@@ -168,6 +172,31 @@
 	}
 }
 
+// TestDevLimitsClients is like TestGatewayLimitsClients for the process of the command
+// dev, which has no settings file.
+func TestDevLimitsClients(t *testing.T) {
+	for _, listener := range []string{"callers", "operators"} {
+		t.Run(listener, func(t *testing.T) {
+			p := &process{callers: freeAddress(t), operators: freeAddress(t)}
+			started := startProgram(t, "lovageport", "dev", "--callers", p.callers, "--operators", p.operators)
+			p.command, p.output, p.done = started.command, started.output, started.done
+			awaitListening(t, p.operators)
+			ready := func() (int, error) {
+				r, err := http.NewRequest(http.MethodGet, "http://"+p.operators+"/readyz", nil)
+				if err != nil {
+					return 0, err
+				}
+				return sendOnce(r)
+			}
+			awaitAnswer(t, ready)
+			addresses := map[string]string{"callers": p.callers, "operators": p.operators}
+			use := runFlood(t, p, addresses[listener], flood{"header value without end", "GET / HTTP/1.1\r\nHost: h\r\nX: ", strings.Repeat("x", 512)})
+			awaitAnswer(t, ready)
+			checkUse(t, p, use, manyDescriptors)
+		})
+	}
+}
+
 // gatewayProcess is a gateway with a store and upstreams.
 type gatewayProcess struct {
 	*process
--- a/internal/transport/drain/conn.go
+++ b/internal/transport/drain/conn.go
@@ -53,6 +53,10 @@
 	// has begun.
 	reason  intake.Reason
 	refused bool
+	// awaitsBody is set while the server waits for a part of the body of a request, and
+	// readAt is when it last had one, or the head.
+	awaitsBody bool
+	readAt     time.Time
 	// openedAt is when the connection was accepted. lingering is set once the server
 	// has closed it, and leaving once the listener makes room by it; leaving is guarded
 	// by the mu of the listener.
@@ -64,6 +68,7 @@
 // Read implements [io.Reader]. It returns [io.EOF] if a drain ends the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
+		c.beginRead(len(p))
 		n, err := c.Conn.Read(p)
 		if n > 0 {
 			if reason := c.recordRequest(p[:n]); reason != "" {
@@ -107,6 +112,10 @@
 	c.mu.Lock()
 	c.busy = true
 	c.read += int64(len(text))
+	if c.awaitsBody {
+		c.awaitsBody, c.readAt = false, time.Now()
+		c.keep()
+	}
 	if c.active || !c.listener.limitsHeads() {
 		c.mu.Unlock()
 		return ""
@@ -135,23 +144,40 @@
 	c.mu.Lock()
 	holds := c.holds
 	c.active, c.head, c.lines = true, 0, 0
-	if c.reason != "" && !c.refused {
-		// The request has arrived before the connection was closed.
-		c.reason = ""
-		_ = c.Conn.SetReadDeadline(c.deadline)
-	}
+	c.readAt = time.Now()
+	c.keep()
 	c.mu.Unlock()
 	if holds {
 		c.listener.Memory.Settle(&c.holder)
 	}
 }
 
-// evict has the server close the connection for a reason, unless the head of a request
-// is complete.
+// keep has the connection stay open if it was to be evicted, since what was missing has
+// arrived before. The caller holds mu.
+func (c *conn) keep() {
+	if c.reason == "" || c.refused {
+		return
+	}
+	c.reason = ""
+	// If this fails the connection has ended.
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
+// beginRead records whether a read into size bytes waits for the body of a request. While
+// a request runs whose body is complete, the server reads a single byte, to notice the end
+// of the connection; it reads all else into larger buffers.
+func (c *conn) beginRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaitsBody = c.active && size > 1
+}
+
+// evict has the server close the connection for a reason, unless a request is complete:
+// handlers read bodies whole before anything runs.
 func (c *conn) evict(reason intake.Reason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.active || c.closed || c.reason != "" {
+	if c.active && !c.awaitsBody || c.closed || c.reason != "" {
 		return
 	}
 	c.reason = reason
--- a/internal/transport/drain/limits_test.go
+++ b/internal/transport/drain/limits_test.go
@@ -43,8 +43,12 @@
 		defer l.mu.Unlock()
 		l.reasons[r]++
 	}
-	h := &http.Server{ConnState: drain.Track, ReadHeaderTimeout: 20 * time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	h := &http.Server{ConnState: drain.Track, ReadHeaderTimeout: 20 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		l.served.Add(1)
+		if r.URL.Path == "/refuse" {
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
 		io.Copy(io.Discard, r.Body)
 		if r.URL.Path == "/wait" {
 			<-release
@@ -139,6 +143,18 @@
 // TestConnectionsMakeRoom guards against connections without a request that keep others
 // from being accepted, and against closing those that have one.
 func TestConnectionsMakeRoom(t *testing.T) {
+	for name, first := range map[string]string{
+		"silent":                  "",
+		"cut heads":               get[:20],
+		"bodies that do not come": postStart,
+		"refused bodies":          strings.Replace(postStart, "POST /", "POST /refuse", 1),
+	} {
+		t.Run(name, func(t *testing.T) { checkRoom(t, first) })
+	}
+}
+
+// checkRoom has more connections open than may be, on each of which only first was sent.
+func checkRoom(t *testing.T, first string) {
 	c := qt.New(t)
 	release := make(chan struct{})
 	const conns = 16
@@ -152,12 +168,10 @@
 	for l.served.Load() < conns/2 {
 		time.Sleep(time.Millisecond)
 	}
-	for i := range 4 * conns {
-		silent := l.dial(t)
-		if i%2 == 0 {
-			silent.write(get[:20])
-		}
+	for range 4 * conns {
+		l.dial(t).write(first)
 	}
+	time.Sleep(longIdle)
 	for range conns {
 		client := l.dial(t)
 		client.write(get)
@@ -169,7 +183,7 @@
 	for _, r := range running {
 		c.Check(r.answer(), qt.Equals, http.StatusOK)
 	}
-	c.Check(l.closed(intake.TooManyConnections) >= 3*conns, qt.IsTrue)
+	c.Check(l.closed(intake.TooManyConnections) >= 3*conns, qt.IsTrue, qt.Commentf("%d", l.closed(intake.TooManyConnections)))
 }
 
 // FuzzHead guards against heads that end the process, that leave memory counted after
--- a/internal/transport/drain/room.go
+++ b/internal/transport/drain/room.go
@@ -17,6 +17,9 @@
 	// roomWait and roomTries bound the wait for that.
 	roomWait  = 2 * time.Millisecond
 	roomTries = 50
+	// stayTries is the number of tries after which connections that were chosen and are
+	// still open are taken to stay, because a request has arrived on them.
+	stayTries = 10
 )
 
 // makeRoom reports whether another connection may be accepted. If there are as many as may
@@ -25,8 +28,11 @@
 	if l.MaxConns <= 0 {
 		return true
 	}
-	for range roomTries {
+	for i := range roomTries {
 		l.mu.Lock()
+		if i%stayTries == stayTries-1 {
+			l.forgetLeaving()
+		}
 		if len(l.conns)-l.leaving >= l.MaxConns {
 			l.evictSome()
 		}
@@ -43,6 +49,15 @@
 	return false
 }
 
+// forgetLeaving has the connections that are still open not count as chosen. The caller
+// holds mu.
+func (l *Listener) forgetLeaving() {
+	for c := range l.conns {
+		c.leaving = false
+	}
+	l.leaving = 0
+}
+
 // rank is the order in which connections make room.
 type rank int
 
@@ -52,6 +67,9 @@
 	lingers rank = iota
 	// waitsForFirst is that of connections that have sent no whole request.
 	waitsForFirst
+	// waitsForBody is that of connections whose request lacks a part of its body for a
+	// while.
+	waitsForBody
 	// waitsForNext is that of connections whose last request was answered a while ago.
 	waitsForNext
 	// inUse is that of all others, which are not closed.
@@ -94,7 +112,11 @@
 	switch {
 	case c.lingering:
 		return lingers, c.openedAt
-	case c.active || c.reason != "":
+	case c.reason != "":
+		return inUse, time.Time{}
+	case c.active && c.awaitsBody && time.Since(c.readAt) >= quietPeriod:
+		return waitsForBody, c.readAt
+	case c.active:
 		return inUse, time.Time{}
 	case c.served == 0:
 		return waitsForFirst, c.openedAt
