Serialize writes of a gateway's settings in the soak

A change of settings at 1.9 s came while the gateway was started again after a kill. Both wrote the same temporary file; by reading, one renamed it while the other had just truncated it, so that the process read an incomplete file and the second rename failed. Writes are serialized now.

--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -42,6 +42,8 @@
 	// that of the other build, if there is one. Guarded by mu.
 	binDir, otherBinDir   string
 	settingsPath, logPath string
+	// writing serializes writes of the settings file.
+	writing sync.Mutex
 	// earlierSettings leaves out of the settings what earlier builds do not know.
 	earlierSettings bool
 	// seeds are the peers in the settings file. Guarded by mu.
@@ -99,6 +101,8 @@
 
 // writeSettings replaces the settings file. seeds are the addresses of peers.
 func (g *gateway) writeSettings(seeds []string) error {
+	g.writing.Lock()
+	defer g.writing.Unlock()
 	g.mu.Lock()
 	g.seeds = seeds
 	first := g.starts == 0 && !g.earlierSettings
