Take bodies that arrive for more than 5 s for slow when room is needed

A client that sends a byte of its body now and then kept its connection at the limit of connections, since only silent ones made room. The longest begun is closed first now. The tests of the package pass.

--- a/internal/transport/drain/conn.go
+++ b/internal/transport/drain/conn.go
@@ -53,10 +53,10 @@
 	// has begun.
 	reason  intake.Reason
 	refused bool
-	// awaitsBody is set while the server waits for a part of the body of a request, and
-	// readAt is when it last had one, or the head.
-	awaitsBody bool
-	readAt     time.Time
+	// awaitsBody is set while the server waits for a part of the body of a request,
+	// readAt is when it last had one, or the head, and activeAt when it had the head.
+	awaitsBody       bool
+	readAt, activeAt time.Time
 	// openedAt is when the connection was accepted. lingering is set once the server
 	// has closed it, and leaving once the listener makes room by it; leaving is guarded
 	// by the mu of the listener.
@@ -144,7 +144,8 @@
 	c.mu.Lock()
 	holds := c.holds
 	c.active, c.head, c.lines = true, 0, 0
-	c.readAt = time.Now()
+	c.activeAt = time.Now()
+	c.readAt = c.activeAt
 	c.keep()
 	c.mu.Unlock()
 	if holds {
--- a/internal/transport/drain/room.go
+++ b/internal/transport/drain/room.go
@@ -20,6 +20,8 @@
 	// stayTries is the number of tries after which connections that were chosen and are
 	// still open are taken to stay, because a request has arrived on them.
 	stayTries = 10
+	// slowBody is the time after which a body that still arrives is slow.
+	slowBody = 5 * time.Second
 )
 
 // makeRoom reports whether another connection may be accepted. If there are as many as may
@@ -67,8 +69,8 @@
 	lingers rank = iota
 	// waitsForFirst is that of connections that have sent no whole request.
 	waitsForFirst
-	// waitsForBody is that of connections whose request lacks a part of its body for a
-	// while.
+	// waitsForBody is that of connections whose request lacks a part of its body, and has
+	// got nothing for a while or is slow.
 	waitsForBody
 	// waitsForNext is that of connections whose last request was answered a while ago.
 	waitsForNext
@@ -114,8 +116,8 @@
 		return lingers, c.openedAt
 	case c.reason != "":
 		return inUse, time.Time{}
-	case c.active && c.awaitsBody && time.Since(c.readAt) >= quietPeriod:
-		return waitsForBody, c.readAt
+	case c.active && c.awaitsBody && (time.Since(c.readAt) >= quietPeriod || time.Since(c.activeAt) >= slowBody):
+		return waitsForBody, c.activeAt
 	case c.active:
 		return inUse, time.Time{}
 	case c.served == 0:
