Replace all lost stages of a stream by one order

When several engines failed in the same moment, gateways replaced the stages of a chain one at a time.

A check now names all stages at fault: those that refuse connections or do not answer, and, once one has refused, those that other streams have found silent and that have not answered. Once a stage refuses, the replies of others are waited for 4 ms at most. A first stage that has ended is sent no order.

Tests of the check use its new types; what they require is unchanged.

--- a/internal/coordination/pathfinding/search.go
+++ b/internal/coordination/pathfinding/search.go
@@ -51,6 +51,8 @@
 	// read: the longest backlog, since the stages work off theirs at the same
 	// time, and then the time of each stage for the prompt.
 	PrefillDelay time.Duration
+	// longestBacklog is the part of PrefillDelay that is the longest backlog.
+	longestBacklog time.Duration
 }
 
 // node is the cheapest way found to run the layers up to a bound, with the last
@@ -105,7 +107,8 @@
 	links [][]Link
 	// start and stop are the bounds between which the layers are to be run.
 	start, stop int
-	// wholeRanges requires that a stage runs to the end of its holder's range.
+	// wholeRanges requires that a stage runs to the end of its holder's range, or to
+	// stop.
 	wholeRanges bool
 	// endZone is the zone of the last stage of the cheapest chain.
 	endZone int
@@ -183,7 +186,7 @@
 			continue
 		}
 		for j := i + 1; j <= f.stop && m.bounds[j] <= held.To; j++ {
-			if f.wholeRanges && m.bounds[j] != held.To {
+			if f.wholeRanges && m.bounds[j] != held.To && j != f.stop {
 				continue
 			}
 			cost := n.cost + f.stageCost(h, m.bounds[j]-at) + f.zoneCost(zone, m.zoneOf[h]) + f.linkCost(zone, m.zoneOf[h])
@@ -203,7 +206,6 @@
 // whole ranges, with which that cannot happen.
 func (f *finder) backtrack(nodes [][]node, firstZone int) (Chain, bool) {
 	var chain Chain
-	var longest time.Duration
 	seen := make([]bool, len(f.m.Holders))
 	i, zone := f.stop, f.endZone
 	for i > f.start {
@@ -217,14 +219,14 @@
 		fill := f.fill(n.holder, layers.Len())
 		chain.Fill = max(chain.Fill, fill)
 		chain.PrefillDelay += f.prefillTime(n.holder, layers.Len())
-		longest = max(longest, f.backlog(n.holder))
+		chain.longestBacklog = max(chain.longestBacklog, f.backlog(n.holder))
 		chain.Full = chain.Full || fill > overcommitLimit || f.links[n.prevZone][zone].Full
 		if n.prevBound == 0 && f.start == 0 {
 			chain.Full = chain.Full || f.slotUse(n.holder) > 1
 		}
 		i, zone = n.prevBound, n.prevZone
 	}
-	chain.PrefillDelay += longest
+	chain.PrefillDelay += chain.longestBacklog
 	slices.Reverse(chain.Stages)
 	return chain, true
 }
--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -139,9 +139,9 @@
 			g.control.Do(func(s *state) { to = s.chainTarget([]relay.Stage{{Upstream: s.upstreams["e2"]}}, 0) })
 			_, err := g.send(t.Context(), h.q, to, "")
 			c.Check(verdict.Of(err).Run, qt.Equals, verdict.NotRun)
-			c.Check(g.checkStages(h.q, to, []int{0}).stage >= 0, qt.Equals, x.fault)
+			c.Check(g.checkStages(h.q, to, []suspect{{stage: 0}}).stage >= 0, qt.Equals, x.fault)
 			h.q.accepted = &routing.Service{HealthPath: "/h"}
-			c.Check(g.checkStages(h.q, target{upstream: to.upstream, activity: to.activity}, []int{0}).stage >= 0, qt.Equals, x.fault)
+			c.Check(g.checkStages(h.q, target{upstream: to.upstream, activity: to.activity}, []suspect{{stage: 0}}).stage >= 0, qt.Equals, x.fault)
 			g.probeUpstream(t.Context(), probeTarget{Upstream: to.upstream})
 			g.control.Do(func(s *state) {
 				c.Check(s.health.LikelyDown("e2"), qt.Equals, x.fault)
--- a/internal/gateway/stagecheck.go
+++ b/internal/gateway/stagecheck.go
@@ -47,41 +47,89 @@
 	began time.Duration
 }
 
-// checkStages checks stages concurrently. It returns the first that refuses
-// connections as soon as it is known, otherwise the first in the chain that
-// does not answer in time. A stage whose answer may have arrived while this process
-// stood still is not found at fault.
-func (g *Gateway) checkStages(q *request, to target, suspects []int) finding {
-	f := finding{stage: -1, quietAt: neverQuiet}
+// suspect is a stage that no stream has passed recently.
+type suspect struct {
+	stage int
+	// known is what the checks of other streams have shown: stageSilent, stageRefuses,
+	// or stageUnknown if nothing.
+	known stageState
+}
+
+// refusalGrace is how long the replies of other stages are waited for once a stage
+// refuses connections. Engines that fail together refuse together, within a round trip
+// of 1 to 2 ms; the rest allows for a busy VM. It is short beside the 250 ms that a
+// stream may pause.
+const refusalGrace = 4 * time.Millisecond
+
+// checkStages checks stages concurrently, except those that are known to refuse
+// connections. It returns those that refuse connections soon after the first is known,
+// with those that are known to be silent and have not answered by then, and otherwise
+// those that do not answer in time. A stage whose answer may have arrived while this
+// process stood still is not found at fault.
+func (g *Gateway) checkStages(q *request, to target, suspects []suspect) finding {
 	asked := g.Now()
 	replies := make(chan stageReply, len(suspects))
-	for _, i := range suspects {
+	found := make(map[int]stageState, len(suspects))
+	waiting := 0
+	var grace <-chan time.Time
+	for _, x := range suspects {
+		if x.known == stageRefuses {
+			found[x.stage] = stageRefuses
+			grace = time.After(refusalGrace)
+			continue
+		}
+		waiting++
 		go func() {
-			r := stageReply{stage: i, began: asked}
+			r := stageReply{stage: x.stage, began: asked}
 			// A panic is logged, and leaves the state unknown.
-			_ = g.containFor(q, func() { r = g.checkStage(q, to, i) })
+			_ = g.containFor(q, func() { r = g.checkStage(q, to, x.stage) })
 			replies <- r
 		}()
 	}
 	began := asked
-	for range suspects {
-		r := <-replies
+	for ; waiting > 0; waiting-- {
+		var r stageReply
+		select {
+		case r = <-replies:
+		case <-grace:
+			return newFinding(suspects, found, g.pauses.Stalled(began, g.Now()))
+		}
 		began = min(began, r.began)
-		switch r.state {
-		case stageRefuses:
-			return finding{stage: r.stage, ended: true, quietAt: neverQuiet}
-		case stageSilent:
-			if f.stage < 0 || r.stage < f.stage {
-				f.stage = r.stage
-			}
-		case stageUnanswered:
-			f.unanswered = true
-		case stageAnswers:
+		found[r.stage] = r.state
+		switch {
+		case r.state == stageRefuses && grace == nil:
+			grace = time.After(refusalGrace)
+		case r.state == stageAnswers:
 			to.activity[r.stage].recordReport(g.Now())
 		}
 	}
-	if g.pauses.Stalled(began, g.Now()) {
-		return finding{stage: -1, quietAt: neverQuiet}
+	return newFinding(suspects, found, g.pauses.Stalled(began, g.Now()))
+}
+
+// newFinding returns the finding of a check from the state of each stage that has
+// replied. stoodStill reports whether this process stood still during the check, so that
+// only a refused connection shows anything.
+func newFinding(suspects []suspect, found map[int]stageState, stoodStill bool) finding {
+	f := noFinding()
+	for _, state := range found {
+		f.ended = f.ended || state == stageRefuses
+		f.unanswered = f.unanswered || state == stageUnanswered && !stoodStill
+	}
+	for _, x := range suspects {
+		state := found[x.stage]
+		if state == stageSilent && stoodStill {
+			state = stageUnknown
+		}
+		switch {
+		case state == stageRefuses, state == stageSilent:
+			f.lost = append(f.lost, x.stage)
+		case state == stageUnknown && x.known == stageSilent && f.ended:
+			f.lost = append(f.lost, x.stage)
+			f.presumed = append(f.presumed, x.stage)
+		}
+	}
+	if len(f.lost) > 0 {
+		f.stage = f.lost[0]
 	}
 	return f
 }
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -174,7 +174,7 @@
 // waited for a slot.
 const maxUnansweredProbes = 3
 
-// check checks the stages of the stream. A stage that is found at fault is
+// check checks the stages of the stream. Stages that are found at fault are
 // replaced, or the attempt is given up.
 func (d *stallDetector) check() {
 	to, askFirst, lastEventAt, next := d.beginCheck()
@@ -186,11 +186,12 @@
 		d.giveUp(to, finding{stage: 0}, lastEventAt)
 		return
 	}
-	f := d.g.findStalledStage(d.q, to, askFirst)
-	if f.stage >= 0 && !d.attributeStall(to, f.stage, lastEventAt) {
+	f := d.g.findLostStages(d.q, to, askFirst)
+	if !d.attributeLoss(to, f, lastEventAt) {
 		return
 	}
-	if f.stage > 0 && d.replaceStage(to, f.stage) {
+	// The first stage cannot be replaced, nor take the order if it is lost.
+	if f.stage > 0 && d.replaceStages(to, f.lost, lastEventAt) {
 		return
 	}
 	if f.unanswered && d.countUnanswered() >= maxUnansweredProbes {
@@ -275,6 +276,22 @@
 	return true
 }
 
+// attributeLoss records that stages are at fault, unless the stream continues or has
+// ended, and reports whether it did. Those that only other streams have found silent are
+// avoided by the request, but not blamed again.
+func (d *stallDetector) attributeLoss(to target, f finding, lastEventAt time.Duration) bool {
+	for _, i := range f.lost {
+		if slices.Contains(f.presumed, i) {
+			d.g.control.Do(func(*state) { d.q.exclude(to.stage(i).Instance) })
+			continue
+		}
+		if !d.attributeStall(to, i, lastEventAt) {
+			return false
+		}
+	}
+	return true
+}
+
 // giveUp ends the attempt because of the stage that was found at fault, or because
 // of no progress since a stage was replaced, unless the stream continues. The attempt
 // continues until the next one has begun to answer, also if the stage refuses
@@ -335,11 +352,15 @@
 	}
 }
 
-// finding is the result of a search for the stage that a generation waits for.
+// finding is the result of a search for the stages that a generation waits for.
 type finding struct {
-	// stage is the index of the stage; negative if none is found at fault.
+	// stage is the index of the first stage at fault; negative if none is found.
 	stage int
-	// ended reports whether the stage is known to have ended.
+	// lost holds the indexes of all stages at fault, in the order of the chain, and
+	// presumed those of them that only other streams have found silent: no answer has
+	// come, but was not waited for.
+	lost, presumed []int
+	// ended reports whether a stage is known to have ended.
 	ended bool
 	// unanswered reports whether an upstream without engine accepts connections but has
 	// not answered its health probe.
@@ -349,32 +370,33 @@
 	quietAt time.Duration
 }
 
+// noFinding returns the finding of a search that has found no stage at fault.
+func noFinding() finding { return finding{stage: -1, quietAt: neverQuiet} }
+
 // neverQuiet is later than any boot time.
 const neverQuiet = time.Duration(math.MaxInt64)
 
-// findStalledStage finds the stage that a generation waits for. Stages that
+// findLostStages finds the stages that a generation waits for. Stages that
 // streams have passed recently are taken to be well; the others are checked
-// concurrently, also if they did not answer another stream, unless one is known to
+// concurrently, also if they did not answer another stream, unless they are known to
 // refuse connections. If askFirst is set, the first stage is then asked which stage
 // it waits for.
-func (g *Gateway) findStalledStage(q *request, to target, askFirst bool) finding {
-	var suspects []int
-	f := finding{stage: -1, quietAt: neverQuiet}
+func (g *Gateway) findLostStages(q *request, to target, askFirst bool) finding {
+	var suspects []suspect
+	quietAt := neverQuiet
 	g.control.Do(func(s *state) {
 		now := g.Now()
-		suspects, f.stage = s.suspectStages(to, now)
-		f.ended = f.stage >= 0 && s.health.Refuses(to.stage(f.stage).Instance)
+		suspects = s.suspectStages(to, now)
 		if len(suspects) == 0 {
-			f.quietAt = s.nextQuietStage(to, now)
+			quietAt = s.nextQuietStage(to, now)
 		}
 	})
-	if !f.ended {
-		quietAt := f.quietAt
-		f = g.checkStages(q, to, suspects)
-		f.quietAt = quietAt
-	}
+	f := g.checkStages(q, to, suspects)
+	f.quietAt = quietAt
 	if f.stage < 0 && askFirst && to.hasEngine() {
-		f.stage = g.askFirstStage(q, to)
+		if i := g.askFirstStage(q, to); i >= 0 {
+			f.stage, f.lost = i, []int{i}
+		}
 	}
 	return f
 }
@@ -391,20 +413,23 @@
 	return at
 }
 
-// suspectStages returns the stages that no stream has passed recently, and the
-// first of them that is known not to answer; lost is negative if there is none.
-func (s *state) suspectStages(to target, now time.Duration) (quiet []int, lost int) {
-	lost = -1
+// suspectStages returns the stages that no stream has passed recently.
+func (s *state) suspectStages(to target, now time.Duration) (quiet []suspect) {
 	for i := range to.stageCount() {
 		instance := to.stage(i).Instance
 		quietTime, reports := to.activity[i].quiet(now)
 		if quietTime < health.StageQuietLimit(s.loadOf(instance).requests, reports) {
 			continue
 		}
-		quiet = append(quiet, i)
-		if lost < 0 && s.health.ExcludedForFault(instance, now) && s.health.LikelyDown(instance) {
-			lost = i
+		x := suspect{stage: i}
+		switch {
+		case !s.health.ExcludedForFault(instance, now):
+		case s.health.Refuses(instance):
+			x.known = stageRefuses
+		case s.health.LikelyDown(instance):
+			x.known = stageSilent
 		}
+		quiet = append(quiet, x)
 	}
-	return quiet, lost
+	return quiet
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,10 +61,11 @@
 		}
 	})
 	for range 100 {
-		next, spare := s.findReplacement(q, to, 1, time.Second)
-		qt.Assert(t, spare, qt.HasLen, 1)
-		qt.Assert(t, next.chain[1].Upstream.Instance, qt.Equals, "e3")
-		s.releaseStages(q, spare)
+		r := repair{lost: []int{1}}
+		s.findReplacement(q, to, &r, time.Second)
+		qt.Assert(t, r.spare, qt.HasLen, 1)
+		qt.Assert(t, r.next.chain[1].Upstream.Instance, qt.Equals, "e3")
+		s.releaseStages(q, r.spare)
 	}
 	attempt.Wait()
 }
@@ -91,16 +93,19 @@
 			to := s.chainTarget([]relay.Stage{{Upstream: engine("e", 10)}}, 0)
 			s.loadOf("e").requests = x.streams
 			to.recordEvent(now - x.quiet)
-			quiet, lost := s.suspectStages(to, g.Now())
+			quiet := s.suspectStages(to, g.Now())
 			qt.Check(t, len(quiet) == 1, qt.Equals, x.suspect)
-			qt.Check(t, lost < 0, qt.IsTrue)
+			for _, q := range quiet {
+				qt.Check(t, q.known, qt.Equals, stageUnknown)
+			}
 		})
 	}
 	s.health.RecordFault("e", health.Unreachable, now)
 	to := s.chainTarget([]relay.Stage{{Upstream: engine("e", 10)}}, 0)
 	to.recordEvent(now - sparse)
-	_, lost := s.suspectStages(to, now)
-	qt.Check(t, lost, qt.Equals, 0, qt.Commentf("a known fault needs no further check"))
+	quiet := s.suspectStages(to, now)
+	qt.Assert(t, quiet, qt.HasLen, 1)
+	qt.Check(t, quiet[0], qt.Equals, suspect{0, stageRefuses}, qt.Commentf("a known fault needs no further check"))
 }
 
 // TestQuietStageIsCheckedWhenItsLimitPasses guards against a stage that is not
@@ -135,7 +140,7 @@
 	countChecks := func(start, end time.Duration) int {
 		checks := 0
 		for now := start; now < end; now += 5 * time.Millisecond {
-			if quiet, _ := s.suspectStages(to, now); len(quiet) > 0 {
+			if quiet := s.suspectStages(to, now); len(quiet) > 0 {
 				checks++
 				to.activity[0].recordReport(now)
 			}
@@ -145,7 +150,7 @@
 	to.recordEvent(time.Minute)
 	qt.Check(t, countChecks(time.Minute, time.Minute+time.Second), qt.Equals, 4)
 	to.recordEvent(time.Minute + time.Second)
-	quiet, _ := s.suspectStages(to, time.Minute+time.Second+health.StageQuietLimit(10, 0))
+	quiet := s.suspectStages(to, time.Minute+time.Second+health.StageQuietLimit(10, 0))
 	qt.Check(t, quiet, qt.HasLen, 1)
 }
 
@@ -176,7 +181,7 @@
 			}
 			var to target
 			g.control.Do(func(s *state) { to = s.chainTarget([]relay.Stage{{Upstream: s.upstreams["e1"]}}, 0) })
-			f := g.checkStages(h.q, to, []int{0})
+			f := g.checkStages(h.q, to, []suspect{{stage: 0}})
 			c.Check(f.stage, qt.Equals, x.fault)
 			c.Check(f.ended, qt.IsFalse)
 			g.probeUpstream(t.Context(), probeTarget{Upstream: to.upstream})
@@ -220,7 +225,7 @@
 				to = s.chainTarget([]relay.Stage{{Upstream: s.upstreams["e1"]}}, 0)
 				s.health.RecordFault("e1", x.fault, g.Now())
 			})
-			f := g.findStalledStage(h.q, to, false)
+			f := g.findLostStages(h.q, to, false)
 			c.Check(f.stage, qt.Equals, x.stage)
 			c.Check(f.ended, qt.Equals, x.ended)
 		})
@@ -251,7 +256,7 @@
 	g.pauses.Tick(time.Minute+selfcheck.Interval, g.Now())
 	setTime(210 * time.Millisecond)
 	time.AfterFunc(20*time.Millisecond, func() { close(answer) })
-	f := g.checkStages(h.q, to, []int{0})
+	f := g.checkStages(h.q, to, []suspect{{stage: 0}})
 	c.Check(f.stage, qt.Equals, -1)
 }
 
@@ -285,3 +290,112 @@
 	d.stopped = true
 	c.Check(d.attributeStall(to, 0, now), qt.IsFalse)
 }
+
+// TestFindingNamesAllLostStages guards against repairing one stage of a chain that has
+// lost several, and against taking a stage for lost that has answered, or that may have
+// answered while this process stood still.
+func TestFindingNamesAllLostStages(t *testing.T) {
+	for _, x := range []struct {
+		name              string
+		known             map[int]stageState
+		found             map[int]stageState
+		stood             bool
+		lost, presumed    []int
+		ended, unanswered bool
+	}{
+		{name: "none", found: map[int]stageState{0: stageAnswers, 1: stageAnswers}},
+		{name: "two refuse", found: map[int]stageState{0: stageAnswers, 1: stageRefuses, 3: stageRefuses}, lost: []int{1, 3}, ended: true},
+		{name: "two silent", found: map[int]stageState{0: stageAnswers, 1: stageSilent, 2: stageAnswers, 3: stageSilent}, lost: []int{1, 3}},
+		{name: "one refuses, one was silent before", found: map[int]stageState{1: stageSilent, 2: stageRefuses}, lost: []int{1, 2}, ended: true},
+		{name: "one refuses, no reply of the others", found: map[int]stageState{2: stageRefuses}, lost: []int{2}, ended: true},
+		{name: "one refuses, one is silent for other streams", known: map[int]stageState{3: stageSilent}, found: map[int]stageState{2: stageRefuses}, lost: []int{2, 3}, presumed: []int{3}, ended: true},
+		{name: "one refuses, one silent for other streams answers", known: map[int]stageState{3: stageSilent}, found: map[int]stageState{2: stageRefuses, 3: stageAnswers}, lost: []int{2}, ended: true},
+		{name: "the first is silent for other streams", known: map[int]stageState{0: stageSilent}, found: map[int]stageState{2: stageRefuses}, lost: []int{0, 2}, presumed: []int{0}, ended: true},
+		{name: "silent for other streams only", known: map[int]stageState{3: stageSilent}, found: map[int]stageState{0: stageAnswers}},
+		{name: "stood still", found: map[int]stageState{1: stageSilent, 3: stageSilent}, stood: true},
+		{name: "stood still, one refuses", found: map[int]stageState{1: stageRefuses, 3: stageSilent}, stood: true, lost: []int{1}, ended: true},
+		{name: "health probe without reply", found: map[int]stageState{0: stageUnanswered}, unanswered: true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			var suspects []suspect
+			for i := range 4 {
+				suspects = append(suspects, suspect{i, x.known[i]})
+			}
+			f := newFinding(suspects, x.found, x.stood)
+			qt.Check(t, f.lost, qt.DeepEquals, x.lost)
+			qt.Check(t, f.presumed, qt.DeepEquals, x.presumed)
+			qt.Check(t, f.ended, qt.Equals, x.ended)
+			qt.Check(t, f.unanswered, qt.Equals, x.unanswered)
+			first := -1
+			if len(x.lost) > 0 {
+				first = x.lost[0]
+			}
+			qt.Check(t, f.stage, qt.Equals, first)
+		})
+	}
+}
+
+// TestRefusalIsNotHeldUpBySilence guards against a stream that waits for the reply of a
+// silent stage although another one of its chain has ended, here for ever.
+func TestRefusalIsNotHeldUpBySilence(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		known bool
+	}{
+		{"other streams know", true},
+		{"this check shows it", false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			g, h := handoverGateway(t)
+			g.Now = func() time.Duration { return time.Minute }
+			g.Settings = testSettings()
+			g.connPool = &http1.Pool{Dial: func(context.Context, string, string) (net.Conn, error) {
+				return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+			}}
+			asked, answer := make(chan struct{}), make(chan struct{})
+			defer close(answer)
+			go g.reportCalls.Do("e2", func() (any, error) {
+				close(asked)
+				<-answer
+				return timedReport{}, nil
+			})
+			<-asked
+			var to target
+			g.control.Do(func(s *state) {
+				to = s.chainTarget([]relay.Stage{{Upstream: s.upstreams["e2"]}, {Upstream: s.upstreams["e1"]}}, 0)
+				if x.known {
+					s.health.RecordFault("e1", health.Unreachable, g.Now())
+				}
+			})
+			found := make(chan finding, 1)
+			go func() { found <- g.findLostStages(h.q, to, false) }()
+			select {
+			case f := <-found:
+				c.Check(f.lost, qt.DeepEquals, []int{1})
+				c.Check(f.ended, qt.IsTrue)
+			case <-time.After(10 * time.Second):
+				t.Fatal("the check waits for the silent stage")
+			}
+		})
+	}
+}
+
+// TestPresumedStageIsNotBlamedAgain guards against an exclusion that each stream on a
+// stage renews although only another one has found it silent.
+func TestPresumedStageIsNotBlamedAgain(t *testing.T) {
+	c := qt.New(t)
+	g, h := handoverGateway(t)
+	g.Now = func() time.Duration { return time.Minute }
+	var to target
+	g.control.Do(func(s *state) {
+		to = s.chainTarget([]relay.Stage{{Upstream: s.upstreams["e1"]}, {Upstream: s.upstreams["e2"]}}, 0)
+	})
+	d := &stallDetector{g: g, q: h.q, target: to, timer: time.NewTimer(time.Hour), handover: handover{g: g, q: h.q}}
+	c.Check(d.attributeLoss(to, finding{lost: []int{0, 1}, presumed: []int{1}}, 0), qt.IsTrue)
+	g.control.Do(func(s *state) {
+		c.Check(s.health.ExcludedForFault("e1", g.Now()), qt.IsTrue)
+		c.Check(s.health.ExcludedForFault("e2", g.Now()), qt.IsFalse)
+		c.Check(h.q.excluded["e2"], qt.IsTrue)
+	})
+}
