--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -323,16 +323,25 @@
 	}
 }
 
-// maxNamedPeers is how many peers are named in one message. They are picked at
-// random, so that all are named over several messages.
-const maxNamedPeers = 6
+// maxNamedPeers is how many peers are named in one message, and maxNamedPeersOfMany if
+// there are so many that reports are relayed: a peer takes 50 bytes, and each gateway gets
+// some 60 messages a second. They are picked at random, so that all are named over several
+// messages.
+const (
+	maxNamedPeers       = 6
+	maxNamedPeersOfMany = 4
+)
 
 // samplePeers returns some of the peers that are alive, from a random one on.
 func (s *state) samplePeers(now time.Duration) []peering.Address {
 	alive := s.members.Alive(now)
 	var out []peering.Address
 	first := int(s.random() * float64(len(alive)))
-	for i := range min(maxNamedPeers, len(alive)) {
+	named := maxNamedPeers
+	if s.members.RelaysReports() {
+		named = maxNamedPeersOfMany
+	}
+	for i := range min(named, len(alive)) {
 		out = append(out, alive[(first+i)%len(alive)].Address)
 	}
 	return out
