Predict the wait over all gateways and spread the returns of refused callers

Clients of an overloaded deployment were refused at the end of their queue time, because the wait was estimated from the queue and the dispatch rate of one gateway, and that rate was too low after idle times and too high after engines had failed. All clients refused at one moment were told the same time, came back together, and were put behind requests that had come later, since the fair queue forgets an account as soon as it is empty.

The rate now counts only the time in which requests wait, over 2 s instead of 5 s. The wait is that of the requests ahead in all queues at the rate of all queues, where peers report them through state.waiting.fleet; without reports it is that of the own queue. The accounts of a priority take turns, so the backlog of one does not refuse the others. Each refused caller of an account is told a time of its own, at the account's part of the rate, within a third of the request's remaining time. The place of a refused account is kept until a second after that time. Streams that have begun go before the other requests of their priority.

A retry has another ID than the request it repeats.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -24,33 +24,66 @@
 	// Deadline is the time until which the request may wait. The queue itself
 	// does not enforce it.
 	Deadline time.Time
+	// Begun requests, of which the caller has received a part of the answer, go
+	// before the others of the same priority.
+	Begun bool
+	// Returning reports that a request of the account was refused before and returns
+	// as told. Its account then takes the place that Keep has kept, before accounts of
+	// the same priority whose requests are new.
+	Returning bool
 }
 
 // entry is a queued request.
 type entry[T any] struct {
 	item  Item
 	value T
-	// start is the virtual time at which the request's turn comes.
+	// earliest is the earliest virtual time at which the request's turn may come: that
+	// of its arrival, or of the refusal of a request that returns.
+	earliest float64
+	// start is the virtual time at which the request's turn comes. It is set for the
+	// first request of each account.
 	start float64
 }
 
-// fairQueue holds the requests of one pool and priority. It serves the accounts
-// by start-time fair queueing, in units of tokens.
+// fairQueue holds the requests of one pool and priority, those that have begun apart
+// from the others. It serves the accounts by start-time fair queueing, in units of
+// tokens.
 type fairQueue[T any] struct {
 	accounts map[string][]entry[T]
-	// finish is the virtual finish time of the last request of each account.
+	// finish is the virtual finish time of the last request of each account that was
+	// served.
 	finish      map[string]float64
 	virtualTime float64
+	// count is the number of requests.
+	count int
+	// kept holds the places of refused accounts.
+	kept places
 }
 
+// levelQueues are the queues of a pool by priority: at 2p the requests of priority p,
+// at 2p+1 those of them that have begun.
+type levelQueues[T any] [2 * (declaration.MaxPriority + 1)]fairQueue[T]
+
+// levelOf returns the index of an item's queue in levelQueues.
+func levelOf(item Item) int {
+	level := 2 * clampPriority(item.Priority)
+	if item.Begun {
+		level++
+	}
+	return level
+}
+
+// clampPriority returns the nearest priority that is in range.
+func clampPriority(priority int) int { return min(max(priority, 0), declaration.MaxPriority) }
+
 // Queue holds waiting requests, each with a value of type T. Its zero value is
 // empty and unbounded. It is not safe for concurrent use.
 type Queue[T any] struct {
 	// Max bounds the requests that wait for one pool; 0 means no bound.
 	Max int
 
-	// levels holds the queues of each pool by priority.
-	levels map[string]*[declaration.MaxPriority + 1]fairQueue[T]
+	// levels holds the queues of each pool.
+	levels map[string]*levelQueues[T]
 	// counts is the number of queued requests of each pool.
 	counts map[string]int
 }
@@ -62,15 +95,15 @@
 		return ErrFull
 	}
 	if q.levels == nil {
-		q.levels = make(map[string]*[declaration.MaxPriority + 1]fairQueue[T])
+		q.levels = make(map[string]*levelQueues[T])
 		q.counts = make(map[string]int)
 	}
 	levels := q.levels[item.Pool]
 	if levels == nil {
-		levels = new([declaration.MaxPriority + 1]fairQueue[T])
+		levels = new(levelQueues[T])
 		q.levels[item.Pool] = levels
 	}
-	levels[min(max(item.Priority, 0), declaration.MaxPriority)].push(item, value)
+	levels[levelOf(item)].push(item, value)
 	q.counts[item.Pool]++
 	return nil
 }
@@ -80,9 +113,56 @@
 		f.accounts = make(map[string][]entry[T])
 		f.finish = make(map[string]float64)
 	}
-	start := max(f.virtualTime, f.finish[item.Account])
-	f.finish[item.Account] = start + float64(max(item.Cost, 1))
-	f.accounts[item.Account] = append(f.accounts[item.Account], entry[T]{item, value, start})
+	items := f.accounts[item.Account]
+	e := entry[T]{item: item, value: value, earliest: f.earliest(item)}
+	if len(items) > 0 && e.earliest < items[0].earliest {
+		// Within the account the order of arrival stays: a request that returns cannot
+		// be told from a new one of its account, and those that wait would be late.
+		e.earliest, items[0].earliest = items[0].earliest, e.earliest
+	}
+	f.accounts[item.Account] = append(items, e)
+	f.count++
+	f.setStart(item.Account)
+}
+
+// returnLead is how much earlier, in virtual time, the turn of a request that returns
+// comes than that of a new one which arrived when it was refused. It is less than the
+// cost of any request.
+const returnLead = 0.5
+
+// earliest returns the earliest virtual time at which the turn of a request may come
+// that arrives now.
+func (f *fairQueue[T]) earliest(item Item) float64 {
+	if place, ok := f.kept.byAccount[item.Account]; ok && item.Returning {
+		return place.start - returnLead
+	}
+	return f.virtualTime
+}
+
+// finishOf returns the virtual time until which an account was served; 0 if that does
+// not count any more.
+func (f *fairQueue[T]) finishOf(account string) float64 {
+	finish := f.finish[account]
+	if place, ok := f.kept.byAccount[account]; ok {
+		finish = max(finish, place.finish)
+	}
+	return finish
+}
+
+// setStart sets the virtual start time of the first request of an account.
+func (f *fairQueue[T]) setStart(account string) {
+	first := &f.accounts[account][0]
+	first.start = max(first.earliest, f.finishOf(account))
+}
+
+// charge records that the first request of an account is served.
+func (f *fairQueue[T]) charge(account string) {
+	first := &f.accounts[account][0]
+	finish := first.start + float64(max(first.item.Cost, 1))
+	f.finish[account] = finish
+	if place, ok := f.kept.byAccount[account]; ok {
+		place.finish = finish
+	}
 }
 
 // next returns the account whose turn it is, false if the queue is empty.
@@ -137,7 +217,7 @@
 	if levels == nil {
 		return nil, ""
 	}
-	for p := declaration.MaxPriority; p >= 0; p-- {
+	for p := len(levels) - 1; p >= 0; p-- {
 		if account, ok := levels[p].next(); ok {
 			return &levels[p], account
 		}
@@ -152,21 +232,30 @@
 		return
 	}
 	f.virtualTime = max(f.virtualTime, f.accounts[account][0].start)
+	f.charge(account)
 	f.removeAt(account, 0)
 	q.counts[pool]--
 }
 
 func (f *fairQueue[T]) removeAt(account string, i int) {
 	items := f.accounts[account]
-	items = append(items[:i:i], items[i+1:]...)
+	if i == 0 {
+		items[0] = entry[T]{}
+		items = items[1:]
+	} else {
+		items = append(items[:i:i], items[i+1:]...)
+	}
+	f.count--
 	if len(items) > 0 {
 		f.accounts[account] = items
+		f.setStart(account)
 		return
 	}
 	delete(f.accounts, account)
 	switch {
 	case len(f.accounts) == 0:
-		// What was served before counts only while requests wait.
+		// What was served before counts only while requests wait, except for accounts
+		// whose places are kept.
 		clear(f.finish)
 	case f.finish[account] <= f.virtualTime:
 		delete(f.finish, account)
@@ -210,10 +299,8 @@
 		return 0
 	}
 	ahead := 0
-	for p := max(priority, 0); p <= declaration.MaxPriority; p++ {
-		for _, items := range levels[p].accounts {
-			ahead += len(items)
-		}
+	for p := 2 * max(priority, 0); p < len(levels); p++ {
+		ahead += levels[p].count
 	}
 	return ahead
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -11,7 +11,6 @@
 	"lovageport.example/internal/coordination/selfcheck"
 	"lovageport.example/internal/loop"
 	"lovageport.example/internal/state/routing"
-	"lovageport.example/pkg/declaration"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -29,8 +28,8 @@
 	dispatchInterval = selfcheck.Interval
 	// minRetryAfter and maxRetryAfter bound the delay after which a refused
 	// caller is told to retry.
-	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 3 * time.Second
+	minRetryAfter = admission.MinReturn
+	maxRetryAfter = admission.MaxReturn
 	// repairRetryAfter is the retry delay if no upstreams cover the layers;
 	// restoring them takes about as long.
 	repairRetryAfter = time.Second
@@ -125,24 +124,21 @@
 		w.reply <- admissionResult{err: verdict.Refuse(verdict.QueueFull, "requests of %s wait of which no attempt runs", q.service)}
 		return
 	}
-	item := admission.Item{
-		Pool:     q.service,
-		Account:  q.account,
-		Priority: declaration.MaxPriority - min(q.rank, declaration.MaxPriority),
-		Cost:     int(q.tokens),
-		Deadline: bootTime(q.queueLimit()),
-	}
+	item := itemOf(q)
 	if refusal := s.holdOffRefusal(q, now); refusal != nil {
 		w.reply <- admissionResult{err: refusal}
 		return
 	}
+	item.Returning = s.claimReturn(q, item, now)
 	if reason, refuse := s.queueTimeoutReason(q, item, now); refuse {
 		s.refuseQueued(w, reason, now)
 		return
 	}
 	if err := s.queue.Push(item, w); err != nil {
 		s.refuseQueued(w, verdict.QueueFull, now)
+		return
 	}
+	s.dispatchRate(q.service).Busy(bootTime(now))
 }
 
 // mayBeQueued reports whether a request refused with err may get a target soon.
@@ -160,13 +156,12 @@
 	if now >= q.queueLimit() {
 		return verdict.DeadlineUnmeetable, true
 	}
-	if q.history().lastEvent > 0 {
+	p := s.predictWait(q, item, now)
+	if item.Begun {
 		// Its caller has a part of the stream, which an estimate must not cut.
 		return "", false
 	}
-	ahead := s.queue.Ahead(q.service, item.Priority)
-	wait, known := s.dispatchRate(q.service).EstimateWait(ahead+1, bootTime(now))
-	if ahead > 0 && known && bootTime(now).Add(wait).After(item.Deadline) {
+	if isTooLate(p, item, now) {
 		return verdict.DeadlineUnmeetable, true
 	}
 	return "", false
@@ -175,22 +170,12 @@
 func (s *state) dispatchRate(service string) *admission.RateEstimator {
 	r := s.dispatchRates[service]
 	if r == nil {
-		r = &admission.RateEstimator{}
+		r = &admission.RateEstimator{TimeConstant: dispatchRateTimeConstant}
 		s.dispatchRates[service] = r
 	}
 	return r
 }
 
-// refuseQueued refuses a request and says when to retry.
-func (s *state) refuseQueued(w *waiter, reason verdict.Reason, now time.Duration) {
-	after, known := s.dispatchRate(w.q.service).EstimateWait(s.queue.Len(w.q.service)+1, bootTime(now))
-	if !known {
-		after = repairRetryAfter
-	}
-	after = min(max(after, minRetryAfter), maxRetryAfter)
-	w.reply <- admissionResult{err: verdict.RefuseUntil(after, reason, "no upstreams of %s have room in time, %d requests wait", w.q.service, s.queue.Len(w.q.service))}
-}
-
 // dispatch assigns targets to queued requests in their order, for as long as
 // they fit, and refuses those past their deadline.
 func (s *state) dispatch(now time.Duration) {
@@ -202,6 +187,8 @@
 	for _, w := range late {
 		s.refuseQueued(w, verdict.DeadlineUnmeetable, now)
 	}
+	s.updateDispatchRates(now)
+	s.queue.ExpirePlaces(bootTime(now))
 }
 
 // dispatchNext assigns a target to the next queued request of a service and
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,7 +13,13 @@
 	// answers counts requests by service and outcome.
 	answers  *prometheus.CounterVec
 	refusals *prometheus.CounterVec
-	retries  *prometheus.CounterVec
+	// queueRefusals counts requests that were refused because they wait too long or
+	// would have to, by reason.
+	queueRefusals *prometheus.CounterVec
+	// queuedReturns counts requests of accounts that had to wait, by whether they
+	// return after a refusal.
+	queuedReturns *prometheus.CounterVec
+	retries       *prometheus.CounterVec
 	// firstByte is the time from a request to the first event or the response.
 	firstByte   *prometheus.HistogramVec
 	requestTime *prometheus.HistogramVec
@@ -54,6 +60,12 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_refusals_total", Help: "Requests refused or failed, by reason and verdict.",
 		}, []string{"reason", "verdict"}),
+		queueRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_queue_refusals_total", Help: "Requests refused because they wait too long, or would have to, by reason.",
+		}, []string{"reason"}),
+		queuedReturns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_queued_total", Help: "Requests of accounts that had to wait, by whether they return after a refusal as told.",
+		}, []string{"kind"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_retries_total", Help: "Attempts that failed and were followed by another, by reason.",
 		}, []string{"reason"}),
@@ -117,7 +129,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.queueRefusals, m.queuedReturns, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"lovageport.example/internal/coordination/admission"
 	"lovageport.example/internal/coordination/pathfinding"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
@@ -54,6 +55,8 @@
 	// queueDeadline is the boot time until which the request may be queued; after
 	// that its caller has probably gone. Guarded by mu of the history.
 	queueDeadline time.Duration
+	// prediction is the wait that was last predicted. Guarded by mu of the history.
+	prediction admission.Prediction
 	// running holds the targets of the generation's attempts that run, by their
 	// detectors. Guarded by mu of the history.
 	running map[*stallDetector]target
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -247,6 +247,7 @@
 	}
 	fields = append(fields, zap.String("reason", string(e.Reason)), zap.Stringer("verdict", e.Run),
 		zap.Duration("retry_after", e.RetryAfter), zap.Error(e))
+	fields = append(fields, predictionFields(q.lastPrediction())...)
 	g.Log.Info("request failed", fields...)
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -79,6 +79,7 @@
 	// dispatchRates are the rates at which queued requests get their targets,
 	// by service.
 	dispatchRates map[string]*admission.RateEstimator
+	waiting       waiting
 	retryWindows  map[string]*retry.Window
 	// zoneRetries and otherRetries hold the requests and retries reported by the
 	// peers of the own zone, by address, and by other zones, by name.
@@ -165,6 +166,9 @@
 	s.health.Random = g.Random
 	s.suspicions.CrashLimit = crashLimit
 	s.queue.Max = maxQueued
+	if g.metrics != nil {
+		s.waiting.refused, s.waiting.returned = g.metrics.queueRefusals, g.metrics.queuedReturns
+	}
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*upstreamLoad)
--- /dev/null
+++ b/internal/gateway/waiting_test.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"lovageport.example/internal/coordination/admission"
+	"lovageport.example/pkg/declaration"
+	"lovageport.example/pkg/verdict"
+)
+
+// newBusyState returns the state of a gateway whose engine is full, and which has
+// dispatched a number of queued requests per second so far.
+func newBusyState(t testing.TB, perSecond int, now time.Duration) *state {
+	s := newState(t)
+	s.now = func() time.Duration { return now }
+	r := s.dispatchRate("llm")
+	for i := range 5*perSecond + 1 {
+		r.Record(bootTime(now - 5*time.Second + time.Duration(i)*time.Second/time.Duration(perSecond)))
+	}
+	s.loadOf("e").tokenLayers = 1e9
+	return s
+}
+
+// admitOf admits a request of an account and returns its waiter.
+func admitOf(s *state, id, account string, rank int, now time.Duration) *waiter {
+	w := newWaiting(id, s.table.Services["llm"], now)
+	w.q.account, w.q.rank = account, rank
+	s.admit(w, now)
+	return w
+}
+
+// refusalOf returns the refusal of a request, nil if it waits.
+func refusalOf(t testing.TB, w *waiter) *verdict.Error {
+	select {
+	case r := <-w.reply:
+		qt.Assert(t, r.err, qt.IsNotNil)
+		return verdict.Of(r.err)
+	default:
+		return nil
+	}
+}
+
+// TestBacklogOfPeersRefusesAtOnce guards against a request that is refused at the end
+// of its queue time although the gateways together had no room for it, and against
+// refusing one for a backlog that does not go before it.
+func TestBacklogOfPeersRefusesAtOnce(t *testing.T) {
+	const urgent, usual, other = declaration.MaxPriority, declaration.MaxPriority - 5, 0
+	cases := map[string]struct {
+		fleet   admission.Fleet
+		refused bool
+	}{
+		"no reports":           {},
+		"rate unknown":         {fleet: withWaiting(0, usual, 500, 500)},
+		"long backlog":         {fleet: withWaiting(90, usual, 500, 500), refused: true},
+		"sums without number":  {fleet: withWaiting(90, usual, 500, 0), refused: true},
+		"accounts take turns":  {fleet: withWaiting(90, usual, 500, 50)},
+		"short backlog":        {fleet: withWaiting(90, usual, 40, 40)},
+		"more urgent backlog":  {fleet: withWaiting(90, urgent, 500, 1), refused: true},
+		"less urgent backlog":  {fleet: withWaiting(90, other, 500, 50)},
+		"flood of one account": {fleet: withWaiting(90, usual, 500, 1)},
+		"own flood":            {fleet: admission.Fleet{Rate: 90, Waiting: withWaiting(0, usual, 500, 1).Waiting, Accounts: withWaiting(0, usual, 500, 1).Accounts, SameAccount: 500}, refused: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := 20 * time.Second
+			s := newBusyState(t, 10, now)
+			s.waiting.fleet = func(service, account string, rank int, _ time.Duration) admission.Fleet {
+				c.Check([]any{service, account, rank}, qt.DeepEquals, []any{"llm", "a", 5})
+				return tc.fleet
+			}
+			w := admitOf(s, "w", "a", 5, now)
+			refusal := refusalOf(t, w)
+			c.Assert(refusal != nil, qt.Equals, tc.refused)
+			if refusal == nil {
+				return
+			}
+			c.Check(refusal.Run, qt.Equals, verdict.NotRun)
+			c.Check(refusal.Reason, qt.Equals, verdict.DeadlineUnmeetable)
+			c.Check(refusal.RetryAfter >= minRetryAfter && refusal.RetryAfter <= maxRetryAfter, qt.IsTrue)
+			p := w.q.lastPrediction()
+			c.Check(p.Peers && p.Known && p.Wait > streamQueueTimeout, qt.IsTrue, qt.Commentf("%+v", p))
+		})
+	}
+}
+
+func withWaiting(rate float64, priority int, waiting, accounts float64) admission.Fleet {
+	f := admission.Fleet{Rate: rate}
+	f.Waiting[priority], f.Accounts[priority] = waiting, accounts
+	return f
+}
+
+// TestRefusedTogetherReturnOneByOne guards against callers that are refused at one
+// moment and return at one moment.
+func TestRefusedTogetherReturnOneByOne(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		t.Run(fmt.Sprint("rate known ", known), func(t *testing.T) {
+			c := qt.New(t)
+			now := 20 * time.Second
+			s := newBusyState(t, 10, now)
+			if !known {
+				s.dispatchRates = make(map[string]*admission.RateEstimator)
+			}
+			var told []time.Duration
+			for i := range 25 {
+				w := newWaiting(fmt.Sprint(i), s.table.Services["llm"], now)
+				w.q.account = "a"
+				s.refuseQueued(w, verdict.DeadlineUnmeetable, now)
+				told = append(told, refusalOf(t, w).RetryAfter)
+			}
+			slices.Sort(told)
+			for i, after := range told {
+				c.Assert(after >= minRetryAfter && after <= maxRetryAfter, qt.IsTrue, qt.Commentf("%v", told))
+				c.Assert(i == 0 || after-told[i-1] >= 9*time.Millisecond, qt.IsTrue, qt.Commentf("%v", told))
+			}
+			if known {
+				c.Check(told[24]-told[0] > 2*time.Second, qt.IsTrue, qt.Commentf("%v", told))
+			}
+		})
+	}
+}
+
+// TestRetryAfterFitsRemainingTime guards against telling a caller a time for which it
+// does not wait, so that it returns before it is expected.
+func TestRetryAfterFitsRemainingTime(t *testing.T) {
+	now := 20 * time.Second
+	s := newBusyState(t, 1, now)
+	for i := range 20 {
+		w := newWaiting(fmt.Sprint(i), s.table.Services["llm"], now)
+		w.q.deadline = now + 1500*time.Millisecond
+		s.refuseQueued(w, verdict.DeadlineUnmeetable, now)
+		after := refusalOf(t, w).RetryAfter
+		qt.Assert(t, after >= minRetryAfter && after <= 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after))
+	}
+}
+
+// TestBegunStreamsGoFirst guards against streams that wait behind new requests of their
+// priority after several engines have failed.
+func TestBegunStreamsGoFirst(t *testing.T) {
+	c := qt.New(t)
+	now := 20 * time.Second
+	s := newBusyState(t, 10, now)
+	fresh := admitOf(s, "new", "a", 5, now)
+	begun := newWaiting("begun", s.table.Services["llm"], now)
+	begun.q.account, begun.q.rank = "a", 5
+	begun.q.attemptHistory.recordEvent(now)
+	s.admit(begun, now)
+	urgent := admitOf(s, "urgent", "b", 0, now)
+	for _, want := range []*waiter{urgent, begun, fresh} {
+		w, ok := s.queue.Peek("llm")
+		c.Assert(ok, qt.IsTrue)
+		c.Check(w.q.ID, qt.Equals, want.q.ID)
+		s.queue.Pop("llm")
+	}
+}
+
+// TestReportedDispatchRate guards against telling peers a rate at which requests were
+// dispatched before the queue was empty, as if this gateway still served its queue.
+func TestReportedDispatchRate(t *testing.T) {
+	c := qt.New(t)
+	now := 20 * time.Second
+	s := newBusyState(t, 10, now)
+	c.Check(s.reportedDispatchRate("llm", now), qt.Equals, 0.0)
+	admitOf(s, "w", "a", 5, now)
+	rate := s.reportedDispatchRate("llm", now)
+	c.Check(rate > 9 && rate < 11, qt.IsTrue, qt.Commentf("%v", rate))
+}
+
+// TestRefusalLogsPrediction guards against a refusal of which the log does not say by
+// what it was decided.
+func TestRefusalLogsPrediction(t *testing.T) {
+	c := qt.New(t)
+	now := 20 * time.Second
+	s := newBusyState(t, 10, now)
+	f := withWaiting(90, 4, 500, 500)
+	f.Age = 700 * time.Millisecond
+	s.waiting.fleet = func(string, string, int, time.Duration) admission.Fleet { return f }
+	w := admitOf(s, "w", "a", 5, now)
+	refusal := refusalOf(t, w)
+	core, lines := observer.New(zap.InfoLevel)
+	g := &Gateway{Log: zap.New(core), Now: func() time.Duration { return now }}
+	g.Settings = testSettings()
+	g.metrics = newMetrics(g)
+	g.logOutcome(w.q, 503, refusal)
+	c.Assert(lines.Len(), qt.Equals, 1)
+	fields := lines.All()[0].ContextMap()
+	c.Check(fields["fleet_waiting"], qt.Equals, 500.0)
+	c.Check(fields["inputs_age"], qt.Equals, 700*time.Millisecond)
+	c.Check(fields["peers_used"], qt.Equals, true)
+	c.Check(fields["predicted_wait"].(time.Duration) > streamQueueTimeout, qt.IsTrue)
+	c.Check(fields["fleet_rate"].(float64) > 95, qt.IsTrue)
+}
