--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"lovageport.example/internal/coordination/admission"
+	"lovageport.example/internal/state/fleet"
 	"lovageport.example/pkg/declaration"
 	"lovageport.example/pkg/verdict"
 )
@@ -197,3 +199,57 @@
 	c.Check(fields["predicted_wait"].(time.Duration) > streamQueueTimeout, qt.IsTrue)
 	c.Check(fields["fleet_rate"].(float64) > 95, qt.IsTrue)
 }
+
+// TestLostEnginesReplay replays the loss of three of eight engines, twice, at a load
+// above what the other five serve: what cannot be served in time must be refused at
+// once, and the queue must be empty 8 s after the engines have returned.
+func TestLostEnginesReplay(t *testing.T) {
+	c := qt.New(t)
+	s := newState(t)
+	all, five := make(map[string]*fleet.Upstream), make(map[string]*fleet.Upstream)
+	for i := range 8 {
+		u := *s.upstreams["e"]
+		u.Instance = fmt.Sprint("e", i)
+		all[u.Instance] = &u
+		if i < 5 {
+			five[u.Instance] = &u
+		}
+	}
+	list := func(upstreams map[string]*fleet.Upstream, now time.Duration) {
+		s.replaceUpstreams(upstreamList{upstreams: maps.Clone(upstreams), revision: numbered(1), asOf: now}, now)
+	}
+	list(all, 10*time.Second)
+	const lostFirst, lostAgain, lostFor = 14 * time.Second, 28 * time.Second, 4 * time.Second
+	arrive := arrivalsAt(0.9*8*requestRate, testStep, func(n int) arrival {
+		return arrival{account: fmt.Sprint("a", n%3), rank: 5, tokens: usualTokens}
+	})
+	late, refused := 0, 0
+	out := simulate(s, 32*time.Second, testStep, testHold, func(now time.Duration) []arrival {
+		switch now {
+		case lostFirst, lostAgain:
+			list(five, now)
+		case lostFirst + lostFor, lostAgain + lostFor:
+			list(all, now)
+		case lostFirst + lostFor + 8*time.Second:
+			c.Check(s.queue.Len("llm"), qt.Equals, 0)
+		}
+		return arrive(now)
+	})
+	var waited []time.Duration
+	for _, o := range out {
+		c.Assert(o.waited <= streamQueueTimeout+testStep, qt.IsTrue)
+		if o.refused != nil {
+			refused++
+			if o.waited > testStep {
+				late++
+			}
+			continue
+		}
+		waited = append(waited, o.waited)
+	}
+	slices.Sort(waited)
+	c.Logf("%d served, half within %v, 90%% within %v; %d refused, %d late", len(waited), waited[len(waited)/2], waited[len(waited)*9/10], refused, late)
+	c.Check(refused > 0, qt.IsTrue)
+	c.Check(float64(late)/float64(refused) < 0.2, qt.IsTrue)
+	c.Check(s.queue.Len("llm"), qt.Equals, 0)
+}
