Send the demand that waits in the queues to peers

Clients of a small account are refused at one gateway while a large account floods the others, because no gateway knows which classes wait elsewhere.

A demand that cannot be decoded or exceeds a limit does not cost the rest of the message. Nothing reads the reports yet; no behavior changes.

go test ./internal/gateway ./internal/protocol/... ./internal/coordination/admission passes.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -217,3 +217,32 @@
 	}
 	return ahead
 }
+
+// ClassCount is the number and the cost of the requests of an account that wait for a
+// pool at a priority.
+type ClassCount struct {
+	Account  string
+	Priority int
+	Requests int
+	Cost     float64
+}
+
+// Classes returns the requests that wait for a pool by account and priority, in no
+// particular order.
+func (q *Queue[T]) Classes(pool string) []ClassCount {
+	levels := q.levels[pool]
+	if levels == nil {
+		return nil
+	}
+	var out []ClassCount
+	for p := range levels {
+		for account, items := range levels[p].accounts {
+			c := ClassCount{Account: account, Priority: p, Requests: len(items)}
+			for i := range items {
+				c.Cost += float64(max(items[i].item.Cost, 1))
+			}
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -143,6 +143,7 @@
 		s.otherRetries.Set(n.Zone, retryReport(n), s.retryAllowance.Window, now)
 	}
 	s.mergeKnownRetries(n, now)
+	s.mergeDemand(n, now)
 }
 
 // mergeFaults merges the faults that a peer has seen, unless they are probably its
@@ -262,6 +263,7 @@
 	s.addLoads(n, now)
 	s.addLinkUse(n, now)
 	s.addCounts(n, now)
+	s.addDemand(n, now)
 	return n
 }
 
--- a/internal/protocol/peering/demand.go
+++ b/internal/protocol/peering/demand.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Limits of the demand that a message reports.
@@ -16,9 +19,28 @@
 	maxPriority = 9
 )
 
-// DemandNews is the demand for services at a gateway, or in a zone.
+// DemandNews is the demand for services at a gateway, or in a zone. Only services for
+// which requests lacked room in the last seconds are named.
 type DemandNews struct {
 	Services []ServiceDemand `cbor:",omitempty"`
+
+	// invalid is the error of a demand that could not be decoded.
+	invalid error
+}
+
+// UnmarshalCBOR decodes a demand. One of another structure does not cost the rest of
+// the message: [DemandNews.Check] returns the error.
+func (d *DemandNews) UnmarshalCBOR(data []byte) error {
+	var decoded struct {
+		Services []ServiceDemand
+	}
+	*d = DemandNews{}
+	if err := cbor.Unmarshal(data, &decoded); err != nil {
+		d.invalid = fmt.Errorf("peering: demand: %w", err)
+		return nil
+	}
+	d.Services = decoded.Services
+	return nil
 }
 
 // ServiceDemand is the demand for a service at a gateway, or in a zone.
@@ -28,6 +50,9 @@
 	// DispatchRate is the number of requests per second that leave the queues with a
 	// target; 0 if unknown.
 	DispatchRate float32
+	// Scarcity is the remaining number of seconds for which the service counts as
+	// short of room, since a request lacked it; 0 if it does not.
+	Scarcity float32
 	// Classes are the classes with the largest demand. For each priority at most one
 	// more element without account holds the sum of its other classes.
 	Classes []ClassDemand
@@ -45,14 +70,18 @@
 	Accounts int
 	// Waiting is the number of queued requests.
 	Waiting float32
-	// Used is the cost of the requests in flight, and Wanted that of those that
-	// wait or were recently refused for lack of room.
+	// Used is the cost of the requests in flight, and Wanted the demand of the last
+	// seconds above that: the cost of requests that wait, were recently refused for
+	// lack of room, or have recently ended.
 	Used, Wanted float32
 }
 
 // Check returns an error if d exceeds a limit or holds an impossible value. Update does
 // not check it, so that an invalid demand does not cost the rest of the message.
 func (d *DemandNews) Check() error {
+	if d.invalid != nil {
+		return d.invalid
+	}
 	if len(d.Services) > MaxDemandServices {
 		return errors.New("peering: demand for too many services")
 	}
@@ -65,8 +94,8 @@
 }
 
 func (s *ServiceDemand) check() error {
-	if s.Service == "" || !isAmount(s.DispatchRate) {
-		return errors.New("peering: demand without service or with an impossible rate")
+	if s.Service == "" || !isAmount(s.DispatchRate) || !isAmount(s.Scarcity) {
+		return errors.New("peering: demand without service or with an impossible amount")
 	}
 	if len(s.Classes) > MaxDemandClasses+maxPriority+1 {
 		return errors.New("peering: demand of too many classes")
