Divide scarce capacity fairly across all gateways

An account that sends five requests a second is refused at its gateway while a flood of another account at other gateways takes all freed capacity: no gateway knows what other gateways' classes use and want.

Gateways now exchange the usage and demand of their classes while a service is short of room, and compute from the sum which class wants more than its share. Requests of such a class wait in the queue without holding up others. Without lack of room nothing is limited and the path is as before.

--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"lovageport.example/pkg/declaration"
@@ -21,6 +22,8 @@
 	Priority int
 	// Cost is the number of tokens that the request asks for.
 	Cost int
+	// Resumed is set if the stream of the request has begun.
+	Resumed bool
 	// Deadline is the time until which the request may wait. The queue itself
 	// does not enforce it.
 	Deadline time.Time
@@ -130,6 +133,63 @@
 	return f.accounts[account][0].value, true
 }
 
+// Position identifies a queued request until the queue changes.
+type Position struct {
+	account         string
+	priority, index int
+}
+
+// PeekFunc returns the value and the position of the next request for a pool of an account
+// and priority for which allowed returns true, or that is resumed; false if there is none.
+// Accounts that are not allowed do not hold up others. A nil function allows all.
+func (q *Queue[T]) PeekFunc(pool string, allowed func(account string, priority int) bool) (T, Position, bool) {
+	levels := q.levels[pool]
+	for p := declaration.MaxPriority; levels != nil && p >= 0; p-- {
+		if at, ok := levels[p].nextFunc(p, allowed); ok {
+			return levels[p].accounts[at.account][at.index].value, at, true
+		}
+	}
+	var none T
+	return none, Position{}, false
+}
+
+// nextFunc returns the position of the next request that is allowed or resumed.
+func (f *fairQueue[T]) nextFunc(priority int, allowed func(account string, priority int) bool) (Position, bool) {
+	var (
+		best  Position
+		start float64
+		found bool
+	)
+	for account, items := range f.accounts {
+		i := 0
+		if allowed != nil && !allowed(account, priority) {
+			i = slices.IndexFunc(items, func(e entry[T]) bool { return e.item.Resumed })
+		}
+		if i < 0 || found && !startsBefore(items[i].start, account, start, best.account) {
+			continue
+		}
+		best, start, found = Position{account, priority, i}, items[i].start, true
+	}
+	return best, found
+}
+
+// PopAt removes the request at a position that PeekFunc has returned, unless the queue
+// has changed since.
+func (q *Queue[T]) PopAt(pool string, at Position) {
+	levels := q.levels[pool]
+	if levels == nil {
+		return
+	}
+	f := &levels[at.priority]
+	items := f.accounts[at.account]
+	if at.index >= len(items) {
+		return
+	}
+	f.virtualTime = max(f.virtualTime, items[at.index].start)
+	f.removeAt(at.account, at.index)
+	q.counts[pool]--
+}
+
 // head returns the queue and the account of the next request for a pool; nil if
 // none waits.
 func (q *Queue[T]) head(pool string) (*fairQueue[T], string) {
@@ -218,6 +278,15 @@
 	return ahead
 }
 
+// Waiting returns how many requests of an account at a priority wait for a pool.
+func (q *Queue[T]) Waiting(pool, account string, priority int) int {
+	levels := q.levels[pool]
+	if levels == nil {
+		return 0
+	}
+	return len(levels[min(max(priority, 0), declaration.MaxPriority)].accounts[account])
+}
+
 // ClassCount is the number and the cost of the requests of an account that wait for a
 // pool at a priority.
 type ClassCount struct {
--- /dev/null
+++ b/internal/coordination/fairshare/service.go
@@ -0,0 +1,711 @@
+package fairshare
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovageport.example/internal/protocol/peering"
+)
+
+const (
+	// scarcityTime is how long a service counts as short of room after a request
+	// lacked it.
+	scarcityTime = 3 * time.Second
+	// reportTime is how long demand is reported, and the estimate of the capacity
+	// kept, after the service was last short of room.
+	reportTime = 10 * time.Second
+	// demandTime is the time constant of the average demand of a class. Counts over
+	// 100 ms are noise, and load may change by half within 15 s.
+	demandTime = 2 * time.Second
+	// reserve is the part of the average demand of a class that is kept for it while it
+	// uses less. In the replay of a flood, all of it left 1% more of the capacity
+	// unused and started no more requests of the small account in time.
+	reserve = 0.7
+	// refusedTime is the time constant with which refused requests cease to count as
+	// demand. Refused callers return after 0.2 to 3 s.
+	refusedTime = time.Second
+	// maxFullAge is the age up to which a lack of room says that the present usage is
+	// the capacity.
+	maxFullAge = 500 * time.Millisecond
+	// riseTime and fallTime are the time constants of the estimate of the capacity.
+	// Peers' usage is known with a lag, so that the sum varies. In the replay of a
+	// flood, 1 s for both left 2% more of the capacity unused.
+	riseTime = 300 * time.Millisecond
+	fallTime = 2 * time.Second
+	// peakTime is the time constant of the peak usage that bounds the estimate from
+	// below.
+	peakTime = 15 * time.Second
+	// peakPart is the part of the peak usage that is that bound. A request that lacks
+	// room only because of its size would otherwise lower the estimate.
+	peakPart = 0.5
+	// linearGrowth and squareGrowth are the parts by which the estimate grows with the
+	// seconds, and with their square, since a request last lacked room. Without that,
+	// classes would stay limited after capacity was added.
+	linearGrowth = 0.1
+	squareGrowth = 0.05
+	// epoch is the time for which a gateway rounds the limit of a class up or down to
+	// whole requests.
+	epoch = time.Second
+	// isolatedTime is the time constant with which a gateway without peers changes
+	// from its last share of the capacity to an equal part of its zone's.
+	isolatedTime = 5 * time.Second
+	// maxReportAge is the age at which a report no longer counts. Peers that are
+	// alive report more often.
+	maxReportAge = 5 * time.Second
+	// refreshInterval is the shortest interval between two computations of the
+	// shares. It increases with the number of reports, in steps of refreshSources,
+	// so that the cost per second does not.
+	refreshInterval = 100 * time.Millisecond
+	refreshSources  = 32
+	// largeCost is the factor by which the cost of a large request exceeds the mean.
+	largeCost = 2
+	// maxClasses bounds the classes that a gateway counts separately.
+	maxClasses = 4096
+	// minAmount is the cost below which demand counts as none.
+	minAmount = 0.01
+)
+
+// Service divides the capacity of one service, as seen by one gateway. The zero value
+// has no demand and limits nothing. It is not safe for concurrent use.
+type Service struct {
+	// Self identifies this gateway.
+	Self string
+
+	own     map[Class]*usage
+	reports map[string]*report
+	// fullAt is when a request here last lacked room, and scarceUntil until when the
+	// service counts as short of room according to all gateways.
+	fullAt, scarceUntil time.Duration
+	// meanCost is a moving average of the cost of a request.
+	meanCost float64
+
+	refreshedAt time.Duration
+	// capacity is the estimated cost of the requests that the service can run at
+	// once; 0 if unknown. peak is the decaying peak of the total usage.
+	capacity, peak float64
+	// fullSeen is the latest lack of room that the estimate contains.
+	fullSeen time.Duration
+	// last holds the inputs of the previous computation, and lastTotal the total
+	// usage then.
+	last      Load
+	lastTotal float64
+	// equalPart is the capacity that a gateway without peers tends to; 0 with peers.
+	equalPart float64
+	// demands holds the classes of all gateways at the last computation.
+	demands map[Class]*demand
+	// limiting is set if a class is limited.
+	limiting bool
+	// limits holds what the limited classes may use at this gateway.
+	limits map[Class]float64
+	// held holds the classes of which requests were held back, with the time at which
+	// they were last limited.
+	held map[Class]*hold
+}
+
+// usage is what a class uses and wants at this gateway.
+type usage struct {
+	used          float64
+	requests      int
+	waiting       float64
+	waitingNumber int
+	refused       float64
+	// mean is the moving average of what is used, waits and was refused. demand is
+	// that at present, but no less than the reserve.
+	mean, demand float64
+	updatedAt    time.Duration
+}
+
+// update brings the decaying values up to date.
+func (u *usage) update(now time.Duration) {
+	if elapsed := now - u.updatedAt; elapsed > 0 {
+		u.refused *= decay(elapsed, refusedTime)
+		present := u.used + u.waiting + u.refused
+		u.mean = present + (u.mean-present)*decay(elapsed, demandTime)
+		u.updatedAt = now
+	}
+	u.demand = max(u.mean*reserve, u.used+u.waiting+u.refused)
+}
+
+// decay returns the factor by which a value has decreased.
+func decay(elapsed, constant time.Duration) float64 {
+	return math.Exp(-elapsed.Seconds() / constant.Seconds())
+}
+
+// report is what a peer, or another zone, has reported.
+type report struct {
+	ownZone bool
+	at      time.Duration
+	// fullAt is when a request there last lacked room; 0 if not recently.
+	fullAt time.Duration
+	demand peering.ServiceDemand
+}
+
+// hold is a class of which requests were held back.
+type hold struct {
+	limitedAt time.Duration
+	told      bool
+}
+
+// Load is what is known about peers apart from their reports of demand.
+type Load struct {
+	// Zone and Others are the cost of the requests that the peers of the own zone and
+	// the other zones have in flight. Builds that report no demand are included.
+	Zone, Others float64
+	// ZonePeers is the number of peers of the own zone, and OtherZones that of other
+	// zones that are heard.
+	ZonePeers, OtherZones int
+}
+
+// Change says that a class has begun or ceased to be limited at this gateway.
+type Change struct {
+	Class   Class
+	Limited bool
+	// Reason is that of [Service.Reason].
+	Reason string
+	// Capacity is the estimated capacity of the service. Share, Used and Demand are
+	// those of the class at all gateways.
+	Capacity, Share, Used, Demand float64
+	// Reports is the number of reports used, and Oldest the age of the oldest one.
+	Reports int
+	Oldest  time.Duration
+}
+
+func (s *Service) usageOf(c Class) *usage {
+	if u := s.own[c]; u != nil {
+		return u
+	}
+	if s.own == nil {
+		s.own = make(map[Class]*usage)
+	}
+	if len(s.own) >= maxClasses {
+		c = Class{Priority: c.Priority, Others: true}
+		if u := s.own[c]; u != nil {
+			return u
+		}
+	}
+	u := &usage{}
+	s.own[c] = u
+	return u
+}
+
+// Start counts a request that gets a target.
+func (s *Service) Start(c Class, cost float64, now time.Duration) {
+	if s.meanCost == 0 {
+		s.meanCost = cost
+	}
+	s.meanCost += (cost - s.meanCost) / 32
+	u := s.usageOf(c)
+	u.used += cost
+	u.requests++
+	u.update(now)
+}
+
+// End counts a request out whose target is released.
+func (s *Service) End(c Class, cost float64, now time.Duration) {
+	u := s.own[c]
+	if u == nil || u.requests == 0 {
+		u = s.own[Class{Priority: c.Priority, Others: true}]
+	}
+	if u == nil || u.requests == 0 {
+		return
+	}
+	u.update(now)
+	u.requests--
+	u.used = max(0, u.used-cost)
+	if u.requests == 0 {
+		// Without requests nothing is used, whatever rounding errors remain.
+		u.used = 0
+	}
+}
+
+// RecordRefused counts a request that is refused for lack of room.
+func (s *Service) RecordRefused(c Class, cost float64, now time.Duration) {
+	u := s.usageOf(c)
+	u.update(now)
+	u.refused += cost
+	u.update(now)
+}
+
+// RecordFull records that a request within the limits lacked room. One that is much larger
+// than usual says nothing of the capacity for others.
+func (s *Service) RecordFull(cost float64, now time.Duration) {
+	if s.meanCost > 0 && cost > largeCost*s.meanCost {
+		return
+	}
+	s.fullAt = now
+	s.scarceUntil = max(s.scarceUntil, now+scarcityTime)
+}
+
+// Waiting is the queued requests of a class.
+type Waiting struct {
+	Class    Class
+	Requests int
+	Cost     float64
+}
+
+// SetWaiting sets the queued requests of this gateway.
+func (s *Service) SetWaiting(waiting []Waiting, now time.Duration) {
+	for _, u := range s.own {
+		u.waiting, u.waitingNumber = 0, 0
+	}
+	for _, w := range waiting {
+		u := s.usageOf(w.Class)
+		u.waiting += w.Cost
+		u.waitingNumber += w.Requests
+		u.update(now)
+	}
+}
+
+// SetReport replaces the report of a source, a peer by address or a zone by name. A nil
+// report removes it.
+func (s *Service) SetReport(source string, ownZone bool, d *peering.ServiceDemand, now time.Duration) {
+	if d == nil {
+		delete(s.reports, source)
+		return
+	}
+	if s.reports == nil {
+		s.reports = make(map[string]*report)
+	}
+	r := &report{ownZone: ownZone, at: now, demand: *d}
+	if d.Scarcity > 0 {
+		left := min(float64(d.Scarcity), scarcityTime.Seconds())
+		r.fullAt = now - scarcityTime + time.Duration(left*float64(time.Second))
+		s.scarceUntil = max(s.scarceUntil, r.fullAt+scarcityTime)
+	}
+	s.reports[source] = r
+}
+
+// RetainSources drops the reports of all sources for which present returns false.
+func (s *Service) RetainSources(present func(source string) bool) {
+	for source := range s.reports {
+		if !present(source) {
+			delete(s.reports, source)
+		}
+	}
+}
+
+// RetainAccounts drops the classes of accounts for which present returns false.
+func (s *Service) RetainAccounts(present func(account string) bool) {
+	gone := func(c Class) bool { return !c.Others && c.Account != "" && !present(c.Account) }
+	for c := range s.own {
+		if gone(c) {
+			delete(s.own, c)
+			delete(s.limits, c)
+			delete(s.held, c)
+		}
+	}
+	for _, r := range s.reports {
+		r.demand.Classes = slices.DeleteFunc(slices.Clone(r.demand.Classes), func(c peering.ClassDemand) bool {
+			return gone(Class{Account: c.Account})
+		})
+	}
+}
+
+// Active reports whether the service was short of room recently, so that its demand is
+// to be reported and its shares are to be computed.
+func (s *Service) Active(now time.Duration) bool {
+	return s.scarceUntil > 0 && now < s.scarceUntil-scarcityTime+reportTime
+}
+
+// IsDue reports whether the shares are to be computed.
+func (s *Service) IsDue(now time.Duration) bool {
+	interval := refreshInterval * time.Duration(1+len(s.reports)/refreshSources)
+	return s.scarceUntil > 0 && now-s.refreshedAt >= interval
+}
+
+// Refresh computes the shares, and returns the classes for which that changes whether
+// they are limited here. SetWaiting is to be called before it.
+func (s *Service) Refresh(load Load, now time.Duration) []Change {
+	elapsed := now - s.refreshedAt
+	s.refreshedAt = now
+	s.updateOwn(now)
+	if !s.Active(now) {
+		s.reset()
+		return s.changes(now, 0, 0)
+	}
+	for source, r := range s.reports {
+		if now-r.at > maxReportAge {
+			delete(s.reports, source)
+		}
+	}
+	reported, oldest := s.mergeDemand(now)
+	used := 0.0
+	for _, u := range s.own {
+		used += u.used
+	}
+	peers := max(load.Zone+load.Others, reported)
+	s.estimateCapacity(load, used, peers, elapsed, now)
+	s.setLimits(peers-reported, now)
+	return s.changes(now, len(s.reports), oldest)
+}
+
+// updateOwn drops the own classes without demand.
+func (s *Service) updateOwn(now time.Duration) {
+	for c, u := range s.own {
+		u.update(now)
+		if u.requests == 0 && u.waitingNumber == 0 && u.demand < minAmount {
+			delete(s.own, c)
+		}
+	}
+}
+
+// reset forgets what is known of the capacity and of the peers.
+func (s *Service) reset() {
+	s.scarceUntil, s.capacity, s.peak, s.equalPart, s.lastTotal = 0, 0, 0, 0, 0
+	s.limiting = false
+	s.reports, s.demands, s.limits = nil, nil, nil
+}
+
+// mergeDemand computes the demand of all gateways. It returns what peers have reported as
+// used, and the age of the oldest report.
+func (s *Service) mergeDemand(now time.Duration) (reported float64, oldest time.Duration) {
+	s.demands = make(map[Class]*demand, len(s.demands))
+	for c, u := range s.own {
+		s.add(c, 1, u.used, u.demand-u.used)
+	}
+	for _, r := range s.reports {
+		oldest = max(oldest, now-r.at)
+		for i := range r.demand.Classes {
+			c := &r.demand.Classes[i]
+			class, accounts := Class{Account: c.Account, Priority: c.Priority}, 1
+			if c.Accounts > 1 {
+				class, accounts = Class{Priority: c.Priority, Others: true}, c.Accounts
+			}
+			reported += float64(c.Used)
+			s.add(class, accounts, float64(c.Used), float64(c.Wanted))
+		}
+	}
+	return reported, oldest
+}
+
+func (s *Service) add(c Class, accounts int, used, wanted float64) {
+	d := s.demands[c]
+	if d == nil {
+		d = &demand{class: c}
+		s.demands[c] = d
+	}
+	// The sums of several gateways may contain the same accounts.
+	d.accounts = max(d.accounts, accounts)
+	d.used += used
+	d.wanted += max(0, wanted)
+}
+
+// estimateCapacity updates the estimate of the capacity: the total usage at the times at
+// which requests within the limits lacked room. Usage at other times says nothing of it,
+// since the limits lower it.
+func (s *Service) estimateCapacity(load Load, used, peers float64, elapsed, now time.Duration) {
+	total := used + peers
+	s.followSources(load, used, peers, elapsed)
+	s.last, s.lastTotal = load, total
+	full := s.scarceUntil - scarcityTime
+	s.peak = max(total, s.peak*decay(elapsed, peakTime))
+	if full <= s.fullSeen || now-full > maxFullAge {
+		return
+	}
+	s.fullSeen = full
+	if s.capacity == 0 {
+		s.capacity = total
+		return
+	}
+	constant := fallTime
+	if total > s.capacity {
+		constant = riseTime
+	}
+	s.capacity += (total - s.capacity) * (1 - decay(elapsed, constant))
+	s.capacity = max(s.capacity, peakPart*s.peak)
+}
+
+// followSources scales the estimate when peers fall silent or return, since the usage
+// that it is compared with then lacks or contains theirs.
+func (s *Service) followSources(load Load, used, peers float64, elapsed time.Duration) {
+	alone := load.ZonePeers == 0 && load.OtherZones == 0
+	if load.ZonePeers == s.last.ZonePeers && load.OtherZones == s.last.OtherZones {
+		if alone && s.equalPart > 0 {
+			s.capacity = s.equalPart + (s.capacity-s.equalPart)*decay(elapsed, isolatedTime)
+		}
+		return
+	}
+	if s.lastTotal <= 0 {
+		return
+	}
+	s.equalPart = 0
+	if alone {
+		zone := s.lastTotal - s.last.Others
+		s.equalPart = s.capacity * zone / s.lastTotal / float64(s.last.ZonePeers+1)
+	}
+	ratio := (used + peers) / s.lastTotal
+	s.capacity *= ratio
+	s.peak *= ratio
+}
+
+// setLimits computes the shares and what the limited classes may use at this gateway.
+// unattributed is the usage of gateways that report no demand.
+func (s *Service) setLimits(unattributed float64, now time.Duration) {
+	s.limits, s.limiting = nil, false
+	if s.capacity <= 0 || now >= s.scarceUntil {
+		return
+	}
+	since := (now - s.scarceUntil + scarcityTime).Seconds()
+	capacity := max(0, s.capacity*(1+linearGrowth*since+squareGrowth*since*since)-unattributed)
+	demands := make([]*demand, 0, len(s.demands))
+	for _, d := range s.demands {
+		demands = append(demands, d)
+	}
+	if len(demands) < 2 {
+		return
+	}
+	divide(capacity, demands)
+	s.limits = make(map[Class]float64)
+	for _, d := range demands {
+		if d.limited {
+			s.limiting = true
+			s.limits[d.class] = s.localLimit(d, now)
+		}
+	}
+}
+
+// localLimit returns the part of a share that this gateway may use, in whole requests.
+// Gateways round up in turn, so that the sum over all gateways is about the share.
+func (s *Service) localLimit(d *demand, now time.Duration) float64 {
+	own := 0.0
+	if d.class.Others {
+		for c, u := range s.own {
+			if s.groupOf(c) == d.class {
+				own += u.demand
+			}
+		}
+	} else if u := s.own[d.class]; u != nil {
+		own = u.demand
+	}
+	if own == 0 || s.meanCost <= 0 {
+		return 0
+	}
+	requests := d.share * min(1, own/d.total()) / s.meanCost
+	whole, rest := math.Modf(requests)
+	if s.phase(d.class, now) < rest {
+		whole++
+	}
+	return whole * s.meanCost
+}
+
+// phase returns a number from 0 to 1 for a class, which differs between gateways and
+// changes with each epoch.
+func (s *Service) phase(c Class, now time.Duration) float64 {
+	hash := xxhash.Sum64String(s.Self + "\x00" + c.Account)
+	_, phase := math.Modf(float64(hash>>11)/(1<<53) + float64(now/epoch)*(math.Phi-1))
+	return phase
+}
+
+// groupOf returns the class under which the demand of c counts.
+func (s *Service) groupOf(c Class) Class {
+	if d := s.demands[c]; d != nil || c.Others {
+		return c
+	}
+	return Class{Priority: c.Priority, Others: true}
+}
+
+// Limiting reports whether any class is limited.
+func (s *Service) Limiting() bool { return s.limiting }
+
+// IsLimited reports whether a class wants more than its share.
+func (s *Service) IsLimited(c Class) bool {
+	if !s.limiting {
+		return false
+	}
+	_, limited := s.limits[s.groupOf(c)]
+	return limited
+}
+
+// MayStart reports whether a request of a class may get a target. If not, the class
+// uses all of its share that this gateway may use.
+func (s *Service) MayStart(c Class) bool {
+	if !s.limiting {
+		return true
+	}
+	group := s.groupOf(c)
+	limit, limited := s.limits[group]
+	if !limited {
+		return true
+	}
+	used := s.ownUsed(group)
+	// Half of a request allows for costs that differ.
+	if used+s.meanCost/2 <= limit || used == 0 && s.demands[group].used == 0 {
+		return true
+	}
+	s.hold(group)
+	return false
+}
+
+// Reason says why a limited class gets less than it wants: [ByAccount] if its priority has
+// other accounts, else [ByPriority].
+func (s *Service) Reason(c Class) string {
+	group := s.groupOf(c)
+	for other := range s.demands {
+		if other != group && other.Priority == group.Priority {
+			return ByAccount
+		}
+	}
+	return ByPriority
+}
+
+// The reasons for which a class is limited; each is a metric label.
+const (
+	ByAccount  = "account"
+	ByPriority = "priority"
+)
+
+// Empty reports whether no request is in flight here.
+func (s *Service) Empty() bool {
+	for _, u := range s.own {
+		if u.requests > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Service) ownUsed(c Class) float64 {
+	if !c.Others {
+		if u := s.own[c]; u != nil {
+			return u.used
+		}
+		return 0
+	}
+	used := 0.0
+	for other, u := range s.own {
+		if s.groupOf(other) == c {
+			used += u.used
+		}
+	}
+	return used
+}
+
+// maxHeld bounds the classes of which changes are told.
+const maxHeld = 64
+
+func (s *Service) hold(c Class) {
+	if h := s.held[c]; h != nil || len(s.held) >= maxHeld {
+		return
+	}
+	if s.held == nil {
+		s.held = make(map[Class]*hold)
+	}
+	s.held[c] = &hold{}
+}
+
+// changes returns the classes that begin to be limited here, and those that have not been
+// limited for scarcityTime.
+func (s *Service) changes(now time.Duration, reports int, oldest time.Duration) []Change {
+	var out []Change
+	for c, h := range s.held {
+		if _, limited := s.limits[c]; limited || !h.told {
+			h.limitedAt = now
+		}
+		begins, ends := !h.told, now-h.limitedAt >= scarcityTime
+		if !begins && !ends {
+			continue
+		}
+		change := Change{Class: c, Limited: begins, Reason: s.Reason(c), Capacity: s.capacity, Reports: reports, Oldest: oldest}
+		if d := s.demands[c]; d != nil {
+			change.Share, change.Used, change.Demand = d.share, d.used, d.total()
+		}
+		out = append(out, change)
+		h.told = true
+		if ends {
+			delete(s.held, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Class.Account, b.Class.Account), cmp.Compare(a.Class.Priority, b.Class.Priority))
+	})
+	return out
+}
+
+// Digest returns the demand of this gateway, or that of its zone, for peers. It returns
+// false if there is nothing to report.
+func (s *Service) Digest(ofZone bool, now time.Duration) (peering.ServiceDemand, bool) {
+	if !s.Active(now) {
+		return peering.ServiceDemand{}, false
+	}
+	sums := make(map[Class]*peering.ClassDemand)
+	add := func(c Class, accounts int, waiting, used, wanted float64) {
+		sum := sums[c]
+		if sum == nil {
+			sum = &peering.ClassDemand{Account: c.Account, Priority: c.Priority}
+			sums[c] = sum
+		}
+		sum.Accounts = max(sum.Accounts, accounts)
+		sum.Waiting += float32(waiting)
+		sum.Used += float32(used)
+		sum.Wanted += float32(max(0, wanted))
+	}
+	for c, u := range s.own {
+		accounts := 1
+		if c.Others {
+			accounts = 2
+		}
+		add(c, accounts, float64(u.waitingNumber), u.used, u.demand-u.used)
+	}
+	d := peering.ServiceDemand{}
+	// Other zones are told of lack of room in this zone only, so that it does not
+	// return to them as news.
+	full := s.fullAt
+	if ofZone {
+		for _, r := range s.reports {
+			if !r.ownZone {
+				continue
+			}
+			full = max(full, r.fullAt)
+			d.DispatchRate += r.demand.DispatchRate
+			for i := range r.demand.Classes {
+				c := &r.demand.Classes[i]
+				class := Class{Account: c.Account, Priority: c.Priority, Others: c.Accounts > 1}
+				add(class, c.Accounts, float64(c.Waiting), float64(c.Used), float64(c.Wanted))
+			}
+		}
+	}
+	d.Classes = largest(sums)
+	if left := full + scarcityTime - now; full > 0 && left > 0 {
+		d.Scarcity = float32(left.Seconds())
+	}
+	return d, true
+}
+
+// largest names the classes with the largest demand and sums up the others by priority.
+func largest(sums map[Class]*peering.ClassDemand) []peering.ClassDemand {
+	named := make([]peering.ClassDemand, 0, len(sums))
+	var others [priorities]peering.ClassDemand
+	join := func(c *peering.ClassDemand) {
+		o := &others[c.Priority]
+		o.Accounts += c.Accounts
+		o.Waiting += c.Waiting
+		o.Used += c.Used
+		o.Wanted += c.Wanted
+	}
+	for c, sum := range sums {
+		if c.Others {
+			join(sum)
+			continue
+		}
+		named = append(named, *sum)
+	}
+	slices.SortFunc(named, func(a, b peering.ClassDemand) int {
+		return cmp.Or(cmp.Compare(b.Used+b.Wanted, a.Used+a.Wanted), cmp.Compare(a.Account, b.Account), cmp.Compare(a.Priority, b.Priority))
+	})
+	for i := peering.MaxDemandClasses; i < len(named); i++ {
+		join(&named[i])
+	}
+	named = named[:min(len(named), peering.MaxDemandClasses)]
+	for p := range others {
+		if others[p].Accounts > 0 {
+			others[p].Priority = p
+			others[p].Accounts = max(2, others[p].Accounts)
+			named = append(named, others[p])
+		}
+	}
+	return named
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -114,12 +114,13 @@
 func (s *state) admit(w *waiter, now time.Duration) {
 	q := w.q
 	runs := q.isHandingOver()
-	if s.queue.Len(q.service) == 0 {
+	if !s.isHeld(q) && !s.othersGoFirst(q.service) {
 		to, err := s.assign(q, now)
 		if err == nil || runs || !mayBeQueued(err) {
 			w.reply <- admissionResult{to, err}
 			return
 		}
+		s.recordLackOfRoom(q, err, now)
 	}
 	if runs {
 		w.reply <- admissionResult{err: verdict.Refuse(verdict.QueueFull, "requests of %s wait of which no attempt runs", q.service)}
@@ -130,13 +131,14 @@
 		Account:  q.account,
 		Priority: declaration.MaxPriority - min(q.rank, declaration.MaxPriority),
 		Cost:     int(q.tokens),
+		Resumed:  q.history().lastEvent > 0,
 		Deadline: bootTime(q.queueLimit()),
 	}
 	if refusal := s.holdOffRefusal(q, now); refusal != nil {
 		w.reply <- admissionResult{err: refusal}
 		return
 	}
-	if reason, refuse := s.queueTimeoutReason(q, item, now); refuse {
+	if reason, refuse := s.queueTimeoutReason(q, item, now); refuse && !s.mayWaitForShare(q, item, now) {
 		s.refuseQueued(w, reason, now)
 		return
 	}
@@ -183,6 +185,7 @@
 
 // refuseQueued refuses a request and says when to retry.
 func (s *state) refuseQueued(w *waiter, reason verdict.Reason, now time.Duration) {
+	s.countRefused(w.q, now)
 	after, known := s.dispatchRate(w.q.service).EstimateWait(s.queue.Len(w.q.service)+1, bootTime(now))
 	if !known {
 		after = repairRetryAfter
@@ -194,6 +197,7 @@
 // dispatch assigns targets to queued requests in their order, for as long as
 // they fit, and refuses those past their deadline.
 func (s *state) dispatch(now time.Duration) {
+	s.refreshShares(now)
 	for _, service := range s.queue.Pools() {
 		for s.dispatchNext(service, now) {
 		}
@@ -207,19 +211,20 @@
 // dispatchNext assigns a target to the next queued request of a service and
 // reports whether it left the queue.
 func (s *state) dispatchNext(service string, now time.Duration) bool {
-	w, ok := s.queue.Peek(service)
+	w, at, ok := s.queue.PeekFunc(service, s.mayStart(service))
 	if !ok {
 		return false
 	}
 	to, err := s.assign(w.q, now)
 	if err != nil && mayBeQueued(err) {
+		s.recordLackOfRoom(w.q, err, now)
 		refusal := s.holdOffRefusal(w.q, now)
 		if refusal == nil {
 			return false
 		}
 		err = refusal
 	}
-	s.queue.Pop(service)
+	s.queue.PopAt(service, at)
 	if err == nil {
 		s.dispatchRate(service).Record(bootTime(now))
 	}
@@ -307,6 +312,7 @@
 		return target{}, err
 	}
 	s.reserve(q, to, now)
+	s.countStart(q, now)
 	s.parts.Try(q.SharedParts, bootTime(now))
 	q.beginSend(to.upstream.Instance)
 	s.log.Info("place given", zap.String("request", q.ID), zap.Int("attempt", q.countAttempt()), zap.String("upstream", to.upstream.Instance),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,9 @@
 	keptStreams *prometheus.CounterVec
 	// tunnels counts the connections that peers were asked for, by outcome.
 	tunnels *prometheus.CounterVec
+	// held counts the requests that waited because their class used its share, and
+	// rejectedDemand the reports of demand by peers that do not count, by reason.
+	held, rejectedDemand *prometheus.CounterVec
 	// panics counts requests whose handler panicked.
 	panics prometheus.Counter
 	// containedPanics counts panics of goroutines and timers beside the handlers.
@@ -89,6 +92,12 @@
 		tunnels: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_tunnels_total", Help: "Connections to upstreams that peers were asked for, by outcome.",
 		}, []string{"outcome"}),
+		held: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_share_held_total", Help: "Requests that were queued because their account or priority used its share, by service and reason.",
+		}, []string{"service", "reason"}),
+		rejectedDemand: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_demand_rejected_total", Help: "Reports of demand by peers that do not count, by reason.",
+		}, []string{"reason"}),
 		containedPanics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lovageport_gateway_contained_panics_total", Help: "Panics of goroutines and timers beside the handlers of requests.",
 		}),
@@ -117,7 +126,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.held, m.rejectedDemand, m.panics, m.containedPanics, m.pauses, m.tableVersion, m.storeRestorations, inFlight, dropped)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -126,6 +126,7 @@
 
 // mergeNews merges a peer's news into the state.
 func (s *state) mergeNews(n *peering.News, now time.Duration) {
+	s.checkDemand(n)
 	s.members.Update(n, now)
 	s.mergeFaults(n, now)
 	s.mergeFindings(n, now)
@@ -238,6 +239,7 @@
 	present := func(source string) bool { return heard[source] }
 	s.zonePeers.Retain(present)
 	s.otherZones.Retain(present)
+	s.dropSilentDemand(present)
 	s.zoneRetries.Retain(present, s.retryAllowance.Window, now)
 	s.otherRetries.Retain(present, s.retryAllowance.Window, now)
 	s.startingPeers = s.hasStartingPeer(alive)
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -129,6 +129,7 @@
 		s.retainFormerPools(t)
 	}
 	s.table = t
+	s.dropRemovedDemand()
 	s.rebuildPools()
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -223,6 +223,7 @@
 
 // release removes an attempt from the load of its upstreams.
 func (s *state) release(q *request, to target) {
+	s.countEnd(q)
 	if !to.hasEngine() {
 		s.loadOf(to.upstream.Instance).requests--
 		return
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -1,26 +1,215 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+
+	"lovageport.example/internal/coordination/admission"
+	"lovageport.example/internal/coordination/fairshare"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/pkg/declaration"
+	"lovageport.example/pkg/verdict"
+)
+
+// demandInterval is how long the demand that is sent to peers is kept.
+const demandInterval = 100 * time.Millisecond
+
+// Reasons for which demand that peers report does not count; each is a metric label.
+const (
+	demandInvalid        = "invalid"
+	demandUnknownService = "unknown_service"
 )
 
-// addDemand adds the demand of the services for which requests wait.
+// cachedDemand is the demand for peers, as computed at a boot time.
+type cachedDemand struct {
+	news peering.DemandNews
+	at   time.Duration
+}
+
+// sharesOf returns the division of a service's capacity.
+func (s *state) sharesOf(service string) *fairshare.Service {
+	f := s.shares[service]
+	if f == nil {
+		f = &fairshare.Service{Self: s.members.Self.Address}
+		s.shares[service] = f
+	}
+	return f
+}
+
+// classOf returns the class of a request.
+func classOf(q *request) fairshare.Class {
+	return fairshare.Class{Account: q.account, Priority: min(max(q.rank, 0), declaration.MaxPriority)}
+}
+
+// costOf returns what a request uses of its service: tokens of a generation, or 1.
+func costOf(q *request) float64 { return max(1, q.tokens) }
+
+// countStart counts a request that has got a target.
+func (s *state) countStart(q *request, now time.Duration) {
+	s.sharesOf(q.service).Start(classOf(q), costOf(q), now)
+}
+
+// countEnd counts a request out whose target is released.
+func (s *state) countEnd(q *request) {
+	s.sharesOf(q.service).End(classOf(q), costOf(q), s.now())
+}
+
+// countRefused counts a request that is refused for lack of room.
+func (s *state) countRefused(q *request, now time.Duration) {
+	s.sharesOf(q.service).RecordRefused(classOf(q), costOf(q), now)
+}
+
+// recordLackOfRoom records that the upstreams had no room for a request, if err says so.
+func (s *state) recordLackOfRoom(q *request, err error, now time.Duration) {
+	switch reason := verdict.Of(err).Reason; {
+	case reason == verdict.QueueFull, reason == verdict.NoUpstream && len(q.refused) > 0:
+		s.sharesOf(q.service).RecordFull(costOf(q), now)
+	}
+}
+
+// mayStart returns whether requests of an account at a priority of the queue may get a
+// target; nil if all may.
+func (s *state) mayStart(service string) func(account string, priority int) bool {
+	f := s.shares[service]
+	if f == nil || !f.Limiting() {
+		return nil
+	}
+	return func(account string, priority int) bool {
+		return f.MayStart(fairshare.Class{Account: account, Priority: declaration.MaxPriority - priority})
+	}
+}
+
+// isHeld reports whether a request has to wait because its class uses its share. One
+// whose stream has begun, or of which an attempt runs, is never held.
+func (s *state) isHeld(q *request) bool {
+	f := s.shares[q.service]
+	if f == nil || !f.Limiting() || q.isHandingOver() || q.history().lastEvent > 0 {
+		return false
+	}
+	c := classOf(q)
+	if f.MayStart(c) {
+		return false
+	}
+	if s.metrics != nil {
+		s.metrics.held.WithLabelValues(q.service, f.Reason(c)).Inc()
+	}
+	return true
+}
+
+// othersGoFirst reports whether a request of the queue for a service may get a target
+// before one that arrives.
+func (s *state) othersGoFirst(service string) bool {
+	if s.queue.Len(service) == 0 {
+		return false
+	}
+	allowed := s.mayStart(service)
+	if allowed == nil {
+		return true
+	}
+	_, _, waits := s.queue.PeekFunc(service, allowed)
+	return waits
+}
+
+// mayWaitForShare reports whether a request may be queued although more requests wait than
+// are served in time: while classes are limited, those of other classes do not hold it up.
+func (s *state) mayWaitForShare(q *request, item admission.Item, now time.Duration) bool {
+	f := s.shares[q.service]
+	if f == nil || !f.Limiting() || now >= q.queueLimit() {
+		return false
+	}
+	ahead := s.queue.Waiting(q.service, item.Account, item.Priority)
+	wait, known := s.dispatchRate(q.service).EstimateWait(ahead+1, bootTime(now))
+	return ahead == 0 || !known || !bootTime(now).Add(wait).After(item.Deadline)
+}
+
+// refreshShares computes the shares of the services that are short of room.
+func (s *state) refreshShares(now time.Duration) {
+	for service, f := range s.shares {
+		if !f.IsDue(now) {
+			continue
+		}
+		f.SetWaiting(s.waitingClasses(service), now)
+		for _, c := range f.Refresh(s.peerUsage(service), now) {
+			s.logLimit(service, c)
+		}
+	}
+}
+
+// waitingClasses returns the queued requests of a service by class.
+func (s *state) waitingClasses(service string) []fairshare.Waiting {
+	var out []fairshare.Waiting
+	for _, c := range s.queue.Classes(service) {
+		class := fairshare.Class{Account: c.Account, Priority: declaration.MaxPriority - c.Priority}
+		out = append(out, fairshare.Waiting{Class: class, Requests: c.Requests, Cost: c.Cost})
+	}
+	return out
+}
+
+// peerUsage returns what the other gateways use of a service, by the load that they
+// report.
+func (s *state) peerUsage(service string) fairshare.Load {
+	l := fairshare.Load{ZonePeers: s.zonePeers.Len(), OtherZones: s.otherZones.Len()}
+	p := s.pools[service]
+	if p == nil {
+		return l
+	}
+	for _, u := range p.members {
+		zone, others := s.zonePeers.Load(u.Instance), s.otherZones.Load(u.Instance)
+		if p.layers != nil {
+			layers := float64(max(1, p.service.Engine.Layers))
+			l.Zone += zone.TokenLayers / layers
+			l.Others += others.TokenLayers / layers
+			continue
+		}
+		l.Zone += zone.Requests
+		l.Others += others.Requests
+	}
+	return l
+}
+
+// logLimit logs that a class has begun or ceased to be limited.
+func (s *state) logLimit(service string, c fairshare.Change) {
+	message := "share limit ended"
+	if c.Limited {
+		message = "share limit began"
+	}
+	s.log.Info(message, zap.String("service", service), zap.String("account", c.Class.Account), zap.Int("priority", c.Class.Priority),
+		zap.Bool("others", c.Class.Others), zap.String("reason", c.Reason), zap.String("share", amount(c.Share)), zap.String("used", amount(c.Used)),
+		zap.String("demand", amount(c.Demand)), zap.String("capacity", amount(c.Capacity)), zap.Int("reports", c.Reports), zap.Duration("oldest_report", c.Oldest))
+}
+
+// amount formats a cost for a log line.
+func amount(v float64) string { return strconv.FormatFloat(v, 'f', 1, 64) }
+
+// addDemand adds the demand for the services that are or were just short of room: that of
+// this gateway, or of its zone.
 func (s *state) addDemand(n *peering.News, now time.Duration) {
-	for _, service := range s.queue.Pools() {
-		if len(n.Demand.Services) == peering.MaxDemandServices {
-			return
+	cached := &s.sentDemand[0]
+	if n.OfZone {
+		cached = &s.sentDemand[1]
+	}
+	if cached.at == 0 || now-cached.at >= demandInterval {
+		*cached = cachedDemand{news: s.demandNews(n.OfZone, now), at: now}
+	}
+	n.Demand = cached.news
+}
+
+// demandNews returns the demand of this gateway, or of its zone.
+func (s *state) demandNews(ofZone bool, now time.Duration) peering.DemandNews {
+	var news peering.DemandNews
+	for service, f := range s.shares {
+		if len(news.Services) == peering.MaxDemandServices {
+			break
 		}
-		d := peering.ServiceDemand{Service: service, DispatchRate: s.dispatchesPerSecond(service, now)}
-		for _, c := range s.queue.Classes(service) {
-			if len(d.Classes) < peering.MaxDemandClasses {
-				d.Classes = append(d.Classes, peering.ClassDemand{Account: c.Account, Priority: rankOf(c.Priority), Accounts: 1, Waiting: float32(c.Requests)})
-			}
+		if d, ok := f.Digest(ofZone, now); ok {
+			d.Service = service
+			d.DispatchRate += s.dispatchesPerSecond(service, now)
+			news.Services = append(news.Services, d)
 		}
-		n.Demand.Services = append(n.Demand.Services, d)
 	}
+	return news
 }
 
 // dispatchesPerSecond returns the rate at which requests leave the queue for a service
@@ -33,12 +222,67 @@
 	return float32(1 / wait.Seconds())
 }
 
-// rankOf returns the rank, 0 for the most urgent, of a priority in the queue.
-func rankOf(priority int) int { return declaration.MaxPriority - priority }
-
-// mergeDemand merges the demand that a peer reports, unless it is invalid.
-func (s *state) mergeDemand(n *peering.News, now time.Duration) {
+// checkDemand drops the demand in a peer's news if it is invalid.
+func (s *state) checkDemand(n *peering.News) {
 	if err := n.Demand.Check(); err != nil {
 		n.Demand = peering.DemandNews{}
+		s.countRejectedDemand(demandInvalid)
+		s.log.Debug("demand rejected", zap.String("peer", n.Gateway), zap.Error(err))
+	}
+}
+
+func (s *state) countRejectedDemand(reason string) {
+	if s.metrics != nil {
+		s.metrics.rejectedDemand.WithLabelValues(reason).Inc()
+	}
+}
+
+// mergeDemand merges the demand that a peer reports for itself or its zone.
+func (s *state) mergeDemand(n *peering.News, now time.Duration) {
+	source, ownZone := n.Address.Address, n.Zone == s.zone
+	if source == s.members.Self.Address || ownZone == n.OfZone {
+		return
+	}
+	if !ownZone {
+		source = n.Zone
+	}
+	reported := make(map[string]bool, len(n.Demand.Services))
+	for i := range n.Demand.Services {
+		d := &n.Demand.Services[i]
+		if s.table == nil || s.table.Services[d.Service] == nil {
+			s.countRejectedDemand(demandUnknownService)
+			continue
+		}
+		s.sharesOf(d.Service).SetReport(source, ownZone, d, now)
+		reported[d.Service] = true
+	}
+	for service, f := range s.shares {
+		if !reported[service] {
+			f.SetReport(source, ownZone, nil, now)
+		}
+	}
+}
+
+// dropSilentDemand drops the demand of sources that were not heard from recently.
+func (s *state) dropSilentDemand(present func(source string) bool) {
+	for _, f := range s.shares {
+		f.RetainSources(present)
+	}
+}
+
+// dropRemovedDemand drops the demand of services and accounts that the configuration no
+// longer names.
+func (s *state) dropRemovedDemand() {
+	accounts := make(map[string]bool)
+	if s.table != nil && len(s.shares) > 0 {
+		for _, a := range s.table.Accounts {
+			accounts[a.Name] = true
+		}
+	}
+	for service, f := range s.shares {
+		f.RetainAccounts(func(account string) bool { return accounts[account] })
+		if f.Empty() && (s.table == nil || s.table.Services[service] == nil) {
+			delete(s.shares, service)
+		}
 	}
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,7 @@
 
 	"lovageport.example/internal/coordination/admission"
 	"lovageport.example/internal/coordination/cluster"
+	"lovageport.example/internal/coordination/fairshare"
 	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/coordination/outage"
 	"lovageport.example/internal/coordination/pathfinding"
@@ -79,7 +80,13 @@
 	// dispatchRates are the rates at which queued requests get their targets,
 	// by service.
 	dispatchRates map[string]*admission.RateEstimator
-	retryWindows  map[string]*retry.Window
+	// shares divides the capacity of each service between the classes of its requests.
+	shares map[string]*fairshare.Service
+	// sentDemand holds the demand of this gateway and that of its zone.
+	sentDemand [2]cachedDemand
+	// metrics is nil in states that belong to no running gateway.
+	metrics      *metrics
+	retryWindows map[string]*retry.Window
 	// zoneRetries and otherRetries hold the requests and retries reported by the
 	// peers of the own zone, by address, and by other zones, by name.
 	zoneRetries, otherRetries retry.Reports
@@ -177,6 +184,8 @@
 	s.changedSince = make(map[string]bool)
 	s.retryWindows = make(map[string]*retry.Window)
 	s.dispatchRates = make(map[string]*admission.RateEstimator)
+	s.shares = make(map[string]*fairshare.Service)
+	s.metrics = g.metrics
 	s.storeFailed = make(map[string]bool)
 	s.storeMissing = make(map[string]bool)
 }
