--- a/internal/coordination/fairshare/replay_test.go
+++ b/internal/coordination/fairshare/replay_test.go
@@ -206,7 +206,10 @@
 	priority := 9 - c.class.Priority
 	ahead := g.queue.Ahead("s", priority)
 	if !r.off && !g.early && g.service.Limiting() {
-		ahead = g.queue.Waiting("s", c.class.Account, priority)
+		ahead = 0
+		if g.service.IsLimited(c.class) {
+			ahead = g.queue.Waiting("s", c.class.Account, priority)
+		}
 	}
 	wait, known := g.rate.EstimateWait(ahead+1, clockTime(r.now))
 	if ahead > 0 && known && wait > queueTime {
--- a/internal/coordination/fairshare/service.go
+++ b/internal/coordination/fairshare/service.go
@@ -36,6 +36,10 @@
 	// flood, 1 s for both left 2% more of the capacity unused.
 	riseTime = 300 * time.Millisecond
 	fallTime = 2 * time.Second
+	// capacitySamples is the number of samples of the total usage of which the estimate
+	// follows the median. Requests that gateways send to upstreams at the same moment,
+	// and that these refuse, make single samples exceed twice the capacity.
+	capacitySamples = 5
 	// peakTime is the time constant of the peak usage that bounds the estimate from
 	// below.
 	peakTime = 15 * time.Second
@@ -87,6 +91,8 @@
 	// capacity is the estimated cost of the requests that the service can run at
 	// once; 0 if unknown. peak is the decaying peak of the total usage.
 	capacity, peak float64
+	// samples holds the total usage at the last computations after a lack of room.
+	samples []float64
 	// fullSeen is the latest lack of room that the estimate contains.
 	fullSeen time.Duration
 	// last holds the inputs of the previous computation, and lastTotal the total
@@ -356,7 +362,7 @@
 // reset forgets what is known of the capacity and of the peers.
 func (s *Service) reset() {
 	s.scarceUntil, s.capacity, s.peak, s.equalPart, s.lastTotal = 0, 0, 0, 0, 0
-	s.limiting = false
+	s.limiting, s.samples = false, nil
 	s.reports, s.demands, s.limits = nil, nil, nil
 }
 
@@ -402,11 +408,14 @@
 	s.followSources(load, used, peers, elapsed)
 	s.last, s.lastTotal = load, total
 	full := s.scarceUntil - scarcityTime
-	s.peak = max(total, s.peak*decay(elapsed, peakTime))
+	s.peak *= decay(elapsed, peakTime)
 	if full <= s.fullSeen || now-full > maxFullAge {
 		return
 	}
 	s.fullSeen = full
+	s.samples = append(s.samples[max(0, len(s.samples)-capacitySamples+1):], total)
+	total = median(s.samples)
+	s.peak = max(s.peak, total)
 	if s.capacity == 0 {
 		s.capacity = total
 		return
@@ -419,6 +428,12 @@
 	s.capacity = max(s.capacity, peakPart*s.peak)
 }
 
+// median returns the median of values.
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
 // followSources scales the estimate when peers fall silent or return, since the usage
 // that it is compared with then lacks or contains theirs.
 func (s *Service) followSources(load Load, used, peers float64, elapsed time.Duration) {
@@ -438,6 +453,7 @@
 		s.equalPart = s.capacity * zone / s.lastTotal / float64(s.last.ZonePeers+1)
 	}
 	ratio := (used + peers) / s.lastTotal
+	s.samples = nil
 	s.capacity *= ratio
 	s.peak *= ratio
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -116,11 +116,11 @@
 	runs := q.isHandingOver()
 	if !s.isHeld(q) && !s.othersGoFirst(q.service) {
 		to, err := s.assign(q, now)
+		s.recordLackOfRoom(q, err, now)
 		if err == nil || runs || !mayBeQueued(err) {
 			w.reply <- admissionResult{to, err}
 			return
 		}
-		s.recordLackOfRoom(q, err, now)
 	}
 	if runs {
 		w.reply <- admissionResult{err: verdict.Refuse(verdict.QueueFull, "requests of %s wait of which no attempt runs", q.service)}
@@ -216,8 +216,8 @@
 		return false
 	}
 	to, err := s.assign(w.q, now)
+	s.recordLackOfRoom(w.q, err, now)
 	if err != nil && mayBeQueued(err) {
-		s.recordLackOfRoom(w.q, err, now)
 		refusal := s.holdOffRefusal(w.q, now)
 		if refusal == nil {
 			return false
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -63,8 +63,18 @@
 
 // recordLackOfRoom records that the upstreams had no room for a request, if err says so.
 func (s *state) recordLackOfRoom(q *request, err error, now time.Duration) {
-	switch reason := verdict.Of(err).Reason; {
-	case reason == verdict.QueueFull, reason == verdict.NoUpstream && len(q.refused) > 0:
+	if err == nil {
+		return
+	}
+	lacks := false
+	switch verdict.Of(err).Reason {
+	case verdict.QueueFull:
+		lacks = true
+	case verdict.NoUpstream, verdict.NoChain, verdict.RetryBudget, verdict.RetryLimit:
+		// An upstream has refused it for lack of room, and no other one can be used.
+		lacks = len(q.refused) > 0
+	}
+	if lacks {
 		s.sharesOf(q.service).RecordFull(costOf(q), now)
 	}
 }
@@ -113,12 +123,16 @@
 }
 
 // mayWaitForShare reports whether a request may be queued although more requests wait than
-// are served in time: while classes are limited, those of other classes do not hold it up.
+// are served in time: while classes are limited, a class below its share gets what others
+// free, and requests of other classes do not hold up those of a limited one.
 func (s *state) mayWaitForShare(q *request, item admission.Item, now time.Duration) bool {
 	f := s.shares[q.service]
 	if f == nil || !f.Limiting() || now >= q.queueLimit() {
 		return false
 	}
+	if !f.IsLimited(classOf(q)) {
+		return true
+	}
 	ahead := s.queue.Waiting(q.service, item.Account, item.Priority)
 	wait, known := s.dispatchRate(q.service).EstimateWait(ahead+1, bootTime(now))
 	return ahead == 0 || !known || !bootTime(now).Add(wait).After(item.Deadline)
