--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -151,3 +151,79 @@
 	qt.Check(t, known, qt.IsTrue)
 	qt.Check(t, wait > 900*time.Millisecond && wait < 1100*time.Millisecond, qt.IsTrue, qt.Commentf("%s", wait))
 }
+
+// TestRefusedAccountsDoNotHoldUpOthers guards against requests that wait behind those of
+// an account that may not be served now, and against a resumed request of such an account
+// that waits with them.
+func TestRefusedAccountsDoNotHoldUpOthers(t *testing.T) {
+	c := qt.New(t)
+	var q Queue[string]
+	next := func(allowed func(string, int) bool) string {
+		value, at, ok := q.PeekFunc("m", allowed)
+		if ok {
+			q.PopAt("m", at)
+		}
+		return value
+	}
+	notLarge := func(account string, _ int) bool { return account != "large" }
+	c.Check(next(nil), qt.Equals, "")
+	for i := range 3 {
+		c.Assert(q.Push(item("large", 9, 1), fmt.Sprint("large", i)), qt.IsNil)
+	}
+	resumed := item("large", 9, 1)
+	resumed.Resumed = true
+	c.Assert(q.Push(resumed, "resumed"), qt.IsNil)
+	c.Assert(q.Push(item("small", 5, 1), "small"), qt.IsNil)
+	c.Check(q.Waiting("m", "large", 9), qt.Equals, 4)
+	c.Check(q.Waiting("m", "large", 5), qt.Equals, 0)
+	c.Check(next(notLarge), qt.Equals, "resumed")
+	c.Check(next(notLarge), qt.Equals, "small")
+	c.Check(next(notLarge), qt.Equals, "")
+	c.Check(q.Len("m"), qt.Equals, 3)
+	for i := range 3 {
+		c.Check(next(nil), qt.Equals, fmt.Sprint("large", i))
+	}
+	c.Check(q.Len("m"), qt.Equals, 0)
+}
+
+// TestOrderWithoutRefusedAccounts guards against another order of requests than without
+// the choice of accounts.
+func TestOrderWithoutRefusedAccounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var plain, chosen Queue[int]
+		for i := range rapid.IntRange(1, 40).Draw(t, "requests") {
+			account := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")
+			priority, cost := rapid.IntRange(0, 9).Draw(t, "priority"), rapid.IntRange(1, 9).Draw(t, "cost")
+			_ = plain.Push(item(account, priority, cost), i)
+			_ = chosen.Push(item(account, priority, cost), i)
+			if rapid.Bool().Draw(t, "pop") {
+				plain.Pop("m")
+				_, at, _ := chosen.PeekFunc("m", nil)
+				chosen.PopAt("m", at)
+			}
+		}
+		for plain.Len("m") > 0 {
+			want, _ := plain.Peek("m")
+			got, at, ok := chosen.PeekFunc("m", nil)
+			if !ok || got != want {
+				t.Fatalf("%v goes first instead of %v", got, want)
+			}
+			plain.Pop("m")
+			chosen.PopAt("m", at)
+		}
+		if chosen.Len("m") != 0 {
+			t.Fatal("requests are left")
+		}
+	})
+}
+
+// TestClasses guards against demand that is reported with the wrong number or cost.
+func TestClasses(t *testing.T) {
+	var q Queue[string]
+	for range 3 {
+		qt.Assert(t, q.Push(item("a", 5, 10), ""), qt.IsNil)
+	}
+	qt.Assert(t, q.Push(item("a", 9, 0), ""), qt.IsNil)
+	qt.Check(t, q.Classes("m"), qt.ContentEquals, []ClassCount{{"a", 5, 3, 30}, {"a", 9, 1, 1}})
+	qt.Check(t, q.Classes("other"), qt.HasLen, 0)
+}
