--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -73,6 +73,9 @@
 	return level
 }
 
+// isBegunLevel reports whether the queue at an index holds requests that have begun.
+func isBegunLevel(level int) bool { return level%2 == 1 }
+
 // clampPriority returns the nearest priority that is in range.
 func clampPriority(priority int) int { return min(max(priority, 0), declaration.MaxPriority) }
 
@@ -210,6 +213,62 @@
 	return f.accounts[account][0].value, true
 }
 
+// Position identifies a queued request until the queue changes.
+type Position struct {
+	account string
+	level   int
+}
+
+// PeekFunc returns the value and the position of the next request for a pool of an account
+// and priority for which allowed returns true, or that has begun; false if there is none.
+// Accounts that are not allowed do not hold up others. A nil function allows all.
+func (q *Queue[T]) PeekFunc(pool string, allowed func(account string, priority int) bool) (T, Position, bool) {
+	levels := q.levels[pool]
+	for level := len(levelQueues[T]{}) - 1; levels != nil && level >= 0; level-- {
+		if account, ok := levels[level].nextFunc(level, allowed); ok {
+			return levels[level].accounts[account][0].value, Position{account, level}, true
+		}
+	}
+	var none T
+	return none, Position{}, false
+}
+
+// nextFunc returns the account whose turn it is of those allowed. level is that of f.
+func (f *fairQueue[T]) nextFunc(level int, allowed func(account string, priority int) bool) (string, bool) {
+	if allowed == nil || isBegunLevel(level) {
+		return f.next()
+	}
+	var (
+		best  string
+		found bool
+	)
+	for account, items := range f.accounts {
+		if found && !startsBefore(items[0].start, account, f.accounts[best][0].start, best) || !allowed(account, level/2) {
+			continue
+		}
+		best, found = account, true
+	}
+	return best, found
+}
+
+// PopAt removes the request at a position that PeekFunc has returned, unless the queue
+// has changed since.
+func (q *Queue[T]) PopAt(pool string, at Position) {
+	levels := q.levels[pool]
+	if levels == nil || len(levels[at.level].accounts[at.account]) == 0 {
+		return
+	}
+	q.popFirst(pool, &levels[at.level], at.account)
+}
+
+// popFirst removes the first request of an account from a queue of a pool.
+func (q *Queue[T]) popFirst(pool string, f *fairQueue[T], account string) {
+	f.virtualTime = max(f.virtualTime, f.accounts[account][0].start)
+	f.charge(account)
+	f.removeAt(account, 0)
+	q.counts[pool]--
+}
+
 // head returns the queue and the account of the next request for a pool; nil if
 // none waits.
 func (q *Queue[T]) head(pool string) (*fairQueue[T], string) {
@@ -231,10 +290,7 @@
 	if f == nil {
 		return
 	}
-	f.virtualTime = max(f.virtualTime, f.accounts[account][0].start)
-	f.charge(account)
-	f.removeAt(account, 0)
-	q.counts[pool]--
+	q.popFirst(pool, f, account)
 }
 
 func (f *fairQueue[T]) removeAt(account string, i int) {
@@ -304,3 +360,44 @@
 	}
 	return ahead
 }
+
+// Waiting returns how many requests of an account at a priority wait for a pool.
+func (q *Queue[T]) Waiting(pool, account string, priority int) int {
+	levels := q.levels[pool]
+	if levels == nil {
+		return 0
+	}
+	item := Item{Account: account, Priority: priority}
+	waiting := len(levels[levelOf(item)].accounts[account])
+	item.Begun = true
+	return waiting + len(levels[levelOf(item)].accounts[account])
+}
+
+// ClassCount is the number and the cost of the requests of an account that wait for a
+// pool at a priority.
+type ClassCount struct {
+	Account  string
+	Priority int
+	Requests int
+	Cost     float64
+}
+
+// Classes returns the requests that wait for a pool by account and priority, in no
+// particular order. Those that have begun are counted apart.
+func (q *Queue[T]) Classes(pool string) []ClassCount {
+	levels := q.levels[pool]
+	if levels == nil {
+		return nil
+	}
+	var out []ClassCount
+	for level := range levels {
+		for account, items := range levels[level].accounts {
+			c := ClassCount{Account: account, Priority: level / 2, Requests: len(items)}
+			for i := range items {
+				c.Cost += float64(max(items[i].item.Cost, 1))
+			}
+			out = append(out, c)
+		}
+	}
+	return out
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -113,8 +113,9 @@
 func (s *state) admit(w *waiter, now time.Duration) {
 	q := w.q
 	runs := q.isHandingOver()
-	if s.queue.Len(q.service) == 0 {
+	if !s.isHeld(q) && !s.othersGoFirst(q.service) {
 		to, err := s.assign(q, now)
+		s.recordLackOfRoom(q, err, now)
 		if err == nil || runs || !mayBeQueued(err) {
 			w.reply <- admissionResult{to, err}
 			return
@@ -130,7 +131,7 @@
 		return
 	}
 	item.Returning = s.claimReturn(q, item, now)
-	if reason, refuse := s.queueTimeoutReason(q, item, now); refuse {
+	if reason, refuse := s.queueTimeoutReason(q, item, now); refuse && !s.mayWaitForShare(q, item, now) {
 		s.refuseQueued(w, reason, now)
 		return
 	}
@@ -179,6 +180,7 @@
 // dispatch assigns targets to queued requests in their order, for as long as
 // they fit, and refuses those past their deadline.
 func (s *state) dispatch(now time.Duration) {
+	s.refreshShares(now)
 	for _, service := range s.queue.Pools() {
 		for s.dispatchNext(service, now) {
 		}
@@ -194,11 +196,12 @@
 // dispatchNext assigns a target to the next queued request of a service and
 // reports whether it left the queue.
 func (s *state) dispatchNext(service string, now time.Duration) bool {
-	w, ok := s.queue.Peek(service)
+	w, at, ok := s.queue.PeekFunc(service, s.mayStart(service))
 	if !ok {
 		return false
 	}
 	to, err := s.assign(w.q, now)
+	s.recordLackOfRoom(w.q, err, now)
 	if err != nil && mayBeQueued(err) {
 		refusal := s.holdOffRefusal(w.q, now)
 		if refusal == nil {
@@ -206,7 +209,7 @@
 		}
 		err = refusal
 	}
-	s.queue.Pop(service)
+	s.queue.PopAt(service, at)
 	if err == nil {
 		s.dispatchRate(service).Record(bootTime(now))
 	}
@@ -294,6 +297,7 @@
 		return target{}, err
 	}
 	s.reserve(q, to, now)
+	s.countStart(q, now)
 	s.parts.Try(q.SharedParts, bootTime(now))
 	q.beginSend(to.upstream.Instance)
 	s.log.Info("place given", zap.String("request", q.ID), zap.Int("attempt", q.countAttempt()), zap.String("upstream", to.upstream.Instance),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -128,6 +128,7 @@
 
 // mergeNews merges a peer's news into the state.
 func (s *state) mergeNews(n *peering.News, now time.Duration) {
+	s.checkDemand(n)
 	s.members.Update(n, now)
 	s.mergeFaults(n, now)
 	s.mergeFindings(n, now)
@@ -140,6 +141,7 @@
 	case n.Zone == s.zone && !n.OfZone:
 		s.zonePeers.Set(n.Address.Address, n)
 		s.zoneRetries.Set(n.Address.Address, retryReport(n), s.retryAllowance.Window, now)
+		s.mergeDemand(n, now)
 	case n.Zone != s.zone && n.OfZone:
 		s.mergeDirect(n, now)
 	}
@@ -238,6 +240,7 @@
 	s.zonePeers.Retain(present)
 	s.zoneRetries.Retain(present, s.retryAllowance.Window, now)
 	s.dropOldReports(now)
+	s.dropSilentDemand(present)
 	s.startingPeers = s.hasStartingPeer(alive)
 	s.recentPeers = s.members.HeardCount()
 	if s.alivePeers != len(alive) {
@@ -270,6 +273,7 @@
 	s.addLoads(n, now)
 	s.addLinkUse(n, now)
 	s.addCounts(n, now)
+	s.addDemand(n, now)
 	return n
 }
 
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -121,6 +121,7 @@
 
 // refuseQueued refuses a request and says when to retry.
 func (s *state) refuseQueued(w *waiter, reason verdict.Reason, now time.Duration) {
+	s.countRefused(w.q, now)
 	item := itemOf(w.q)
 	p := s.predictWait(w.q, item, now)
 	s.countRefusal(reason, now >= w.q.queueLimit(), p)
