--- a/internal/setting/gateway.go
+++ b/internal/setting/gateway.go
@@ -22,6 +22,7 @@
 	Peers    GatewayPeers
 	Bounds   Bounds
 	Prefixes Prefixes `toml:",omitempty"`
+	Limits   Limits   `toml:",omitempty"`
 	// FirstStart states that the whole system starts for the first time, so that
 	// no process has sent anything before.
 	FirstStart bool `toml:",omitempty"`
@@ -138,6 +139,7 @@
 	c.require(!g.Prefixes.Shared || g.Prefixes.Retention.Duration != 0, "Prefixes", "Shared", "has no effect without Retention")
 	c.require(g.Bounds.RetryShare >= 0, "Bounds", "RetryShare", "must not be negative")
 	c.require(g.Bounds.RetrySlack >= 0, "Bounds", "RetrySlack", "must not be negative")
+	g.Limits.check(c)
 	if g.Log.Level != "" {
 		_, err := zapcore.ParseLevel(g.Log.Level)
 		c.require(err == nil, "Log", "Level", "%q is not a log level: use debug, info, warn or error", g.Log.Level)
