--- a/internal/coordination/admission/replay_test.go
+++ b/internal/coordination/admission/replay_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -64,15 +65,9 @@
 	queue   Queue[*ask]
 	rate    RateEstimator
 	returns Returns
-	// reports are those of the peers, by index.
-	reports map[int]replayReport
-}
-
-type replayReport struct {
-	at      time.Time
-	rate    float64
-	waiting map[string]int // by account, all of one priority each
-	level   map[string]int
+	reports Reports
+	// heard holds the times of the last reports of the peers.
+	heard map[string]time.Time
 }
 
 // replay plays a load against several gateways that share the slots of an upstream.
@@ -109,7 +104,7 @@
 }
 
 func newReplayGateway() *replayGateway {
-	return &replayGateway{queue: Queue[*ask]{Max: 1024}, rate: RateEstimator{TimeConstant: 2 * time.Second}, reports: make(map[int]replayReport)}
+	return &replayGateway{queue: Queue[*ask]{Max: 1024}, rate: RateEstimator{TimeConstant: 2 * time.Second}, heard: make(map[string]time.Time)}
 }
 
 // run plays the load for a time; arrivals returns the rate of each kind of request.
@@ -211,13 +206,12 @@
 		r.withRoom++
 	}
 	item := a.item(r.now)
-	fleet := r.fleet(i, a)
-	p := g.queue.Predict(item, &g.rate, fleet, r.now)
+	p := g.queue.Predict(item, &g.rate, r.fleet(i, a), r.now)
 	left := a.first.Add(callerPatience).Sub(r.now)
 	f := Refusal{Pool: "m", Account: a.account, Priority: a.priority, Wait: time.Second, Limit: left / 3}
 	if p.Known {
 		f.Wait = p.Wait
-		f.Rate = p.PartRate(&g.rate, fleet, max(1, g.returns.Accounts("m", a.priority)), r.now)
+		f.Rate = g.rate.AccountRate(g.returns.Accounts("m", a.priority), r.now)
 	}
 	after := g.returns.Refuse(f, r.now)
 	qt.Assert(r.t, after >= MinReturn && after <= MaxReturn, qt.IsTrue)
@@ -242,7 +236,12 @@
 		g.rate.Record(r.now)
 		r.start(*a)
 	}
-	for _, a := range g.queue.RemoveFunc(func(item Item, _ *ask) bool { return !r.now.Before(item.Deadline) }) {
+	late := g.queue.RemoveFunc(func(item Item, _ *ask) bool { return !r.now.Before(item.Deadline) })
+	// The queue returns them in no particular order.
+	slices.SortFunc(late, func(a, b *ask) int {
+		return cmp.Or(a.first.Compare(b.first), cmp.Compare(a.account, b.account), cmp.Compare(a.tries, b.tries))
+	})
+	for _, a := range late {
 		r.late++
 		r.refuse(i, *a)
 	}
@@ -252,52 +251,34 @@
 	g.queue.ExpirePlaces(r.now)
 }
 
-// exchange has the gateways report to each other.
+// exchange has the gateways report to each other. Reports of silent peers are dropped
+// after two seconds.
 func (r *replay) exchange() {
 	for i, g := range r.gateways {
-		report := replayReport{at: r.now, waiting: make(map[string]int), level: make(map[string]int)}
+		report := PoolReport{Pool: "m"}
 		if g.queue.Len("m") > 0 {
-			report.rate, _ = g.rate.Rate(r.now)
-			g.queue.RemoveFunc(func(item Item, _ *ask) bool {
-				report.waiting[item.Account]++
-				report.level[item.Account] = item.Priority
-				return false
-			})
+			report.Rate, _ = g.rate.Rate(r.now)
+			waiting := make(map[string]float64)
+			g.queue.RemoveFunc(func(item Item, _ *ask) bool { waiting[item.Account]++; return false })
+			for account, n := range waiting {
+				report.Classes = append(report.Classes, ClassReport{Account: account, Accounts: 1, Priority: 5, Waiting: n})
+			}
 		}
 		for j, other := range r.gateways {
 			if i != j && !r.silent[i] {
-				other.reports[i] = report
+				other.reports.Set(fmt.Sprint(i), []PoolReport{report}, r.now)
+				other.heard[fmt.Sprint(i)] = r.now
 			}
 		}
 	}
+	for _, g := range r.gateways {
+		g.reports.Retain(func(source string) bool { return r.now.Sub(g.heard[source]) <= 2*time.Second })
+	}
 }
 
-// fleet merges the reports that a gateway has; those of silent peers are dropped after
-// two seconds.
+// fleet returns what a gateway knows of its peers.
 func (r *replay) fleet(i int, a ask) Fleet {
-	var f Fleet
-	seen := make(map[string]bool)
-	for j := range r.gateways {
-		report, ok := r.gateways[i].reports[j]
-		age := r.now.Sub(report.at)
-		if !ok || age > 2*time.Second {
-			continue
-		}
-		f.Age = max(f.Age, age)
-		f.Rate += report.rate
-		for account, n := range report.waiting {
-			level := report.level[account]
-			f.Waiting[level] += float64(n)
-			if !seen[account] {
-				f.Accounts[level]++
-			}
-			seen[account] = true
-			if account == a.account && level == a.priority {
-				f.SameAccount += float64(n)
-			}
-		}
-	}
-	return f
+	return r.gateways[i].reports.Fleet("m", a.account, a.priority, r.now)
 }
 
 // servedShare returns the part of the callers served that match, and their number.
--- a/internal/coordination/admission/wait.go
+++ b/internal/coordination/admission/wait.go
@@ -11,9 +11,6 @@
 	// Rate is the number of requests per second that leave the peers' queues with a
 	// target; 0 if unknown.
 	Rate float64
-	// Part is the part of the requests leaving all queues that leave the queue of this
-	// process; 0 if unknown.
-	Part float64
 	// Waiting and Accounts are the requests that wait at the peers and the number of
 	// accounts that sent them, by the priority of an [Item].
 	Waiting, Accounts [declaration.MaxPriority + 1]float64
@@ -85,20 +82,14 @@
 	return ahead + same + others
 }
 
-// PartRate returns the number of requests per second that the own process may expect to
-// admit for each of a number of accounts; 0 if unknown. It is meant for scheduling
-// returns: all processes together must not invite more callers than there is room for.
-func (p Prediction) PartRate(own *RateEstimator, fleet Fleet, accounts int, now time.Time) float64 {
-	if !p.Known {
+// AccountRate returns the number of requests per second that the own queue may expect to
+// serve for each of a number of accounts; 0 if unknown. Each process lets as many refused
+// callers return as its own queue serves: together they do not invite more than there is
+// room for, although a caller may return at another one.
+func (r *RateEstimator) AccountRate(accounts int, now time.Time) float64 {
+	rate, known := r.Rate(now)
+	if !known {
 		return 0
 	}
-	part := 1.0
-	if p.Peers {
-		part = fleet.Part
-		if part <= 0 {
-			rate, _ := own.Rate(now)
-			part = rate / p.Rate
-		}
-	}
-	return p.Rate * min(part, 1) / float64(max(accounts, 1))
+	return rate / float64(max(accounts, 1))
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -137,9 +137,11 @@
 	case n.Address.Address == s.members.Self.Address:
 	case n.Zone == s.zone && !n.OfZone:
 		s.zonePeers.Set(n.Address.Address, n)
+		s.mergeWaiting(n.Address.Address, &n.Demand, now)
 		s.zoneRetries.Set(n.Address.Address, retryReport(n), s.retryAllowance.Window, now)
 	case n.Zone != s.zone && n.OfZone:
 		s.otherZones.Set(n.Zone, n)
+		s.mergeWaiting(n.Zone, &n.Demand, now)
 		s.otherRetries.Set(n.Zone, retryReport(n), s.retryAllowance.Window, now)
 	}
 	s.mergeKnownRetries(n, now)
@@ -237,6 +239,7 @@
 	present := func(source string) bool { return heard[source] }
 	s.zonePeers.Retain(present)
 	s.otherZones.Retain(present)
+	s.waiting.reports.Retain(present)
 	s.zoneRetries.Retain(present, s.retryAllowance.Window, now)
 	s.otherRetries.Retain(present, s.retryAllowance.Window, now)
 	s.startingPeers = s.hasStartingPeer(alive)
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/coordination/admission"
+	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/pkg/declaration"
 	"lovageport.example/pkg/verdict"
 )
@@ -41,22 +42,37 @@
 type waiting struct {
 	// returns schedules when refused callers return.
 	returns admission.Returns
-	// fleet returns what the peers report of the requests that wait, for a request of
-	// an account and rank. It is nil if there are no such reports.
-	fleet func(service, account string, rank int, now time.Duration) admission.Fleet
+	// reports are what the peers report of the requests that wait.
+	reports admission.Reports
 	// refused counts refusals by reason, and returned the requests that wait by
 	// whether they return as told. Both are nil in tests.
 	refused, returned *prometheus.CounterVec
 }
 
-// fleetOf returns what the peers report of the requests that wait like q.
-func (s *state) fleetOf(q *request, now time.Duration) admission.Fleet {
-	if s.waiting.fleet == nil {
-		return admission.Fleet{}
+// mergeWaiting records what a peer, or the peers of a zone, report of the requests that
+// wait. An invalid report changes nothing.
+func (s *state) mergeWaiting(source string, d *peering.DemandNews, now time.Duration) {
+	if d.Check() != nil {
+		return
+	}
+	// The reports number the priorities from the most urgent one, the items of a queue
+	// from the least urgent one.
+	pools := make([]admission.PoolReport, 0, len(d.Services))
+	for _, service := range d.Services {
+		p := admission.PoolReport{Pool: service.Service, Rate: float64(service.DispatchRate)}
+		for _, c := range service.Classes {
+			if c.Waiting > 0 {
+				p.Classes = append(p.Classes, admission.ClassReport{Account: c.Account, Accounts: float64(c.Accounts), Priority: priorityOf(c.Priority), Waiting: float64(c.Waiting)})
+			}
+		}
+		pools = append(pools, p)
 	}
-	return s.waiting.fleet(q.service, q.account, q.rank, now)
+	s.waiting.reports.Set(source, pools, bootTime(now))
 }
 
+// priorityOf returns the priority of a queue item for the rank of a request.
+func priorityOf(rank int) int { return declaration.MaxPriority - min(rank, declaration.MaxPriority) }
+
 // reportedDispatchRate returns the dispatch rate of a service for peers: the rate while
 // requests wait; 0 if none does or the rate is unknown.
 func (s *state) reportedDispatchRate(service string, now time.Duration) float64 {
@@ -81,7 +97,7 @@
 	return admission.Item{
 		Pool:     q.service,
 		Account:  q.account,
-		Priority: declaration.MaxPriority - min(q.rank, declaration.MaxPriority),
+		Priority: priorityOf(q.rank),
 		Cost:     int(q.tokens),
 		Deadline: bootTime(q.queueLimit()),
 		Begun:    q.history().lastEvent > 0,
@@ -97,7 +113,8 @@
 
 // predictWait predicts how long a request waits, and records that for its log lines.
 func (s *state) predictWait(q *request, item admission.Item, now time.Duration) admission.Prediction {
-	p := s.queue.Predict(item, s.dispatchRate(q.service), s.fleetOf(q, now), bootTime(now))
+	fleet := s.waiting.reports.Fleet(item.Pool, item.Account, item.Priority, bootTime(now))
+	p := s.queue.Predict(item, s.dispatchRate(q.service), fleet, bootTime(now))
 	q.recordPrediction(p)
 	return p
 }
@@ -156,8 +173,7 @@
 	}
 	if p.Known {
 		f.Wait = p.Wait
-		accounts := max(1, s.waiting.returns.Accounts(item.Pool, item.Priority))
-		f.Rate = p.PartRate(s.dispatchRate(q.service), s.fleetOf(q, now), accounts, at)
+		f.Rate = s.dispatchRate(q.service).AccountRate(s.waiting.returns.Accounts(item.Pool, item.Priority), at)
 	}
 	after := s.waiting.returns.Refuse(f, at)
 	if item.Account != "" {
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"lovageport.example/internal/coordination/admission"
+	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
-	"lovageport.example/pkg/declaration"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -49,35 +49,43 @@
 	}
 }
 
+// demandOf returns what peers report of the service llm.
+func demandOf(rate float32, classes ...peering.ClassDemand) *peering.DemandNews {
+	return &peering.DemandNews{Services: []peering.ServiceDemand{{Service: "llm", DispatchRate: rate, Classes: classes}}}
+}
+
 // TestBacklogOfPeersRefusesAtOnce guards against a request that is refused at the end
 // of its queue time although the gateways together had no room for it, and against
 // refusing one for a backlog that does not go before it.
 func TestBacklogOfPeersRefusesAtOnce(t *testing.T) {
-	const urgent, usual, other = declaration.MaxPriority, declaration.MaxPriority - 5, 0
+	sum := func(rank, accounts int) peering.ClassDemand {
+		return peering.ClassDemand{Priority: rank, Accounts: accounts, Waiting: 500}
+	}
+	flood := func(account string) peering.ClassDemand {
+		return peering.ClassDemand{Account: account, Priority: 5, Accounts: 1, Waiting: 500}
+	}
 	cases := map[string]struct {
-		fleet   admission.Fleet
+		demand  *peering.DemandNews
 		refused bool
 	}{
-		"no reports":           {},
-		"rate unknown":         {fleet: withWaiting(0, usual, 500, 500)},
-		"long backlog":         {fleet: withWaiting(90, usual, 500, 500), refused: true},
-		"sums without number":  {fleet: withWaiting(90, usual, 500, 0), refused: true},
-		"accounts take turns":  {fleet: withWaiting(90, usual, 500, 50)},
-		"short backlog":        {fleet: withWaiting(90, usual, 40, 40)},
-		"more urgent backlog":  {fleet: withWaiting(90, urgent, 500, 1), refused: true},
-		"less urgent backlog":  {fleet: withWaiting(90, other, 500, 50)},
-		"flood of one account": {fleet: withWaiting(90, usual, 500, 1)},
-		"own flood":            {fleet: admission.Fleet{Rate: 90, Waiting: withWaiting(0, usual, 500, 1).Waiting, Accounts: withWaiting(0, usual, 500, 1).Accounts, SameAccount: 500}, refused: true},
+		"no reports":           {demand: &peering.DemandNews{}},
+		"rate unknown":         {demand: demandOf(0, sum(5, 500))},
+		"long backlog":         {demand: demandOf(90, sum(5, 500)), refused: true},
+		"accounts take turns":  {demand: demandOf(90, sum(5, 50))},
+		"short backlog":        {demand: demandOf(90, peering.ClassDemand{Priority: 5, Accounts: 40, Waiting: 40})},
+		"more urgent backlog":  {demand: demandOf(90, sum(0, 1)), refused: true},
+		"less urgent backlog":  {demand: demandOf(90, sum(9, 500))},
+		"flood of one account": {demand: demandOf(90, flood("b"))},
+		"own flood":            {demand: demandOf(90, flood("a")), refused: true},
+		"invalid":              {demand: demandOf(90, sum(5, 500), peering.ClassDemand{Priority: 5, Accounts: 1, Waiting: -1})},
+		"other service":        {demand: &peering.DemandNews{Services: []peering.ServiceDemand{{Service: "x", DispatchRate: 90, Classes: []peering.ClassDemand{sum(5, 500)}}}}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			now := 20 * time.Second
 			s := newBusyState(t, 10, now)
-			s.waiting.fleet = func(service, account string, rank int, _ time.Duration) admission.Fleet {
-				c.Check([]any{service, account, rank}, qt.DeepEquals, []any{"llm", "a", 5})
-				return tc.fleet
-			}
+			s.mergeWaiting("peer", tc.demand, now)
 			w := admitOf(s, "w", "a", 5, now)
 			refusal := refusalOf(t, w)
 			c.Assert(refusal != nil, qt.Equals, tc.refused)
@@ -93,10 +101,18 @@
 	}
 }
 
-func withWaiting(rate float64, priority int, waiting, accounts float64) admission.Fleet {
-	f := admission.Fleet{Rate: rate}
-	f.Waiting[priority], f.Accounts[priority] = waiting, accounts
-	return f
+// TestSilentPeersCountNoLonger guards against refusing requests for a backlog of peers
+// that are no longer heard.
+func TestSilentPeersCountNoLonger(t *testing.T) {
+	c := qt.New(t)
+	now := 20 * time.Second
+	s := newBusyState(t, 10, now)
+	news := &peering.News{Version: peering.Version, Address: peering.Address{Gateway: "g2", Zone: s.zone, Address: "peer:1"}}
+	news.Demand = *demandOf(90, peering.ClassDemand{Priority: 5, Accounts: 500, Waiting: 500})
+	s.mergeNews(news, now)
+	c.Check(refusalOf(t, admitOf(s, "heard", "a", 5, now)) != nil, qt.IsTrue)
+	s.dropSilentPeers(now + time.Minute)
+	c.Check(refusalOf(t, admitOf(s, "silent", "a", 5, now)) == nil, qt.IsTrue)
 }
 
 // TestRefusedTogetherReturnOneByOne guards against callers that are refused at one
@@ -181,9 +197,7 @@
 	c := qt.New(t)
 	now := 20 * time.Second
 	s := newBusyState(t, 10, now)
-	f := withWaiting(90, 4, 500, 500)
-	f.Age = 700 * time.Millisecond
-	s.waiting.fleet = func(string, string, int, time.Duration) admission.Fleet { return f }
+	s.mergeWaiting("peer", demandOf(90, peering.ClassDemand{Priority: 5, Accounts: 500, Waiting: 500}), now-700*time.Millisecond)
 	w := admitOf(s, "w", "a", 5, now)
 	refusal := refusalOf(t, w)
 	core, lines := observer.New(zap.InfoLevel)
