--- a/internal/coordination/fairshare/service.go
+++ b/internal/coordination/fairshare/service.go
@@ -293,15 +293,6 @@
 	s.reports[source] = r
 }
 
-// EachReport calls f for each report that counts, with its age.
-func (s *Service) EachReport(now time.Duration, f func(d *peering.ServiceDemand, age time.Duration)) {
-	for _, r := range s.reports {
-		if age := now - r.at; age < maxReportAge {
-			f(&r.demand, age)
-		}
-	}
-}
-
 // RetainSources drops the reports of all sources for which present returns false.
 func (s *Service) RetainSources(present func(source string) bool) {
 	for source := range s.reports {
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -231,33 +231,6 @@
 	return news
 }
 
-// queuesOfPeers returns what the peers report of the requests that wait for a service, for
-// a request of an account and rank.
-func (s *state) queuesOfPeers(service, account string, rank int, now time.Duration) admission.Fleet {
-	var fleet admission.Fleet
-	f := s.shares[service]
-	if f == nil {
-		return fleet
-	}
-	f.EachReport(now, func(d *peering.ServiceDemand, age time.Duration) {
-		fleet.Rate += float64(d.DispatchRate)
-		fleet.Age = max(fleet.Age, age)
-		for i := range d.Classes {
-			c := &d.Classes[i]
-			if c.Waiting <= 0 {
-				continue
-			}
-			priority := declaration.MaxPriority - c.Priority
-			fleet.Waiting[priority] += float64(c.Waiting)
-			fleet.Accounts[priority] += float64(c.Accounts)
-			if c.Account == account && c.Priority == rank {
-				fleet.SameAccount += float64(c.Waiting)
-			}
-		}
-	})
-	return fleet
-}
-
 // checkDemand drops the demand in a peer's news if it is invalid.
 func (s *state) checkDemand(n *peering.News) {
 	if err := n.Demand.Check(); err != nil {
@@ -306,6 +279,7 @@
 		_, reported := s.zoneReports.MadeAt(source)
 		return reported || heard(source)
 	}
+	s.waiting.reports.Retain(present)
 	for _, f := range s.shares {
 		f.RetainSources(present)
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -184,7 +184,6 @@
 	s.suspicions.CrashLimit = crashLimit
 	s.prefixes.Retention, s.prefixes.Shared = g.Settings.Prefixes.Retention.Duration, g.Settings.Prefixes.Shared
 	s.queue.Max = maxQueued
-	s.waiting.fleet = s.queuesOfPeers
 	if g.metrics != nil {
 		s.waiting.refused, s.waiting.returned = g.metrics.queueRefusals, g.metrics.queuedReturns
 	}
