--- a/internal/coordination/fairshare/service.go
+++ b/internal/coordination/fairshare/service.go
@@ -503,10 +503,6 @@
 		return
 	}
 	divide(capacity, demands)
-	if !s.anyUnmet(demands) {
-		// To hold requests back would help nobody.
-		return
-	}
 	s.limits = make(map[Class]float64)
 	for _, d := range demands {
 		if d.limited {
@@ -516,19 +512,6 @@
 	}
 }
 
-// anyUnmet reports whether a class uses less than its share although it wants more. Only
-// then does it need what others leave. Otherwise the estimate of the capacity may be too
-// low, as it is after engines have returned.
-func (s *Service) anyUnmet(demands []*demand) bool {
-	for _, d := range demands {
-		// Costs differ and reports are late.
-		if unmet := min(d.share, d.total()) - d.used; unmet > s.meanCost/2 {
-			return true
-		}
-	}
-	return false
-}
-
 // localLimit returns the part of a share that this gateway may use, in whole requests.
 // Gateways round up in turn, so that the sum over all gateways is about the share.
 func (s *Service) localLimit(d *demand, now time.Duration) float64 {
