--- a/internal/coordination/pathfinding/search.go
+++ b/internal/coordination/pathfinding/search.go
@@ -60,6 +60,8 @@
 	// probably do. CachedTokens is nil if nothing is cached.
 	CachedTokens             []float64
 	PrefixSaving, PrefixGain time.Duration
+	// longestBacklog is the part of PrefillDelay that is the longest backlog.
+	longestBacklog time.Duration
 }
 
 // node is the cheapest way found to run the layers up to a bound, with the last
@@ -128,7 +130,8 @@
 	links [][]Link
 	// start and stop are the bounds between which the layers are to be run.
 	start, stop int
-	// wholeRanges requires that a stage runs to the end of its holder's range.
+	// wholeRanges requires that a stage runs to the end of its holder's range, or to
+	// stop.
 	wholeRanges bool
 	// endZone is the zone of the last stage of the cheapest chain.
 	endZone int
@@ -207,7 +210,7 @@
 			continue
 		}
 		for j := i + 1; j <= f.stop && m.bounds[j] <= held.To; j++ {
-			if f.wholeRanges && m.bounds[j] != held.To {
+			if f.wholeRanges && m.bounds[j] != held.To && j != f.stop {
 				continue
 			}
 			cost := n.cost + f.stageCost(h, m.bounds[j]-at) + f.zoneCost(zone, m.zoneOf[h]) + f.linkCost(zone, m.zoneOf[h])
@@ -230,7 +233,6 @@
 // whole ranges, with which that cannot happen.
 func (f *finder) backtrack(nodes [][]node, firstZone int) (Chain, bool) {
 	var chain Chain
-	var longest time.Duration
 	seen := make([]bool, len(f.m.Holders))
 	prefix := f.newPrefixUse()
 	i, zone := f.stop, f.endZone
@@ -245,7 +247,7 @@
 		fill := f.fill(n.holder, layers.Len())
 		chain.Fill = max(chain.Fill, fill)
 		chain.PrefillDelay += f.prefillTime(n.holder, layers.Len())
-		longest = max(longest, f.backlog(n.holder))
+		chain.longestBacklog = max(chain.longestBacklog, f.backlog(n.holder))
 		prefix.add(n.holder, layers)
 		chain.Full = chain.Full || fill > overcommitLimit || f.links[n.prevZone][zone].Full
 		if n.prevBound == 0 && f.start == 0 {
@@ -253,7 +255,7 @@
 		}
 		i, zone = n.prevBound, n.prevZone
 	}
-	chain.PrefillDelay += longest
+	chain.PrefillDelay += chain.longestBacklog
 	prefix.apply(&chain)
 	slices.Reverse(chain.Stages)
 	return chain, true
