Keep refused requests in flight out of the estimate of the capacity

On real gateways the estimate of the capacity was up to 617 instead of 240 when limiting began, and the small account was refused for seconds: requests in flight that upstreams refuse counted as usage, by the load that peers report.

The estimate follows the usage in the reports of demand, less the average of refused requests in flight, by the lower quartile of five samples. Reports that begin or end change it by their usage. The replay counted requests from its start where a test had not said from when; it now counts none until then, and all bounds are as before or stricter.

--- a/internal/coordination/fairshare/loads_test.go
+++ b/internal/coordination/fairshare/loads_test.go
@@ -256,11 +256,22 @@
 	r.cut = func(string, string) bool { return cut }
 	r.run(10 * time.Second)
 	cut = false
-	// The estimate of the capacity takes 5 s to follow.
+	// The small account first catches up with what waited during the partition, with no
+	// more than its equal share; the large one keeps to its own.
 	r.from = r.now + time.Second
-	r.run(6 * time.Second)
-	t.Log(*r.outcome(classA), *r.outcome(classB))
+	used := 0.0
+	r.observe = func() {
+		for _, c := range r.running {
+			if c.class == classA && r.now >= r.from {
+				used += replayStep.Seconds()
+			}
+		}
+	}
+	r.run(4 * time.Second)
+	t.Logf("the large account uses %.1f of %d: %v; small: %v", used/3, poolRoom, *r.outcome(classA), *r.outcome(classB))
 	checkServed(t, r.outcome(classB), 0.95, 0.8)
+	qt.Check(t, used/3 <= 0.65*poolRoom, qt.IsTrue, qt.Commentf("%.1f", used/3))
+	r.run(3 * time.Second)
 	r.out = make(map[Class]*outcomes)
 	r.from = r.now
 	r.run(20 * time.Second)
@@ -317,10 +328,10 @@
 	report := &peering.ServiceDemand{Service: "s", Scarcity: 3, Classes: []peering.ClassDemand{
 		{Account: "a", Priority: 5, Accounts: 1, Used: 3, Wanted: 9}, {Account: "b", Priority: 5, Accounts: 1, Used: 1}}}
 	s.SetReport("p", true, report, now)
-	s.Refresh(Load{Zone: 4, ZonePeers: 1}, now)
+	s.Refresh(now)
 	c.Assert(s.IsLimited(classA), qt.IsTrue)
 	s.RetainAccounts(func(account string) bool { return account == "b" })
-	s.Refresh(Load{Zone: 4, ZonePeers: 1}, now+200*time.Millisecond)
+	s.Refresh(now + 200*time.Millisecond)
 	c.Check(s.demands[classA], qt.IsNil)
 	c.Check(s.Limiting(), qt.IsFalse)
 	c.Check(report.Classes, qt.HasLen, 2, qt.Commentf("the report belongs to the message"))
@@ -387,7 +398,7 @@
 func TestDigestIsBounded(t *testing.T) {
 	c := qt.New(t)
 	s, now := manyAccounts()
-	s.Refresh(Load{Zone: 1e5, Others: 1e4, ZonePeers: 109, OtherZones: 2}, now)
+	s.Refresh(now)
 	for _, ofZone := range []bool{false, true} {
 		d, active := s.Digest(ofZone, now)
 		c.Assert(active, qt.IsTrue)
@@ -417,7 +428,7 @@
 	}
 	s.RecordFull(1, now)
 	now += 30 * time.Second
-	s.Refresh(Load{}, now)
+	s.Refresh(now)
 	c.Check(s.own, qt.HasLen, 0)
 	c.Check(s.Active(now), qt.IsFalse)
 }
@@ -427,7 +438,7 @@
 func BenchmarkRefresh(b *testing.B) {
 	s, now := manyAccounts()
 	for b.Loop() {
-		s.Refresh(Load{Zone: 1e5, Others: 1e4, ZonePeers: 109, OtherZones: 2}, now)
+		s.Refresh(now)
 	}
 }
 
@@ -444,3 +455,29 @@
 	c.Assert(err, qt.IsNil)
 	return len(encoded)
 }
+
+// TestRefusedRequestsAreNoCapacity guards against an estimate of the capacity that contains
+// requests in flight which upstreams refuse: gateways that lack news of each other send as
+// many of them as run.
+func TestRefusedRequestsAreNoCapacity(t *testing.T) {
+	s := &Service{Self: "g"}
+	now := 10 * time.Second
+	for range poolRoom {
+		s.Start(classA, 1, now)
+	}
+	for range 50 {
+		for range poolRoom {
+			s.Start(classA, 1, now)
+		}
+		s.RecordFull(1, now)
+		s.Refresh(now)
+		now += 100 * time.Millisecond
+		for range poolRoom {
+			s.End(classA, 1, now)
+			s.RecordWasted(1, 100*time.Millisecond, now)
+		}
+	}
+	qt.Check(t, s.capacity < 1.15*poolRoom && s.capacity > 0.9*poolRoom, qt.IsTrue, qt.Commentf("%v", s.capacity))
+	d, _ := s.Digest(false, now)
+	qt.Check(t, float64(d.Classes[0].Used) <= poolRoom, qt.IsTrue, qt.Commentf("%v", d.Classes[0]))
+}
--- a/internal/coordination/fairshare/replay_test.go
+++ b/internal/coordination/fairshare/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 	"testing"
@@ -100,7 +101,8 @@
 	interval time.Duration
 	// observe is called at each step.
 	observe func()
-	from    time.Duration
+	// from is the time from which requests are counted.
+	from time.Duration
 }
 
 // openLoad is a class that sends requests at a rate.
@@ -115,7 +117,7 @@
 }
 
 func newReplay(zones ...string) *replay {
-	r := &replay{random: rand.New(rand.NewSource(1)), room: poolRoom, mean: time.Second, out: make(map[Class]*outcomes), interval: 200 * time.Millisecond, now: 10 * time.Second}
+	r := &replay{random: rand.New(rand.NewSource(1)), room: poolRoom, mean: time.Second, out: make(map[Class]*outcomes), interval: 200 * time.Millisecond, now: 10 * time.Second, from: math.MaxInt64}
 	for i, zone := range zones {
 		r.gateways = append(r.gateways, newReplayGateway(fmt.Sprintf("g%d", i), zone))
 	}
@@ -310,17 +312,7 @@
 		waiting = append(waiting, Waiting{Class{Account: c.Account, Priority: 9 - c.Priority}, c.Requests, c.Cost / 100})
 	}
 	g.service.SetWaiting(waiting, r.now)
-	load := Load{}
-	for source, l := range g.peerLoads {
-		if g.zoneOf[source] {
-			load.ZonePeers++
-			load.Zone += l
-		} else {
-			load.OtherZones++
-			load.Others += l
-		}
-	}
-	g.changes = append(g.changes, g.service.Refresh(load, r.now)...)
+	g.changes = append(g.changes, g.service.Refresh(r.now)...)
 }
 
 // exchange sends a gateway's reports to its peers when they are due, and drops those that
--- a/internal/coordination/fairshare/service.go
+++ b/internal/coordination/fairshare/service.go
@@ -36,9 +36,12 @@
 	// flood, 1 s for both left 2% more of the capacity unused.
 	riseTime = 300 * time.Millisecond
 	fallTime = 2 * time.Second
+	// wastedTime is the time constant of the average of the requests in flight that
+	// upstreams refuse.
+	wastedTime = 500 * time.Millisecond
 	// capacitySamples is the number of samples of the total usage of which the estimate
-	// follows the median. Requests that gateways send to upstreams at the same moment,
-	// and that these refuse, make single samples exceed twice the capacity.
+	// follows the lower quartile. A place that passes from one gateway to another is
+	// counted at both until the next report.
 	capacitySamples = 5
 	// peakTime is the time constant of the peak usage that bounds the estimate from
 	// below.
@@ -101,10 +104,10 @@
 	samples []float64
 	// fullSeen is the latest lack of room that the estimate contains.
 	fullSeen time.Duration
-	// last holds the inputs of the previous computation, and lastTotal the total
-	// usage then.
-	last      Load
-	lastTotal float64
+	// wasted is a moving average of the cost of requests in flight that upstreams
+	// refuse.
+	wasted   float64
+	wastedAt time.Duration
 	// equalPart is the capacity that a gateway without peers tends to; 0 with peers.
 	equalPart float64
 	// demands holds the classes of all gateways at the last computation.
@@ -164,16 +167,6 @@
 	told      bool
 }
 
-// Load is what is known about peers apart from their reports of demand.
-type Load struct {
-	// Zone and Others are the cost of the requests that the peers of the own zone and
-	// the other zones have in flight. Builds that report no demand are included.
-	Zone, Others float64
-	// ZonePeers is the number of peers of the own zone, and OtherZones that of other
-	// zones that are heard.
-	ZonePeers, OtherZones int
-}
-
 // Change says that a class has begun or ceased to be limited at this gateway.
 type Change struct {
 	Class   Class
@@ -277,8 +270,12 @@
 // SetReport replaces the report of a source, a peer by address or a zone by name. A nil
 // report removes it.
 func (s *Service) SetReport(source string, ownZone bool, d *peering.ServiceDemand, now time.Duration) {
+	former := s.reports[source]
 	if d == nil {
-		delete(s.reports, source)
+		if former != nil {
+			s.addSource(former, -1)
+			delete(s.reports, source)
+		}
 		return
 	}
 	if s.reports == nil {
@@ -291,15 +288,68 @@
 		s.scarceUntil = max(s.scarceUntil, r.fullAt+scarcityTime)
 	}
 	s.reports[source] = r
+	if former == nil {
+		s.addSource(r, 1)
+		s.equalPart = 0
+	}
 }
 
 // RetainSources drops the reports of all sources for which present returns false.
 func (s *Service) RetainSources(present func(source string) bool) {
-	for source := range s.reports {
+	zone, gateways := s.ownTotal(), 1
+	for _, r := range s.reports {
+		if r.ownZone {
+			zone += usedIn(r)
+			gateways++
+		}
+	}
+	dropped := false
+	for source, r := range s.reports {
 		if !present(source) {
+			s.addSource(r, -1)
 			delete(s.reports, source)
+			dropped = true
 		}
 	}
+	if dropped && len(s.reports) == 0 {
+		s.equalPart = zone / float64(gateways)
+	}
+}
+
+// ownTotal returns what this gateway uses, without the requests in flight that upstreams
+// refuse.
+func (s *Service) ownTotal() float64 {
+	used := 0.0
+	for _, u := range s.own {
+		used += u.used
+	}
+	return max(0, used-s.wasted)
+}
+
+// acceptedPart returns the part of what this gateway uses that upstreams do not refuse.
+func (s *Service) acceptedPart() float64 {
+	used := 0.0
+	for _, u := range s.own {
+		used += u.used
+	}
+	if used == 0 {
+		return 1
+	}
+	return max(0, used-s.wasted) / used
+}
+
+// RecordWasted counts a request that an upstream has refused for lack of room after it was
+// in flight for a time. Gateways that lack news of each other send many of them.
+func (s *Service) RecordWasted(cost float64, inFlight, now time.Duration) {
+	s.updateWasted(now)
+	s.wasted += cost * inFlight.Seconds() / wastedTime.Seconds()
+}
+
+func (s *Service) updateWasted(now time.Duration) {
+	if now > s.wastedAt {
+		s.wasted *= decay(now-s.wastedAt, wastedTime)
+		s.wastedAt = now
+	}
 }
 
 // RetainAccounts drops the classes of accounts for which present returns false.
@@ -333,27 +383,24 @@
 
 // Refresh computes the shares, and returns the classes for which that changes whether
 // they are limited here. SetWaiting is to be called before it.
-func (s *Service) Refresh(load Load, now time.Duration) []Change {
+func (s *Service) Refresh(now time.Duration) []Change {
 	elapsed := now - s.refreshedAt
 	s.refreshedAt = now
 	s.updateOwn(now)
+	s.updateWasted(now)
 	if !s.Active(now) {
 		s.reset()
 		return s.changes(now, 0, 0)
 	}
 	for source, r := range s.reports {
 		if now-r.at > maxReportAge {
+			s.addSource(r, -1)
 			delete(s.reports, source)
 		}
 	}
 	reported, oldest := s.mergeDemand(now)
-	used := 0.0
-	for _, u := range s.own {
-		used += u.used
-	}
-	peers := max(load.Zone+load.Others, reported)
-	s.estimateCapacity(load, used, peers, elapsed, now)
-	s.setLimits(peers-reported, now)
+	s.estimateCapacity(s.ownTotal()+reported, elapsed, now)
+	s.setLimits(now)
 	return s.changes(now, len(s.reports), oldest)
 }
 
@@ -369,7 +416,7 @@
 
 // reset forgets what is known of the capacity and of the peers.
 func (s *Service) reset() {
-	s.scarceUntil, s.capacity, s.peak, s.equalPart, s.lastTotal = 0, 0, 0, 0, 0
+	s.scarceUntil, s.capacity, s.peak, s.equalPart = 0, 0, 0, 0
 	s.limiting, s.samples = false, nil
 	s.reports, s.demands, s.merged, s.limits = nil, nil, nil, nil
 }
@@ -419,11 +466,12 @@
 
 // estimateCapacity updates the estimate of the capacity: the total usage at the times at
 // which requests within the limits lacked room. Usage at other times says nothing of it,
-// since the limits lower it.
-func (s *Service) estimateCapacity(load Load, used, peers float64, elapsed, now time.Duration) {
-	total := used + peers
-	s.followSources(load, used, peers, elapsed)
-	s.last, s.lastTotal = load, total
+// since the limits lower it. What gateways use that report no demand is not available, and
+// not part of the estimate either.
+func (s *Service) estimateCapacity(total float64, elapsed, now time.Duration) {
+	if len(s.reports) == 0 && s.equalPart > 0 {
+		s.capacity = s.equalPart + (s.capacity-s.equalPart)*decay(elapsed, isolatedTime)
+	}
 	full := s.scarceUntil - scarcityTime
 	s.peak *= decay(elapsed, peakTime)
 	if full <= s.fullSeen || now-full > maxFullAge {
@@ -432,7 +480,7 @@
 	}
 	s.fullSeen = full
 	s.samples = append(s.samples[max(0, len(s.samples)-capacitySamples+1):], total)
-	total = median(s.samples)
+	total = lowerQuartile(s.samples)
 	s.peak = max(s.peak, total)
 	if s.capacity == 0 {
 		s.capacity = total
@@ -446,6 +494,25 @@
 	s.capacity = max(s.capacity, peakPart*s.peak)
 }
 
+// addSource adds what a source uses to the estimate, which contains the usage of all
+// sources, when its reports begin, and subtracts it when they end.
+func (s *Service) addSource(r *report, sign float64) {
+	used := sign * usedIn(r)
+	s.samples = nil
+	if s.capacity > 0 {
+		s.capacity = max(0, s.capacity+used)
+		s.peak = max(0, s.peak+used)
+	}
+}
+
+func usedIn(r *report) float64 {
+	used := 0.0
+	for i := range r.demand.Classes {
+		used += float64(r.demand.Classes[i].Used)
+	}
+	return used
+}
+
 // growCapacity raises the estimate while no request lacks room and the usage follows.
 func (s *Service) growCapacity(total float64, since, elapsed time.Duration) {
 	if since <= growthStart {
@@ -456,45 +523,20 @@
 	s.capacity = max(s.capacity, min(grown, growthLead*total))
 }
 
-// median returns the median of values.
-func median(values []float64) float64 {
+// lowerQuartile returns the value that a quarter of the values are below.
+func lowerQuartile(values []float64) float64 {
 	sorted := slices.Sorted(slices.Values(values))
-	return sorted[len(sorted)/2]
-}
-
-// followSources scales the estimate when peers fall silent or return, since the usage
-// that it is compared with then lacks or contains theirs.
-func (s *Service) followSources(load Load, used, peers float64, elapsed time.Duration) {
-	alone := load.ZonePeers == 0 && load.OtherZones == 0
-	if load.ZonePeers == s.last.ZonePeers && load.OtherZones == s.last.OtherZones {
-		if alone && s.equalPart > 0 {
-			s.capacity = s.equalPart + (s.capacity-s.equalPart)*decay(elapsed, isolatedTime)
-		}
-		return
-	}
-	if s.lastTotal <= 0 {
-		return
-	}
-	s.equalPart = 0
-	if alone {
-		zone := s.lastTotal - s.last.Others
-		s.equalPart = s.capacity * zone / s.lastTotal / float64(s.last.ZonePeers+1)
-	}
-	ratio := (used + peers) / s.lastTotal
-	s.samples = nil
-	s.capacity *= ratio
-	s.peak *= ratio
+	return sorted[len(sorted)/4]
 }
 
 // setLimits computes the shares and what the limited classes may use at this gateway.
-// unattributed is the usage of gateways that report no demand.
-func (s *Service) setLimits(unattributed float64, now time.Duration) {
+func (s *Service) setLimits(now time.Duration) {
 	s.limits, s.limiting = nil, false
 	if s.capacity <= 0 || now >= s.scarceUntil {
 		return
 	}
 	since := (now - s.scarceUntil + scarcityTime).Seconds()
-	capacity := max(0, s.capacity*(1+linearGrowth*since+squareGrowth*since*since)-unattributed)
+	capacity := s.capacity * (1 + linearGrowth*since + squareGrowth*since*since)
 	demands := make([]*demand, 0, len(s.demands))
 	for _, d := range s.demands {
 		demands = append(demands, d)
@@ -687,12 +729,13 @@
 		sum.Used += float32(used)
 		sum.Wanted += float32(max(0, wanted))
 	}
+	accepted := s.acceptedPart()
 	for c, u := range s.own {
 		accounts := 1
 		if c.Others {
 			accounts = 2
 		}
-		add(c, accounts, float64(u.waitingNumber), u.used, u.demand-u.used)
+		add(c, accounts, float64(u.waitingNumber), u.used*accepted, u.demand-u.used*accepted)
 	}
 	d := peering.ServiceDemand{}
 	// Other zones are told of lack of room in this zone only, so that it does not
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -311,6 +311,7 @@
 	if to.retry, err = s.chargeRetry(q, now); err != nil {
 		return target{}, err
 	}
+	to.assignedAt = now
 	s.reserve(q, to, now)
 	s.countStart(q, now)
 	s.parts.Try(q.SharedParts, bootTime(now))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -188,6 +188,8 @@
 	utilization float64
 	// predictedFirst is the expected time until the first event; 0 if unknown.
 	predictedFirst time.Duration
+	// assignedAt is the boot time at which it was assigned.
+	assignedAt time.Duration
 	// retry reports whether the attempt was counted against the retry allowance.
 	retry bool
 	// activity is that of each stage, shared by all streams.
@@ -223,7 +225,7 @@
 
 // release removes an attempt from the load of its upstreams.
 func (s *state) release(q *request, to target) {
-	s.countEnd(q)
+	s.countEnd(q, to)
 	if !to.hasEngine() {
 		s.loadOf(to.upstream.Instance).requests--
 		return
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -57,8 +57,12 @@
 }
 
 // countEnd counts a request out whose target is released.
-func (s *state) countEnd(q *request) {
-	s.sharesOf(q.service).End(classOf(q), costOf(q), s.now())
+func (s *state) countEnd(q *request, to target) {
+	f, now := s.sharesOf(q.service), s.now()
+	f.End(classOf(q), costOf(q), now)
+	if at, refused := q.refused[to.upstream.Instance]; refused && at >= to.assignedAt {
+		f.RecordWasted(costOf(q), at-to.assignedAt, now)
+	}
 }
 
 // countRefused counts a request that is refused for lack of room.
@@ -150,7 +154,7 @@
 			continue
 		}
 		f.SetWaiting(s.waitingClasses(service), now)
-		for _, c := range f.Refresh(s.peerUsage(service), now) {
+		for _, c := range f.Refresh(now) {
 			s.logLimit(service, c)
 		}
 	}
@@ -166,28 +170,6 @@
 	return out
 }
 
-// peerUsage returns what the other gateways use of a service, by the load that they
-// report.
-func (s *state) peerUsage(service string) fairshare.Load {
-	l := fairshare.Load{ZonePeers: s.zonePeers.Len(), OtherZones: s.otherZones.Len()}
-	p := s.pools[service]
-	if p == nil {
-		return l
-	}
-	for _, u := range p.members {
-		zone, others := s.zonePeers.Load(u.Instance), s.otherZones.Load(u.Instance)
-		if p.layers != nil {
-			layers := float64(max(1, p.service.Engine.Layers))
-			l.Zone += zone.TokenLayers / layers
-			l.Others += others.TokenLayers / layers
-			continue
-		}
-		l.Zone += zone.Requests
-		l.Others += others.Requests
-	}
-	return l
-}
-
 // logLimit logs that a class has begun or ceased to be limited.
 func (s *state) logLimit(service string, c fairshare.Change) {
 	message := "share limit ended"
