Say what limits a class that is alone at its priority

A trial with plain services logged reason=priority for the most urgent class: it is limited by the guaranteed part of less urgent ones.

--- a/internal/coordination/fairshare/service.go
+++ b/internal/coordination/fairshare/service.go
@@ -627,7 +627,7 @@
 }
 
 // Reason says why a limited class gets less than it wants: [ByAccount] if its priority has
-// other accounts, else [ByPriority].
+// other accounts, else [ByPriority]: other priorities want a part.
 func (s *Service) Reason(c Class) string {
 	group := s.groupOf(c)
 	for other := range s.demands {
