--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -197,6 +197,8 @@
 	// prefix is what the stages probably cache of the prompt; nil if that is not
 	// considered.
 	prefix *expectedPrefix
+	// assignedAt is the boot time at which it was assigned.
+	assignedAt time.Duration
 	// retry reports whether the attempt was counted against the retry allowance.
 	retry bool
 	// activity is that of each stage, shared by all streams.
@@ -232,7 +234,7 @@
 
 // release removes an attempt from the load of its upstreams.
 func (s *state) release(q *request, to target) {
-	s.countEnd(q)
+	s.countEnd(q, to)
 	if !to.hasEngine() {
 		s.loadOf(to.upstream.Instance).requests--
 		return
