--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -131,7 +131,7 @@
 		return
 	}
 	item.Returning = s.claimReturn(q, item, now)
-	if reason, refuse := s.queueTimeoutReason(q, item, now); refuse && !s.mayWaitForShare(q, item, now) {
+	if reason, refuse := s.queueTimeoutReason(q, item, now); refuse && !s.mayWaitForShare(q, now) {
 		s.refuseQueued(w, reason, now)
 		return
 	}
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"lovageport.example/internal/coordination/admission"
 	"lovageport.example/internal/coordination/fairshare"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/pkg/declaration"
@@ -132,19 +131,10 @@
 }
 
 // mayWaitForShare reports whether a request may be queued although more requests wait than
-// are served in time: while classes are limited, a class below its share gets what others
-// free, and requests of other classes do not hold up those of a limited one.
-func (s *state) mayWaitForShare(q *request, item admission.Item, now time.Duration) bool {
+// are served in time: while others are limited, a class below its share gets what they free.
+func (s *state) mayWaitForShare(q *request, now time.Duration) bool {
 	f := s.shares[q.service]
-	if f == nil || !f.Limiting() || now >= q.queueLimit() {
-		return false
-	}
-	if !f.IsLimited(classOf(q)) {
-		return true
-	}
-	ahead := s.queue.Waiting(q.service, item.Account, item.Priority)
-	wait, known := s.dispatchRate(q.service).EstimateWait(ahead+1, bootTime(now))
-	return ahead == 0 || !known || !bootTime(now).Add(wait).After(item.Deadline)
+	return f != nil && f.Limiting() && now < q.queueLimit() && !f.IsLimited(classOf(q))
 }
 
 // refreshShares computes the shares of the services that are short of room.
