Repeat the search for a chain only if a useless discount has decided

Nothing changes in what is chosen: a chain none of whose stages had a discount is also the cheapest one without discounts, and needs no second search. The time saved was not measured.

--- a/internal/coordination/pathfinding/cached.go
+++ b/internal/coordination/pathfinding/cached.go
@@ -72,6 +72,8 @@
 	tokens, probability float64
 	perStage            []float64
 	saving, gain        time.Duration
+	// discounted is set if one of the stages had a discount.
+	discounted bool
 }
 
 // newPrefixUse returns the sum of no stages; nil if nothing is cached.
@@ -87,6 +89,7 @@
 	if p == nil {
 		return
 	}
+	p.discounted = p.discounted || p.f.prefixDiscount(h, layers) > 0
 	p.tokens = min(p.tokens, p.f.cachedTokens(h, layers))
 	p.probability = min(p.probability, p.f.cached[h].Probability)
 	expected := p.tokens * p.probability
@@ -98,7 +101,11 @@
 
 // apply adds the sum to a chain.
 func (p *prefixUse) apply(c *Chain) {
-	if p == nil || p.gain == 0 {
+	if p == nil {
+		return
+	}
+	c.discounted = p.discounted
+	if p.gain == 0 {
 		return
 	}
 	slices.Reverse(p.perStage)
--- a/internal/coordination/pathfinding/search.go
+++ b/internal/coordination/pathfinding/search.go
@@ -60,6 +60,8 @@
 	// probably do. CachedTokens is nil if nothing is cached.
 	CachedTokens             []float64
 	PrefixSaving, PrefixGain time.Duration
+	// discounted is set if a stage had a discount for what it caches.
+	discounted bool
 }
 
 // node is the cheapest way found to run the layers up to a bound, with the last
@@ -88,7 +90,7 @@
 	f := finder{m: m, q: q, stop: len(m.bounds) - 1}
 	f.snapshot()
 	best, found := f.search()
-	if f.cached != nil && best.PrefixGain == 0 {
+	if best.discounted && best.PrefixGain == 0 {
 		// The stages that cache the prefix must read it all the same, since a later one
 		// does not. Their discount must not decide.
 		f.cached = nil
