Count what closing connections still hold, and bound connections by the memory

What clients saw: nothing in the tests; a trial at the size of the smallest VMs (2,500 connections, 512 KB on each, 136 MB, 2,870 descriptors; load average 25 on 7 cores) took 149, 220 and 274 MB under heads of many lines.

Cause: an evicted connection counted for nothing at once, though its memory is free only once its goroutine has run, so that others took its place; and 2,003 connections of callers take 40 MB by themselves.

Change: what a connection holds counts until it has ended; such connections may take an eighth more than the budget, above which new large heads are refused. If the settings state the memory, callers may have at most a sixth of it at 20 KB a connection: 1,160 with 136 MB. Two checks of Memory.Used follow its meaning, which includes connections that are being closed.

--- a/internal/setting/limits.go
+++ b/internal/setting/limits.go
@@ -35,6 +35,10 @@
 	inputShare  = 4 // one part in four
 	answerShare = 6
 	bodyShare   = 6
+	// connShare bounds what open connections of callers take by themselves, connBytes
+	// each, if the settings state the memory: 1,300 silent ones took 24 MB.
+	connShare = 6
+	connBytes = 20 << 10
 	// uncountedMB is what the Go runtime does not count for its soft limit, mostly the
 	// binary, and overshootShare the part of the memory by which it may exceed that
 	// limit between two collections: one in eight. With one in sixteen and 20 MB a
@@ -114,7 +118,11 @@
 		return l.MaxConnections
 	}
 	sockets := l.sockets()
-	return sockets - sockets/otherSockets
+	conns := sockets - sockets/otherSockets
+	if l.MemoryMB > 0 {
+		conns = min(conns, int(l.bytes(connShare)/connBytes))
+	}
+	return conns
 }
 
 // UnknownPeerConnections is the number of open connections at the listener of peers that
--- a/internal/transport/drain/conn.go
+++ b/internal/transport/drain/conn.go
@@ -226,7 +226,7 @@
 	if again {
 		return err
 	}
-	c.listener.Memory.End(&c.holder)
+	c.listener.Memory.Leave(&c.holder)
 	if c.listener.OnClose != nil {
 		c.listener.OnClose(reason)
 	}
--- a/internal/transport/intake/intake.go
+++ b/internal/transport/intake/intake.go
@@ -51,9 +51,9 @@
 
 	mu sync.Mutex
 	// used is the sum of what the holders hold, and holders has those that hold
-	// anything. Guarded by mu.
-	used    int64
-	holders map[*Holder]struct{}
+	// anything. leaving is what those take that are being closed. Guarded by mu.
+	used, leaving int64
+	holders       map[*Holder]struct{}
 }
 
 // Holder is what one connection holds. Evict must be set before the first use.
@@ -62,33 +62,35 @@
 	// because it holds too much. It must not block.
 	Evict func()
 
-	// held is what is counted, since is when the connection began to hold it, settled
+	// held is what is counted, leaving what was when it was decided that the connection
+	// is closed, since is when the connection began to hold it, settled
 	// is set if it must not be evicted, and ended once it has ended. Guarded by the mu
 	// of the Memory.
-	held           int64
+	held, leaving  int64
 	since          time.Time
 	settled, ended bool
 }
 
-// Used returns the number of bytes that are held.
+// Used returns the number of bytes that are held, also by connections that are being
+// closed.
 func (m *Memory) Used() int64 {
 	if m == nil {
 		return 0
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.used
+	return m.used + m.leaving
 }
 
 // Hold sets what a connection holds, in bytes, of which the first [FreeBytes] are not
-// counted. It reports false, and the connection holds nothing, if there is no room.
+// counted. It reports false if there is no room; the connection must then be closed.
 func (m *Memory) Hold(h *Holder, size int64) bool {
 	size -= FreeBytes
 	if m == nil || m.Max <= 0 || size <= 0 {
 		return true
 	}
 	m.mu.Lock()
-	if h.ended {
+	if h.ended || h.leaving > 0 {
 		m.mu.Unlock()
 		return false
 	}
@@ -100,17 +102,24 @@
 		h.since = time.Now()
 		h.settled = false
 	}
-	m.used += size - h.held
+	more := size - h.held
+	m.used += more
 	h.held = size
 	var evicted []*Holder
 	if m.used > m.Max {
 		evicted = m.choose()
 	}
 	kept := h.held > 0
-	if kept && m.used > m.Max {
-		m.drop(h)
+	// Connections that are being closed hold their memory until they have ended.
+	if kept && (m.used > m.Max || m.used+m.leaving > m.Max+m.Max/relief) {
+		m.leave(h)
 		kept = false
 	}
+	if !kept {
+		// What has just been read is not kept.
+		m.leaving -= more
+		h.leaving -= more
+	}
 	m.mu.Unlock()
 	for _, e := range evicted {
 		if e != h {
@@ -140,6 +149,26 @@
 	m.drop(h)
 }
 
+// Leave counts what a connection holds as that of one that is being closed, until End.
+func (m *Memory) Leave(h *Holder) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leave(h)
+}
+
+// leave is Leave for callers that hold mu.
+func (m *Memory) leave(h *Holder) {
+	held := h.held
+	m.used -= held
+	m.leaving += held
+	h.leaving += held
+	h.held = 0
+	delete(m.holders, h)
+}
+
 // End has a connection that has ended hold nothing from now on.
 func (m *Memory) End(h *Holder) {
 	if m == nil {
@@ -154,7 +183,8 @@
 // drop is Drop for callers that hold mu.
 func (m *Memory) drop(h *Holder) {
 	m.used -= h.held
-	h.held = 0
+	m.leaving -= h.leaving
+	h.held, h.leaving = 0, 0
 	delete(m.holders, h)
 }
 
@@ -162,7 +192,7 @@
 // connections to evict is seldom: one in eight.
 const relief = 8
 
-// choose drops the holders with the largest products of what they hold and for how long,
+// choose has the holders leave with the largest products of what they hold and for how long,
 // until there is room, and returns them. A connection whose request is complete within
 // milliseconds is thus evicted last. The caller holds mu.
 func (m *Memory) choose() []*Holder {
@@ -177,7 +207,7 @@
 	slices.SortFunc(candidates, func(a, b *Holder) int { return cmp.Compare(weight(b), weight(a)) })
 	n := 0
 	for n < len(candidates) && m.used > m.Max-m.Max/relief {
-		m.drop(candidates[n])
+		m.leave(candidates[n])
 		n++
 	}
 	return candidates[:n]
--- a/internal/transport/intake/listener.go
+++ b/internal/transport/intake/listener.go
@@ -136,13 +136,15 @@
 // Close implements [net.Conn].
 func (c *Conn) Close() error {
 	c.end()
+	// The server closes a connection once it does not read it any more.
+	c.listener.Memory.End(&c.holder)
 	return c.Conn.Close()
 }
 
 // NetConn returns the connection below.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// end gives up what the connection holds. It reports false if it was called before.
+// end records that the connection is being closed. It reports false if it was called before.
 func (c *Conn) end() bool {
 	c.mu.Lock()
 	again, afterClose := c.closed, c.afterClose
@@ -156,7 +158,7 @@
 		afterClose()
 	}
 	c.listener.forget(c)
-	c.listener.Memory.End(&c.holder)
+	c.listener.Memory.Leave(&c.holder)
 	return true
 }
 
