Blame only the first stage if several are silent with it

Where all engines were slow to report, a silent stream whose successor was silent too was cut: since a check names all lost stages, each attempt excluded every stage of its chain for the request, and no engines were left for the third attempt.

If the first stage is lost the attempt cannot be repaired, so of the other stages only those that refuse connections are blamed, as before.

The test of refused orders takes the header from the platform's test support, since internal packages name no headers of the platform; TestNoWireNameOutside had failed for it.

--- a/internal/gateway/replacement_test.go
+++ b/internal/gateway/replacement_test.go
@@ -17,6 +17,7 @@
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/internal/transport/http1"
+	"lovageport.example/platform/platformtest"
 )
 
 // repairState returns a state with the engines of a chain a1, b1, c1, d1 of two to four
@@ -135,8 +136,8 @@
 
 // order is the answer of a first engine to an order.
 type order struct {
-	status int
-	fault  string
+	accepted bool
+	fault    string
 	// meanwhile is called before the answer; nil for nothing.
 	meanwhile func(d *stallDetector)
 }
@@ -145,7 +146,7 @@
 // ever, after a repair, whatever becomes of its orders and of the stream, and against
 // more orders than one after the first was refused because of another stage.
 func TestLoadAfterReplacement(t *testing.T) {
-	const accepted, refused = http.StatusAccepted, http.StatusConflict
+	const accepted, refused = true, false
 	end := func(d *stallDetector) { d.mu.Lock(); defer d.mu.Unlock(); d.stopped = true }
 	event := func(d *stallDetector) { d.recordEvent(2*time.Second, eventSequence{}) }
 	for _, x := range []struct {
@@ -153,19 +154,19 @@
 		orders []order
 		chain  string
 	}{
-		{"accepted", []order{{status: accepted}}, "a1,b2,c1,d2"},
-		{"refused", []order{{status: refused}}, ""},
-		{"refused because of the first stage", []order{{status: refused, fault: "a1"}}, ""},
-		{"refused because of a stage of no chain", []order{{status: refused, fault: "x"}}, ""},
-		{"refused because of a replaced stage", []order{{status: refused, fault: "b1"}}, ""},
-		{"refused because of a spare", []order{{status: refused, fault: "b2"}, {status: accepted}}, "a1,b3,c1,d2"},
-		{"refused because of a spare that has no other", []order{{status: refused, fault: "d2"}}, ""},
-		{"refused because of another stage", []order{{status: refused, fault: "c1"}, {status: accepted}}, "a1,b2,c2,d2"},
-		{"refused twice", []order{{status: refused, fault: "b2"}, {status: refused, fault: "c1"}}, ""},
+		{"accepted", []order{{accepted: accepted}}, "a1,b2,c1,d2"},
+		{"refused", []order{{accepted: refused}}, ""},
+		{"refused because of the first stage", []order{{accepted: refused, fault: "a1"}}, ""},
+		{"refused because of a stage of no chain", []order{{accepted: refused, fault: "x"}}, ""},
+		{"refused because of a replaced stage", []order{{accepted: refused, fault: "b1"}}, ""},
+		{"refused because of a spare", []order{{accepted: refused, fault: "b2"}, {accepted: accepted}}, "a1,b3,c1,d2"},
+		{"refused because of a spare that has no other", []order{{accepted: refused, fault: "d2"}}, ""},
+		{"refused because of another stage", []order{{accepted: refused, fault: "c1"}, {accepted: accepted}}, "a1,b2,c2,d2"},
+		{"refused twice", []order{{accepted: refused, fault: "b2"}, {accepted: refused, fault: "c1"}}, ""},
 		{"ended, then accepted", []order{{accepted, "", end}}, ""},
 		{"ended, then refused because of a spare", []order{{refused, "b2", end}}, ""},
 		{"event, then refused because of a spare", []order{{refused, "b2", event}}, ""},
-		{"refused because of a spare, ended, then accepted", []order{{status: refused, fault: "b2"}, {accepted, "", end}}, ""},
+		{"refused because of a spare, ended, then accepted", []order{{accepted: refused, fault: "b2"}, {accepted, "", end}}, ""},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -191,10 +192,11 @@
 				if o.meanwhile != nil {
 					o.meanwhile(d)
 				}
-				if o.fault != "" {
-					w.Header().Set("At-Server", o.fault)
+				if !o.accepted {
+					platformtest.RefuseOrder(w, o.fault)
+					return
 				}
-				w.WriteHeader(o.status)
+				w.WriteHeader(http.StatusAccepted)
 			}))
 			defer engine.Close()
 			var dialer net.Dialer
--- a/internal/gateway/stagecheck.go
+++ b/internal/gateway/stagecheck.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"lovageport.example/internal/protocol/relay"
@@ -108,7 +109,8 @@
 
 // newFinding returns the finding of a check from the state of each stage that has
 // replied. stoodStill reports whether this process stood still during the check, so that
-// only a refused connection shows anything.
+// only a refused connection shows anything. If the first stage is lost, of the others
+// only those that refuse connections are found.
 func newFinding(suspects []suspect, found map[int]stageState, stoodStill bool) finding {
 	f := noFinding()
 	for _, state := range found {
@@ -128,8 +130,15 @@
 			f.presumed = append(f.presumed, x.stage)
 		}
 	}
-	if len(f.lost) > 0 {
-		f.stage = f.lost[0]
+	if len(f.lost) == 0 {
+		return f
+	}
+	f.stage = f.lost[0]
+	if f.stage == 0 {
+		// The attempt cannot be repaired. If several stages are silent at once, blaming
+		// them all would leave too few engines for the next attempts.
+		ofOthers := func(i int) bool { return i > 0 && found[i] != stageRefuses }
+		f.lost, f.presumed = slices.DeleteFunc(f.lost, ofOthers), slices.DeleteFunc(f.presumed, ofOthers)
 	}
 	return f
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -311,6 +311,8 @@
 		{name: "one refuses, one is silent for other streams", known: map[int]stageState{3: stageSilent}, found: map[int]stageState{2: stageRefuses}, lost: []int{2, 3}, presumed: []int{3}, ended: true},
 		{name: "one refuses, one silent for other streams answers", known: map[int]stageState{3: stageSilent}, found: map[int]stageState{2: stageRefuses, 3: stageAnswers}, lost: []int{2}, ended: true},
 		{name: "the first is silent for other streams", known: map[int]stageState{0: stageSilent}, found: map[int]stageState{2: stageRefuses}, lost: []int{0, 2}, presumed: []int{0}, ended: true},
+		{name: "all silent", found: map[int]stageState{0: stageSilent, 1: stageSilent, 2: stageSilent, 3: stageSilent}, lost: []int{0}},
+		{name: "the first is silent, two refuse", known: map[int]stageState{2: stageSilent}, found: map[int]stageState{0: stageSilent, 1: stageRefuses, 3: stageRefuses}, lost: []int{0, 1, 3}, presumed: []int{}, ended: true},
 		{name: "silent for other streams only", known: map[int]stageState{3: stageSilent}, found: map[int]stageState{0: stageAnswers}},
 		{name: "stood still", found: map[int]stageState{1: stageSilent, 3: stageSilent}, stood: true},
 		{name: "stood still, one refuses", found: map[int]stageState{1: stageRefuses, 3: stageSilent}, stood: true, lost: []int{1}, ended: true},
