Divide capacity across gateways only where the settings ask for it

The setting Shares.AcrossGateways switches them on, and with them the reports of demand to peers; it is off by default.

--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -52,11 +52,16 @@
 
 // countStart counts a request that has got a target.
 func (s *state) countStart(q *request, now time.Duration) {
-	s.sharesOf(q.service).Start(classOf(q), costOf(q), now)
+	if s.sharesAcross {
+		s.sharesOf(q.service).Start(classOf(q), costOf(q), now)
+	}
 }
 
 // countEnd counts a request out whose target is released.
 func (s *state) countEnd(q *request, to target) {
+	if !s.sharesAcross {
+		return
+	}
 	f, now := s.sharesOf(q.service), s.now()
 	f.End(classOf(q), costOf(q), now)
 	if at, refused := q.refused[to.upstream.Instance]; refused && at >= to.assignedAt {
@@ -66,12 +71,14 @@
 
 // countRefused counts a request that is refused for lack of room.
 func (s *state) countRefused(q *request, now time.Duration) {
-	s.sharesOf(q.service).RecordRefused(classOf(q), costOf(q), now)
+	if s.sharesAcross {
+		s.sharesOf(q.service).RecordRefused(classOf(q), costOf(q), now)
+	}
 }
 
 // recordLackOfRoom records that the upstreams had no room for a request, if err says so.
 func (s *state) recordLackOfRoom(q *request, err error, now time.Duration) {
-	if err == nil {
+	if err == nil || !s.sharesAcross {
 		return
 	}
 	lacks := false
@@ -177,6 +184,9 @@
 // addDemand adds the demand for the services that are or were just short of room: that of
 // this gateway, or of its zone.
 func (s *state) addDemand(n *peering.News, now time.Duration) {
+	if !s.sharesAcross {
+		return
+	}
 	cached, interval := &s.sentDemand[0], demandInterval
 	if n.OfZone {
 		cached, interval = &s.sentDemand[1], demandInterval*time.Duration(1+s.zonePeers.Len()/demandPeers)
@@ -221,7 +231,7 @@
 // mergeDemand merges the demand that a peer reports for itself or its zone.
 func (s *state) mergeDemand(n *peering.News, now time.Duration) {
 	source, ownZone := n.Address.Address, n.Zone == s.zone
-	if source == s.members.Self.Address || ownZone == n.OfZone {
+	if !s.sharesAcross || source == s.members.Self.Address || ownZone == n.OfZone {
 		return
 	}
 	if !ownZone {
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -46,10 +46,32 @@
 	return n
 }
 
+// newSharingState returns a state whose settings ask for shares across all gateways.
+func newSharingState(t *testing.T) *state {
+	s := newState(t)
+	s.sharesAcross = true
+	return s
+}
+
+// TestSharesAreOffByDefault guards against limits, and against demand sent to peers, where
+// the settings do not ask for shares across all gateways.
+func TestSharesAreOffByDefault(t *testing.T) {
+	s := newState(t)
+	now := sharesTime
+	for i := range 2 * engineCapacity {
+		admitOf(s, fmt.Sprint("r", i), "large", 5, now)
+	}
+	s.dispatch(now)
+	qt.Check(t, s.shares, qt.HasLen, 0)
+	n := &peering.News{}
+	s.addDemand(n, now)
+	qt.Check(t, n.Demand.Services, qt.HasLen, 0)
+}
+
 // limitLarge returns a state whose engine is full, mostly of the account "large", while
 // the account "small" waits at a peer. It returns the targets of "large" here.
 func limitLarge(t *testing.T) (*state, []*waiter, []target) {
-	s := newState(t)
+	s := newSharingState(t)
 	s.metrics = newMetrics(&Gateway{})
 	// The engine takes up to 105 requests, see engineCapacity.
 	var running []*waiter
@@ -143,7 +165,7 @@
 // unknown service, and against the loss of the other news that came with it.
 func TestRejectedDemand(t *testing.T) {
 	c := qt.New(t)
-	s := newState(t)
+	s := newSharingState(t)
 	s.metrics = newMetrics(&Gateway{})
 	sound := peering.ServiceDemand{Service: "llm", Scarcity: 1, Classes: []peering.ClassDemand{{Account: "a", Accounts: 1, Used: 1}}}
 	invalid := newsOfPeer(s, sound, peering.ServiceDemand{Service: "llm", DispatchRate: -1})
@@ -177,7 +199,7 @@
 	c.Assert(zone, qt.HasLen, 1)
 	c.Check(usedOf(zone[0], "large"), qt.Equals, float32(105*usualTokens))
 
-	other := newState(t)
+	other := newSharingState(t)
 	other.zone = "other"
 	other.members.Self = peering.Address{Gateway: "o", Zone: "other", Address: "o:1"}
 	n := s.buildNews(g, "other", now)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -85,6 +85,9 @@
 	// by service.
 	dispatchRates map[string]*admission.RateEstimator
 	waiting       waiting
+	// sharesAcross is set if the settings ask for shares across all gateways. Otherwise
+	// shares stays empty.
+	sharesAcross bool
 	// shares divides the capacity of each service between the classes of its requests.
 	shares map[string]*fairshare.Service
 	// sentDemand holds the demand of this gateway and that of its zone.
@@ -200,6 +203,7 @@
 	s.retryWindows = make(map[string]*retry.Window)
 	s.dispatchRates = make(map[string]*admission.RateEstimator)
 	s.shares = make(map[string]*fairshare.Service)
+	s.sharesAcross = g.Settings.Shares.AcrossGateways
 	s.metrics = g.metrics
 	s.storeFailed = make(map[string]bool)
 	s.storeMissing = make(map[string]bool)
--- a/internal/setting/gateway.go
+++ b/internal/setting/gateway.go
@@ -22,6 +22,7 @@
 	Peers    GatewayPeers
 	Bounds   Bounds
 	Prefixes Prefixes `toml:",omitempty"`
+	Shares   Shares   `toml:",omitempty"`
 	Limits   Limits   `toml:",omitempty"`
 	// FirstStart states that the whole system starts for the first time, so that
 	// no process has sent anything before.
@@ -70,6 +71,14 @@
 	RetryWindow declaration.Duration `toml:",omitempty"`
 }
 
+// Shares describes how the capacity of a service is divided between client accounts and
+// priorities while it is short of room.
+type Shares struct {
+	// AcrossGateways states that it is divided across all gateways. Otherwise each
+	// gateway divides only what its own queue gets.
+	AcrossGateways bool `toml:",omitempty"`
+}
+
 // Prefixes describes what the engines cache of the prompts that they have read.
 type Prefixes struct {
 	// Retention is how long an engine keeps the beginning of a prompt that no request
