--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,7 +13,13 @@
 	// answers counts requests by service and outcome.
 	answers  *prometheus.CounterVec
 	refusals *prometheus.CounterVec
-	retries  *prometheus.CounterVec
+	// queueRefusals counts requests that were refused because they wait too long or
+	// would have to, by reason.
+	queueRefusals *prometheus.CounterVec
+	// queuedReturns counts requests of accounts that had to wait, by whether they
+	// return after a refusal.
+	queuedReturns *prometheus.CounterVec
+	retries       *prometheus.CounterVec
 	// firstByte is the time from a request to the first event or the response.
 	firstByte   *prometheus.HistogramVec
 	requestTime *prometheus.HistogramVec
@@ -39,6 +45,9 @@
 	tunnels *prometheus.CounterVec
 	// peerMessages counts the messages to peers, by kind.
 	peerMessages *prometheus.CounterVec
+	// held counts the requests that waited because their class used its share, and
+	// rejectedDemand the reports of demand by peers that do not count, by reason.
+	held, rejectedDemand *prometheus.CounterVec
 	// panics counts requests whose handler panicked.
 	panics prometheus.Counter
 	// containedPanics counts panics of goroutines and timers beside the handlers.
@@ -62,6 +71,12 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_refusals_total", Help: "Requests refused or failed, by reason and verdict.",
 		}, []string{"reason", "verdict"}),
+		queueRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_queue_refusals_total", Help: "Requests refused because they wait too long, or would have to, by reason.",
+		}, []string{"reason"}),
+		queuedReturns: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_queued_total", Help: "Requests of accounts that had to wait, by whether they return after a refusal as told.",
+		}, []string{"kind"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_retries_total", Help: "Attempts that failed and were followed by another, by reason.",
 		}, []string{"reason"}),
@@ -103,6 +118,12 @@
 		peerMessages: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_peer_messages_total", Help: "Messages to peers, by kind: within the zone, reports to other zones, heartbeats to other zones.",
 		}, []string{"kind"}),
+		held: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_share_held_total", Help: "Requests that were queued because their account or priority used its share, by service and reason.",
+		}, []string{"service", "reason"}),
+		rejectedDemand: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_demand_rejected_total", Help: "Reports of demand by peers that do not count, by reason.",
+		}, []string{"reason"}),
 		containedPanics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lovageport_gateway_contained_panics_total", Help: "Panics of goroutines and timers beside the handlers of requests.",
 		}),
@@ -145,7 +166,7 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.retries, m.firstByte, m.requestTime, m.connections, m.closedConns, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.panics, m.containedPanics, m.prefixTokens, m.pauses, m.tableVersion, m.storeRestorations, m.peerMessages, inFlight, reporter, invalidReports, dropped)
+	m.registry.MustRegister(m.answers, m.refusals, m.queueRefusals, m.queuedReturns, m.retries, m.firstByte, m.requestTime, m.connections, m.closedConns, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.held, m.rejectedDemand, m.panics, m.containedPanics, m.prefixTokens, m.pauses, m.tableVersion, m.storeRestorations, m.peerMessages, inFlight, reporter, invalidReports, dropped)
 	return m
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"lovageport.example/internal/coordination/admission"
 	"lovageport.example/internal/coordination/pathfinding"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
@@ -57,6 +58,8 @@
 	// queueDeadline is the boot time until which the request may be queued; after
 	// that its caller has probably gone. Guarded by mu of the history.
 	queueDeadline time.Duration
+	// prediction is the wait that was last predicted. Guarded by mu of the history.
+	prediction admission.Prediction
 	// running holds the targets of the generation's attempts that run, by their
 	// detectors. Guarded by mu of the history.
 	running map[*stallDetector]target
@@ -194,6 +197,8 @@
 	// prefix is what the stages probably cache of the prompt; nil if that is not
 	// considered.
 	prefix *expectedPrefix
+	// assignedAt is the boot time at which it was assigned.
+	assignedAt time.Duration
 	// retry reports whether the attempt was counted against the retry allowance.
 	retry bool
 	// activity is that of each stage, shared by all streams.
@@ -229,6 +234,7 @@
 
 // release removes an attempt from the load of its upstreams.
 func (s *state) release(q *request, to target) {
+	s.countEnd(q, to)
 	if !to.hasEngine() {
 		s.loadOf(to.upstream.Instance).requests--
 		return
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,7 @@
 
 	"lovageport.example/internal/coordination/admission"
 	"lovageport.example/internal/coordination/cluster"
+	"lovageport.example/internal/coordination/fairshare"
 	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/coordination/outage"
 	"lovageport.example/internal/coordination/pathfinding"
@@ -83,7 +84,17 @@
 	// dispatchRates are the rates at which queued requests get their targets,
 	// by service.
 	dispatchRates map[string]*admission.RateEstimator
-	retryWindows  map[string]*retry.Window
+	waiting       waiting
+	// sharesAcross is set if the settings ask for shares across all gateways. Otherwise
+	// shares stays empty.
+	sharesAcross bool
+	// shares divides the capacity of each service between the classes of its requests.
+	shares map[string]*fairshare.Service
+	// sentDemand holds the demand of this gateway and that of its zone.
+	sentDemand [2]cachedDemand
+	// metrics is nil in states that belong to no running gateway.
+	metrics      *metrics
+	retryWindows map[string]*retry.Window
 	// zoneRetries and otherRetries hold the requests and retries reported by the
 	// peers of the own zone, by address, and by other zones, by name.
 	zoneRetries, otherRetries retry.Reports
@@ -176,6 +187,9 @@
 	s.suspicions.CrashLimit = crashLimit
 	s.prefixes.Retention, s.prefixes.Shared = g.Settings.Prefixes.Retention.Duration, g.Settings.Prefixes.Shared
 	s.queue.Max = maxQueued
+	if g.metrics != nil {
+		s.waiting.refused, s.waiting.returned = g.metrics.queueRefusals, g.metrics.queuedReturns
+	}
 	s.upstreams = make(map[string]*fleet.Upstream)
 	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*upstreamLoad)
@@ -188,6 +202,9 @@
 	s.changedSince = make(map[string]bool)
 	s.retryWindows = make(map[string]*retry.Window)
 	s.dispatchRates = make(map[string]*admission.RateEstimator)
+	s.shares = make(map[string]*fairshare.Service)
+	s.sharesAcross = g.Settings.Shares.AcrossGateways
+	s.metrics = g.metrics
 	s.storeFailed = make(map[string]bool)
 	s.storeMissing = make(map[string]bool)
 }
