--- a/internal/coordination/fairshare/loads_test.go
+++ b/internal/coordination/fairshare/loads_test.go
@@ -341,8 +341,7 @@
 }
 
 // TestLargeRequests guards against the starvation of the largest tenth of the requests of
-// a class, limited or not, while other gateways take each place that becomes free. Without
-// shares, 31 and 42 of 113 are served, of all requests 62 to 66%.
+// a class, limited or not, while other gateways take each place that becomes free.
 func TestLargeRequests(t *testing.T) {
 	for _, class := range []Class{classA, {Account: "c", Priority: 5}} {
 		t.Run(class.Account, func(t *testing.T) {
--- a/internal/coordination/fairshare/service.go
+++ b/internal/coordination/fairshare/service.go
@@ -22,8 +22,8 @@
 	// 100 ms are noise, and load may change by half within 15 s.
 	demandTime = 2 * time.Second
 	// reserve is the part of the average demand of a class that is kept for it while it
-	// uses less. In the replay of a flood, all of it left 1% more of the capacity
-	// unused and started no more requests of the small account in time.
+	// uses less. Keeping all of it leaves more of the capacity unused without starting
+	// requests of small accounts sooner.
 	reserve = 0.7
 	// refusedTime is the time constant with which refused requests cease to count as
 	// demand. Refused callers return after 0.2 to 3 s.
@@ -32,8 +32,8 @@
 	// the capacity.
 	maxFullAge = 500 * time.Millisecond
 	// riseTime and fallTime are the time constants of the estimate of the capacity.
-	// Peers' usage is known with a lag, so that the sum varies. In the replay of a
-	// flood, 1 s for both left 2% more of the capacity unused.
+	// Peers' usage is known with a lag, so that the sum varies. An estimate that rises
+	// as slowly as it falls leaves capacity unused.
 	riseTime = 300 * time.Millisecond
 	fallTime = 2 * time.Second
 	// wastedTime is the time constant of the average of the requests in flight that
@@ -131,7 +131,7 @@
 	waitingNumber int
 	refused       float64
 	// mean is the moving average of what is used, waits and was refused. demand is
-	// that at present, but no less than the reserve.
+	// the present sum, but no less than the reserved part of the mean.
 	mean, demand float64
 	updatedAt    time.Duration
 }
@@ -163,8 +163,10 @@
 
 // hold is a class of which requests were held back.
 type hold struct {
+	// limitedAt is when the class was last limited, and reported is set once [Service.Refresh]
+	// has returned that it is.
 	limitedAt time.Duration
-	told      bool
+	reported  bool
 }
 
 // Change says that a class has begun or ceased to be limited at this gateway.
@@ -318,20 +320,20 @@
 
 // ownTotal returns what this gateway uses, without the requests in flight that upstreams
 // refuse.
-func (s *Service) ownTotal() float64 {
+func (s *Service) ownTotal() float64 { return max(0, s.ownInFlight()-s.wasted) }
+
+// ownInFlight returns the cost of all requests in flight of this gateway.
+func (s *Service) ownInFlight() float64 {
 	used := 0.0
 	for _, u := range s.own {
 		used += u.used
 	}
-	return max(0, used-s.wasted)
+	return used
 }
 
 // acceptedPart returns the part of what this gateway uses that upstreams do not refuse.
 func (s *Service) acceptedPart() float64 {
-	used := 0.0
-	for _, u := range s.own {
-		used += u.used
-	}
+	used := s.ownInFlight()
 	if used == 0 {
 		return 1
 	}
@@ -447,6 +449,7 @@
 	return reported, oldest
 }
 
+// add adds what one source uses and wants of a class to the demand of all gateways.
 func (s *Service) add(c Class, accounts int, used, wanted float64) {
 	d := s.demands[c]
 	if d == nil {
@@ -505,6 +508,7 @@
 	}
 }
 
+// usedIn returns what the classes of a report use.
 func usedIn(r *report) float64 {
 	used := 0.0
 	for i := range r.demand.Classes {
@@ -654,6 +658,8 @@
 	return true
 }
 
+// ownUsed returns what a class, or the sum of the classes that count as it, uses at this
+// gateway.
 func (s *Service) ownUsed(c Class) float64 {
 	if !c.Others {
 		if u := s.own[c]; u != nil {
@@ -670,9 +676,10 @@
 	return used
 }
 
-// maxHeld bounds the classes of which changes are told.
+// maxHeld bounds the classes of which changes are reported.
 const maxHeld = 64
 
+// hold records that requests of a class were held back, unless too many classes are recorded.
 func (s *Service) hold(c Class) {
 	if h := s.held[c]; h != nil || len(s.held) >= maxHeld {
 		return
@@ -688,10 +695,10 @@
 func (s *Service) changes(now time.Duration, reports int, oldest time.Duration) []Change {
 	var out []Change
 	for c, h := range s.held {
-		if _, limited := s.limits[c]; limited || !h.told {
+		if _, limited := s.limits[c]; limited || !h.reported {
 			h.limitedAt = now
 		}
-		begins, ends := !h.told, now-h.limitedAt >= scarcityTime
+		begins, ends := !h.reported, now-h.limitedAt >= scarcityTime
 		if !begins && !ends {
 			continue
 		}
@@ -700,7 +707,7 @@
 			change.Share, change.Used, change.Demand = d.share, d.used, d.total()
 		}
 		out = append(out, change)
-		h.told = true
+		h.reported = true
 		if ends {
 			delete(s.held, c)
 		}
@@ -738,8 +745,8 @@
 		add(c, accounts, float64(u.waitingNumber), u.used*accepted, u.demand-u.used*accepted)
 	}
 	d := peering.ServiceDemand{}
-	// Other zones are told of lack of room in this zone only, so that it does not
-	// return to them as news.
+	// Other zones get reports of lack of room in this zone only. Otherwise their own
+	// lack of room would return to them as a new one.
 	full := s.fullAt
 	if ofZone {
 		for _, r := range s.reports {
--- a/internal/coordination/fairshare/shares.go
+++ b/internal/coordination/fairshare/shares.go
@@ -6,9 +6,8 @@
 // Each priority gets a guaranteed part of its proportional capacity before the more urgent
 // ones get theirs, so that none is served less than a quarter as often as all. Priorities
 // that are refused more often want more in proportion; therefore minGuarantee is enough up
-// to demand of guaranteeDemand times the capacity. A constant 0.24 serves only 899 of 1000
-// urgent requests at twice the capacity, half of it urgent; a constant 0.22 serves the least
-// urgent requests 0.226 as often as all at four times the capacity.
+// to demand of guaranteeDemand times the capacity. A constant part would be too large for
+// urgent requests at a small excess of demand, or too small for the others at a large one.
 const (
 	minGuarantee    = 0.2
 	maxGuarantee    = 0.3
