--- a/internal/coordination/admission/place.go
+++ b/internal/coordination/admission/place.go
@@ -53,7 +53,7 @@
 func (q *Queue[T]) Keep(item Item, now, until time.Time) {
 	levels := q.levels[item.Pool]
 	if levels == nil || item.Begun {
-		// Nobody waits at the pool, or the request is never put behind others.
+		// No request has waited for the pool, or the request is never put behind others.
 		return
 	}
 	f := &levels[levelOf(item)]
--- a/internal/coordination/cluster/reporter.go
+++ b/internal/coordination/cluster/reporter.go
@@ -56,8 +56,8 @@
 }
 
 // RelaysReports reports whether there are so many gateways that only reporters send load
-// between zones. Among fewer, the calls between zones are few, and a relayed report would
-// be 0.2 s older on average than one in each call.
+// between zones. Among fewer, the calls between zones are few, and relayed reports would
+// be older than those in each call.
 func (ms *Members) RelaysReports() bool { return len(ms.ordered) >= manyGateways }
 
 // Reporting reports whether this gateway reports for its zone.
--- a/internal/coordination/zonereport/zonereport.go
+++ b/internal/coordination/zonereport/zonereport.go
@@ -1,9 +1,9 @@
 // Package zonereport holds the newest load report of each other zone and decides which
 // of them a gateway of the same zone lacks.
 //
-// With 110 gateways in three zones, the load of a zone crossed between zones 15 times a
-// second at each gateway. Now a few gateways of each zone exchange it with those of the
-// others, and the gateways of a zone relay it among themselves.
+// A few gateways of each zone exchange the load of their zones, and the gateways of a zone
+// relay it among themselves. If every gateway sent it to those of the other zones, the
+// traffic between zones would grow with the load and the number of gateways.
 //
 // Times are durations since boot.
 package zonereport
@@ -38,7 +38,7 @@
 	sequence     int64
 	madeAt       time.Duration
 	load         *peering.ZoneLoad
-	// packed is the packed load; nil until it is first relayed if it came from the
+	// packed is the encoded load; nil until it is first relayed if it came from the
 	// sender itself.
 	packed []byte
 }
@@ -143,7 +143,7 @@
 	}
 }
 
-// Held tells which reports are held, ordered by zone.
+// Held returns the zones and ages of the reports that are held, ordered by zone.
 func (rs *Reports) Held(now time.Duration) []peering.HeldReport {
 	var out []peering.HeldReport
 	for zone, h := range rs.byZone {
@@ -153,7 +153,7 @@
 	return out
 }
 
-// For returns the reports that a peer lacks that holds those in held, ordered by zone.
+// For returns the reports that a peer lacks, given those that it holds, ordered by zone.
 func (rs *Reports) For(peer []peering.HeldReport, now time.Duration) []peering.ZoneReport {
 	ages := make(map[string]time.Duration, len(peer))
 	for _, p := range peer {
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -19,7 +19,7 @@
 
 // waitMargin is how many times the predicted wait must fit in the time that a request
 // may wait. Without a margin the queue fills up to where half of its last requests are
-// refused late: 100 of 596 refusals in TestOverloadIsRefusedEarly, 27 of 599 with it.
+// refused only at the end of their queue time.
 const waitMargin = 1.25
 
 // Reasons for which requests are refused that wait or would have to, as label values.
--- a/internal/setting/limits.go
+++ b/internal/setting/limits.go
@@ -29,20 +29,20 @@
 )
 
 // Parts of the memory and the descriptors. What is left of the memory, about two fifths,
-// is for the state of the process (22 MB when idle), for what messages hold without being
-// counted, and for the garbage between two collections.
+// is for the state of the process, for what messages hold without being counted, and for
+// the garbage between two collections.
 const (
 	inputShare  = 4 // one part in four
 	answerShare = 6
 	bodyShare   = 6
 	// connShare bounds what open connections of callers take by themselves, connBytes
-	// each, if the settings state the memory: 1,300 silent ones took 24 MB.
+	// each even if they are silent, if the settings state the memory.
 	connShare = 6
 	connBytes = 20 << 10
 	// uncountedMB is what the Go runtime does not count for its soft limit, mostly the
 	// binary, and overshootShare the part of the memory by which it may exceed that
-	// limit between two collections: one in eight. With one in sixteen and 20 MB a
-	// process that states 64 MB reached 61 under heads of many short lines.
+	// limit between two collections: one in eight. Heads of many short lines produce
+	// the most garbage.
 	uncountedMB    = 24
 	overshootShare = 8
 	// otherSockets is the part of the sockets that callers leave for the store, the
