--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -213,15 +214,7 @@
 }
 
 func sortCandidates(c *Choice) {
-	slices.SortStableFunc(c.Candidates, func(a, b CandidateCost) int {
-		switch {
-		case a.Cost < b.Cost:
-			return -1
-		case a.Cost > b.Cost:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(c.Candidates, func(a, b CandidateCost) int { return cmp.Compare(a.Cost, b.Cost) })
 }
 
 // nonZero returns the terms other than 0.
@@ -246,12 +239,7 @@
 			out = append(out, ExcludedOne{instance, reason})
 		}
 	}
-	slices.SortFunc(out, func(a, b ExcludedOne) int {
-		if a.Upstream < b.Upstream {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b ExcludedOne) int { return cmp.Compare(a.Upstream, b.Upstream) })
 	return out
 }
 
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -20,7 +20,7 @@
 	demandPeers    = 16
 )
 
-// Reasons for which demand that peers report does not count; each is a metric label.
+// Reasons for which demand that peers report is ignored; each is a metric label.
 const (
 	demandInvalid        = "invalid"
 	demandUnknownService = "unknown_service"
@@ -69,8 +69,8 @@
 	}
 }
 
-// countRefused counts a request that is refused for lack of room.
-func (s *state) countRefused(q *request, now time.Duration) {
+// recordRefusedDemand records the demand of a request that is refused for lack of room.
+func (s *state) recordRefusedDemand(q *request, now time.Duration) {
 	if s.sharesAcross {
 		s.sharesOf(q.service).RecordRefused(classOf(q), costOf(q), now)
 	}
@@ -102,7 +102,7 @@
 		return nil
 	}
 	return func(account string, priority int) bool {
-		return f.MayStart(fairshare.Class{Account: account, Priority: declaration.MaxPriority - priority})
+		return f.MayStart(fairshare.Class{Account: account, Priority: rankOf(priority)})
 	}
 }
 
@@ -161,7 +161,7 @@
 func (s *state) waitingClasses(service string) []fairshare.Waiting {
 	var out []fairshare.Waiting
 	for _, c := range s.queue.Classes(service) {
-		class := fairshare.Class{Account: c.Account, Priority: declaration.MaxPriority - c.Priority}
+		class := fairshare.Class{Account: c.Account, Priority: rankOf(c.Priority)}
 		out = append(out, fairshare.Waiting{Class: class, Requests: c.Requests, Cost: c.Cost})
 	}
 	return out
@@ -173,9 +173,11 @@
 	if c.Limited {
 		message = "share limit began"
 	}
-	s.log.Info(message, zap.String("service", service), zap.String("account", c.Class.Account), zap.Int("priority", c.Class.Priority),
-		zap.Bool("others", c.Class.Others), zap.String("reason", c.Reason), zap.String("share", amount(c.Share)), zap.String("used", amount(c.Used)),
-		zap.String("demand", amount(c.Demand)), zap.String("capacity", amount(c.Capacity)), zap.Int("reports", c.Reports), zap.Duration("oldest_report", c.Oldest))
+	s.log.Info(message,
+		zap.String("service", service), zap.String("account", c.Class.Account),
+		zap.Int("priority", c.Class.Priority), zap.Bool("others", c.Class.Others), zap.String("reason", c.Reason),
+		zap.String("share", amount(c.Share)), zap.String("used", amount(c.Used)), zap.String("demand", amount(c.Demand)),
+		zap.String("capacity", amount(c.Capacity)), zap.Int("reports", c.Reports), zap.Duration("oldest_report", c.Oldest))
 }
 
 // amount formats a cost for a log line.
@@ -222,6 +224,7 @@
 	}
 }
 
+// countRejectedDemand counts demand of a peer that is ignored.
 func (s *state) countRejectedDemand(reason string) {
 	if s.metrics != nil {
 		s.metrics.rejectedDemand.WithLabelValues(reason).Inc()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -84,7 +84,9 @@
 	// dispatchRates are the rates at which queued requests get their targets,
 	// by service.
 	dispatchRates map[string]*admission.RateEstimator
-	waiting       waiting
+	// waiting holds what peers report of waiting requests, and the callers that were
+	// refused.
+	waiting waiting
 	// sharesAcross is set if the settings ask for shares across all gateways. Otherwise
 	// shares stays empty.
 	sharesAcross bool
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -22,7 +22,7 @@
 // refused only at the end of their queue time.
 const waitMargin = 1.25
 
-// Reasons for which requests are refused that wait or would have to, as label values.
+// Reasons for which requests are refused that wait or would have to; each is a metric label.
 const (
 	// refusedLocally and refusedByFleet mean that the predicted wait was too long, by
 	// the own queue or with the reports of peers.
@@ -62,7 +62,9 @@
 		p := admission.PoolReport{Pool: service.Service, Rate: float64(service.DispatchRate)}
 		for _, c := range service.Classes {
 			if c.Waiting > 0 {
-				p.Classes = append(p.Classes, admission.ClassReport{Account: c.Account, Accounts: float64(c.Accounts), Priority: priorityOf(c.Priority), Waiting: float64(c.Waiting)})
+				p.Classes = append(p.Classes, admission.ClassReport{
+					Account: c.Account, Accounts: float64(c.Accounts), Priority: priorityOf(c.Priority), Waiting: float64(c.Waiting),
+				})
 			}
 		}
 		pools = append(pools, p)
@@ -73,6 +75,9 @@
 // priorityOf returns the priority of a queue item for the rank of a request.
 func priorityOf(rank int) int { return declaration.MaxPriority - min(rank, declaration.MaxPriority) }
 
+// rankOf returns the rank of a request for the priority of a queue item.
+func rankOf(priority int) int { return declaration.MaxPriority - priority }
+
 // reportedDispatchRate returns the dispatch rate of a service for peers: the rate while
 // requests wait; 0 if none does or the rate is unknown.
 func (s *state) reportedDispatchRate(service string, now time.Duration) float64 {
@@ -138,16 +143,17 @@
 
 // refuseQueued refuses a request and says when to retry.
 func (s *state) refuseQueued(w *waiter, reason verdict.Reason, now time.Duration) {
-	s.countRefused(w.q, now)
+	s.recordRefusedDemand(w.q, now)
 	item := itemOf(w.q)
 	p := s.predictWait(w.q, item, now)
-	s.countRefusal(reason, now >= w.q.queueLimit(), p)
+	s.countQueueRefusal(reason, now >= w.q.queueLimit(), p)
 	after := s.scheduleReturn(w.q, item, p, now)
-	w.reply <- admissionResult{err: verdict.RefuseUntil(after, reason, "no upstreams of %s have room in time, %d requests wait", w.q.service, s.queue.Len(w.q.service))}
+	err := verdict.RefuseUntil(after, reason, "no upstreams of %s have room in time, %d requests wait", w.q.service, s.queue.Len(w.q.service))
+	w.reply <- admissionResult{err: err}
 }
 
-// countRefusal counts a refusal by its reason.
-func (s *state) countRefusal(reason verdict.Reason, late bool, p admission.Prediction) {
+// countQueueRefusal counts the refusal of a request that waits or would have to.
+func (s *state) countQueueRefusal(reason verdict.Reason, late bool, p admission.Prediction) {
 	if s.waiting.refused == nil {
 		return
 	}
