--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -1,6 +1,9 @@
 // Package admission queues requests by priority and, within a priority, fairly
-// between client accounts by the tokens that they request. It also estimates how
-// long a queued request has to wait.
+// between client accounts by the tokens that they request. It also predicts how long a
+// request has to wait, from the queues of this process and, where they are reported, of
+// its peers, and schedules when refused callers return.
+//
+// The package does no I/O. Times are passed as arguments.
 package admission
 
 import (
--- a/internal/coordination/fairshare/doc.go
+++ b/internal/coordination/fairshare/doc.go
@@ -12,5 +12,7 @@
 // second and therefore rarely queues those of two accounts, and one account that sends
 // more than the service can take at some or all of them.
 //
+// A gateway uses the package only if its settings ask for shares across gateways.
+//
 // The package does no I/O. Times are durations since boot.
 package fairshare
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -42,7 +42,8 @@
 type waiting struct {
 	// returns schedules when refused callers return.
 	returns admission.Returns
-	// reports are what the peers report of the requests that wait.
+	// reports are what the peers report of the requests that wait. Only peers whose
+	// settings have Shares.AcrossGateways do.
 	reports admission.Reports
 	// refused counts refusals by reason, and returned the requests that wait by
 	// whether they return as told. Both are nil in tests.
--- a/internal/protocol/peering/demand.go
+++ b/internal/protocol/peering/demand.go
@@ -22,7 +22,8 @@
 )
 
 // DemandNews is the demand for services at a gateway, or in a zone. Only services for
-// which requests lacked room in the last seconds are named.
+// which requests lacked room in the last seconds are named, and none by gateways that do
+// not divide capacity across gateways.
 type DemandNews struct {
 	Services []ServiceDemand `cbor:",omitempty"`
 
--- a/internal/setting/gateway.go
+++ b/internal/setting/gateway.go
@@ -74,8 +74,9 @@
 // Shares describes how the capacity of a service is divided between client accounts and
 // priorities while it is short of room.
 type Shares struct {
-	// AcrossGateways states that it is divided across all gateways. Otherwise each
-	// gateway divides only what its own queue gets.
+	// AcrossGateways states that it is divided across all gateways, which must all have
+	// the setting, and that they report their demand to each other. Otherwise, as by
+	// default, each gateway divides only what its own queue gets.
 	AcrossGateways bool `toml:",omitempty"`
 }
 
