--- a/internal/coordination/admission/cost_test.go
+++ b/internal/coordination/admission/cost_test.go
@@ -38,7 +38,8 @@
 		it := item(accounts[i%len(accounts)], 5, 100)
 		it.Returning = returns.Claim("m", it.Account, 5, now)
 		p := q.Predict(it, &rate, reports.Fleet("m", it.Account, 5, now), now)
-		after := returns.Refuse(Refusal{Pool: "m", Account: it.Account, Priority: 5, Wait: p.Wait, Rate: rate.AccountRate(returns.Accounts("m", 5), now), Limit: MaxReturn}, now)
+		accountRate := rate.AccountRate(returns.Accounts("m", 5), now)
+		after := returns.Refuse(Refusal{Pool: "m", Account: it.Account, Priority: 5, Wait: p.Wait, Rate: accountRate, Limit: MaxReturn}, now)
 		q.Keep(it, now, now.Add(after+ReturnGrace))
 	}
 }
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -364,18 +364,6 @@
 	return ahead
 }
 
-// Waiting returns how many requests of an account at a priority wait for a pool.
-func (q *Queue[T]) Waiting(pool, account string, priority int) int {
-	levels := q.levels[pool]
-	if levels == nil {
-		return 0
-	}
-	item := Item{Account: account, Priority: priority}
-	waiting := len(levels[levelOf(item)].accounts[account])
-	item.Begun = true
-	return waiting + len(levels[levelOf(item)].accounts[account])
-}
-
 // ClassCount is the number and the cost of the requests of an account that wait for a
 // pool at a priority.
 type ClassCount struct {
--- a/internal/coordination/admission/queue_test.go
+++ b/internal/coordination/admission/queue_test.go
@@ -174,8 +174,8 @@
 	resumed.Begun = true
 	c.Assert(q.Push(resumed, "resumed"), qt.IsNil)
 	c.Assert(q.Push(item("small", 5, 1), "small"), qt.IsNil)
-	c.Check(q.Waiting("m", "large", 9), qt.Equals, 4)
-	c.Check(q.Waiting("m", "large", 5), qt.Equals, 0)
+	c.Check(waitingOf(&q, "large", 9), qt.Equals, 4)
+	c.Check(waitingOf(&q, "large", 5), qt.Equals, 0)
 	c.Check(next(notLarge), qt.Equals, "resumed")
 	c.Check(next(notLarge), qt.Equals, "small")
 	c.Check(next(notLarge), qt.Equals, "")
@@ -227,3 +227,14 @@
 	qt.Check(t, q.Classes("m"), qt.ContentEquals, []ClassCount{{"a", 5, 3, 30}, {"a", 9, 1, 1}})
 	qt.Check(t, q.Classes("other"), qt.HasLen, 0)
 }
+
+// waitingOf returns how many requests of an account at a priority wait for the pool m.
+func waitingOf(q *Queue[string], account string, priority int) int {
+	n := 0
+	for _, c := range q.Classes("m") {
+		if c.Account == account && c.Priority == priority {
+			n += c.Requests
+		}
+	}
+	return n
+}
--- a/internal/coordination/admission/replay_test.go
+++ b/internal/coordination/admission/replay_test.go
@@ -16,9 +16,9 @@
 	replayStep   = 10 * time.Millisecond
 	reportPeriod = 500 * time.Millisecond
 	queueTimeout = 1200 * time.Millisecond
-	// callerPatience is how long a caller tries to get its first event.
-	callerPatience = 3 * time.Second
-	meanHold       = 2 * time.Second
+	// callerTimeout is how long a caller tries to get its first event.
+	callerTimeout = 3 * time.Second
+	meanHold      = 2 * time.Second
 	// replayMargin is the factor that the gateway applies to the predicted wait.
 	replayMargin = 1.25
 )
@@ -207,7 +207,7 @@
 	}
 	item := a.item(r.now)
 	p := g.queue.Predict(item, &g.rate, r.fleet(i, a), r.now)
-	left := a.first.Add(callerPatience).Sub(r.now)
+	left := a.first.Add(callerTimeout).Sub(r.now)
 	f := Refusal{Pool: "m", Account: a.account, Priority: a.priority, Wait: time.Second, Limit: left / 3}
 	if p.Known {
 		f.Wait = p.Wait
--- a/internal/coordination/fairshare/replay_test.go
+++ b/internal/coordination/fairshare/replay_test.go
@@ -34,8 +34,10 @@
 	cost     float64
 	// large is set for requests that are counted separately.
 	large bool
-	cell  *caller
-	end   time.Duration
+	// caller is nil for requests of an open load.
+	caller *caller
+	// end is when the request ends, or its next try is due.
+	end time.Duration
 }
 
 // caller sends one request after another.
@@ -67,7 +69,7 @@
 	inFlight      float64
 	// peerLoads holds what others have reported as in flight, by source.
 	peerLoads map[string]float64
-	zoneOf    map[string]bool
+	ownZone   map[string]bool
 	heard     map[string]time.Duration
 	// silent gateways neither send nor receive.
 	silent bool
@@ -95,7 +97,7 @@
 	large outcomes
 	// off turns the shares off.
 	off bool
-	// cut tells whether two zones are partitioned.
+	// cut reports whether two zones are partitioned.
 	cut func(a, b string) bool
 	// interval is the interval of reports within a zone.
 	interval time.Duration
@@ -117,7 +119,10 @@
 }
 
 func newReplay(zones ...string) *replay {
-	r := &replay{random: rand.New(rand.NewSource(1)), room: poolRoom, mean: time.Second, out: make(map[Class]*outcomes), interval: 200 * time.Millisecond, now: 10 * time.Second, from: math.MaxInt64}
+	r := &replay{
+		random: rand.New(rand.NewSource(1)), room: poolRoom, mean: time.Second, out: make(map[Class]*outcomes),
+		interval: 200 * time.Millisecond, now: 10 * time.Second, from: math.MaxInt64,
+	}
 	for i, zone := range zones {
 		r.gateways = append(r.gateways, newReplayGateway(fmt.Sprintf("g%d", i), zone))
 	}
@@ -125,7 +130,10 @@
 }
 
 func newReplayGateway(address, zone string) *replayGateway {
-	return &replayGateway{address: address, zone: zone, service: &Service{Self: address}, peerLoads: make(map[string]float64), zoneOf: make(map[string]bool), heard: make(map[string]time.Duration)}
+	return &replayGateway{
+		address: address, zone: zone, service: &Service{Self: address},
+		peerLoads: make(map[string]float64), ownZone: make(map[string]bool), heard: make(map[string]time.Duration),
+	}
 }
 
 // flood adds callers of a class who send the next request as soon as one ends, and obey a
@@ -134,7 +142,7 @@
 	for i := range n {
 		c := &caller{class: class, gateways: gateways, cost: cost}
 		at := gateways[i%len(gateways)]
-		r.pending = append(r.pending, &call{class: class, cost: cost, at: at, cell: c, created: r.now + time.Duration(r.random.Int63n(int64(time.Second)))})
+		r.pending = append(r.pending, &call{class: class, cost: cost, at: at, caller: c, created: r.now + time.Duration(r.random.Int63n(int64(time.Second)))})
 	}
 }
 
@@ -179,8 +187,8 @@
 		g := r.gateways[c.at]
 		g.inFlight -= c.cost
 		g.service.End(c.class, c.cost, r.now)
-		if c.cell != nil {
-			r.pending = append(r.pending, &call{class: c.class, cost: c.cost, at: c.at, cell: c.cell, created: r.now})
+		if c.caller != nil {
+			r.pending = append(r.pending, &call{class: c.class, cost: c.cost, at: c.at, caller: c.caller, created: r.now})
 		}
 		return true
 	})
@@ -223,7 +231,7 @@
 	if !r.off && !g.early && g.service.Limiting() {
 		ahead = 0
 		if g.service.IsLimited(c.class) {
-			ahead = g.queue.Waiting("s", c.class.Account, priority)
+			ahead = g.waiting(c.class.Account, priority)
 		}
 	}
 	wait, known := g.rate.EstimateWait(ahead+1, clockTime(r.now))
@@ -235,6 +243,17 @@
 	_ = g.queue.Push(item, c)
 }
 
+// waiting returns how many requests of an account at a priority of the queue wait.
+func (g *replayGateway) waiting(account string, priority int) int {
+	n := 0
+	for _, c := range g.queue.Classes("s") {
+		if c.Account == account && c.Priority == priority {
+			n += c.Requests
+		}
+	}
+	return n
+}
+
 func clockTime(t time.Duration) time.Time { return time.Unix(0, int64(t)) }
 
 func (r *replay) allowed(g *replayGateway) func(string, int) bool {
@@ -279,7 +298,7 @@
 		after = time.Second
 	}
 	after = min(max(after, 200*time.Millisecond), 3*time.Second)
-	if c.cell != nil {
+	if c.caller != nil {
 		c.end = r.now + after/4
 		r.pending = append(r.pending, c)
 		return
@@ -320,7 +339,7 @@
 func (r *replay) exchange(i int, g *replayGateway) {
 	for source, at := range g.heard {
 		limit := 2500 * time.Millisecond
-		if g.zoneOf[source] {
+		if g.ownZone[source] {
 			limit = 1200 * time.Millisecond
 		}
 		if r.now-at > limit {
@@ -348,13 +367,13 @@
 		if ofZone {
 			source = g.zone
 			for peer, l := range g.peerLoads {
-				if g.zoneOf[peer] {
+				if g.ownZone[peer] {
 					load += l
 				}
 			}
 		}
 		other.heard[source] = r.now
-		other.zoneOf[source] = !ofZone
+		other.ownZone[source] = !ofZone
 		other.peerLoads[source] = load
 		if g.early || other.early {
 			continue
