--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -37,9 +37,9 @@
 	// PredictedFirst is the expected time until the first event; 0 if unknown.
 	PredictedFirst float64 `json:"predicted_first_ms"`
 	// Waiting is the number of queued requests of the service, which go first.
-	Waiting    int             `json:"waiting"`
-	Candidates []CandidateCost `json:"candidates"`
-	Excluded   []ExcludedOne   `json:"excluded"`
+	Waiting    int                `json:"waiting"`
+	Candidates []CandidateCost    `json:"candidates"`
+	Excluded   []ExcludedUpstream `json:"excluded"`
 	// ConfigurationAge and ListAge are the times since the configuration and the list of
 	// upstreams were last confirmed, and PeerReportAge that since the oldest report of a
 	// live peer; -1 if there is none.
@@ -75,8 +75,8 @@
 	CachedAge         float64 `json:"cached_age_ms,omitempty"`
 }
 
-// ExcludedOne is an upstream of the service that is not considered.
-type ExcludedOne struct {
+// ExcludedUpstream is an upstream of the service that is not considered.
+type ExcludedUpstream struct {
 	Upstream string `json:"upstream"`
 	Reason   string `json:"reason"`
 }
@@ -135,7 +135,7 @@
 func (s *state) explainChoice(q *request, now time.Duration) *Choice {
 	c := &Choice{
 		Zone: s.zone, Route: q.route.Name, Account: q.account, Service: q.service, Waiting: s.queue.Len(q.service),
-		Target: []ChosenStage{}, Candidates: []CandidateCost{}, Excluded: []ExcludedOne{},
+		Target: []ChosenStage{}, Candidates: []CandidateCost{}, Excluded: []ExcludedUpstream{},
 		ListAge: toMS(now - s.listedAt), PeerReportAge: -1,
 	}
 	for _, m := range s.members.Alive(now) {
@@ -229,17 +229,17 @@
 
 // unusedUpstreams returns the listed upstreams of a service that get no requests, with
 // the reasons, ordered by instance.
-func (s *state) unusedUpstreams(p *servicePool, service string, now time.Duration) []ExcludedOne {
-	var out []ExcludedOne
+func (s *state) unusedUpstreams(p *servicePool, service string, now time.Duration) []ExcludedUpstream {
+	var out []ExcludedUpstream
 	for instance, u := range s.upstreams {
 		if u.Service != service {
 			continue
 		}
 		if reason := s.unusedReason(p, u, now); reason != "" {
-			out = append(out, ExcludedOne{instance, reason})
+			out = append(out, ExcludedUpstream{instance, reason})
 		}
 	}
-	slices.SortFunc(out, func(a, b ExcludedOne) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	slices.SortFunc(out, func(a, b ExcludedUpstream) int { return cmp.Compare(a.Upstream, b.Upstream) })
 	return out
 }
 
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -48,7 +48,7 @@
 	c.Check(got.PredictedFirst, qt.Equals, 72.0)
 	c.Check(got.ListAge, qt.Equals, 9000.0)
 	c.Check(got.PeerReportAge, qt.Equals, -1.0)
-	c.Check(got.Excluded, qt.DeepEquals, []ExcludedOne{{"d", "draining"}})
+	c.Check(got.Excluded, qt.DeepEquals, []ExcludedUpstream{{"d", "draining"}})
 	c.Assert(got.Candidates, qt.HasLen, 2)
 	c.Check(got.Candidates[0].CachedTokens, qt.Equals, 160)
 	c.Check(got.Candidates[0].CachedAge, qt.Equals, 7000.0)
@@ -68,7 +68,7 @@
 	q, err := choiceRequest(s.table, choiceParameters, now)
 	c.Assert(err, qt.IsNil)
 	got := s.explainChoice(q, now)
-	c.Check(got.Excluded, qt.DeepEquals, []ExcludedOne{
+	c.Check(got.Excluded, qt.DeepEquals, []ExcludedUpstream{
 		{"d", "draining"}, {"e", "left alone after a fault"}, {"f", "it has asked for no work for 2s more"},
 	})
 	c.Check(got.Candidates, qt.HasLen, 0)
