--- a/internal/transport/drain/conn.go
+++ b/internal/transport/drain/conn.go
@@ -153,8 +153,8 @@
 	}
 }
 
-// keep has the connection stay open if it was to be evicted, since what was missing has
-// arrived before. The caller holds mu.
+// keep cancels an eviction that has not begun, since what was missing has arrived before.
+// The caller holds mu.
 func (c *conn) keep() {
 	if c.reason == "" || c.refused {
 		return
@@ -173,7 +173,7 @@
 	c.awaitsBody = c.active && size > 1
 }
 
-// evict has the server close the connection for a reason, unless a request is complete:
+// evict makes the server close the connection for a reason, unless a request is complete:
 // handlers read bodies whole before anything runs.
 func (c *conn) evict(reason intake.Reason) {
 	c.mu.Lock()
--- a/internal/transport/drain/room.go
+++ b/internal/transport/drain/room.go
@@ -51,8 +51,8 @@
 	return false
 }
 
-// forgetLeaving has the connections that are still open not count as chosen. The caller
-// holds mu.
+// forgetLeaving makes the connections that were chosen and are still open count again. The
+// caller holds mu.
 func (l *Listener) forgetLeaving() {
 	for c := range l.conns {
 		c.leaving = false
--- a/internal/transport/intake/intake.go
+++ b/internal/transport/intake/intake.go
@@ -50,8 +50,8 @@
 	Max int64
 
 	mu sync.Mutex
-	// used is the sum of what the holders hold, and holders has those that hold
-	// anything. leaving is what those take that are being closed. Guarded by mu.
+	// used is the sum of what the holders hold, and holders contains those that hold
+	// anything. leaving is what connections take that are being closed. Guarded by mu.
 	used, leaving int64
 	holders       map[*Holder]struct{}
 }
@@ -62,10 +62,10 @@
 	// because it holds too much. It must not block.
 	Evict func()
 
-	// held is what is counted, leaving what was when it was decided that the connection
-	// is closed, since is when the connection began to hold it, settled
-	// is set if it must not be evicted, and ended once it has ended. Guarded by the mu
-	// of the Memory.
+	// held is the counted number of bytes; it moves to leaving when it is decided to
+	// close the connection. since is when the connection began to hold them. settled is
+	// set if it must not be evicted, and ended once it has ended. Guarded by the mu of
+	// the Memory.
 	held, leaving  int64
 	since          time.Time
 	settled, ended bool
@@ -129,7 +129,7 @@
 	return kept
 }
 
-// Settle has what a connection holds stay, because it has become a request.
+// Settle excludes a connection from eviction, because what it holds has become a request.
 func (m *Memory) Settle(h *Holder) {
 	if m == nil {
 		return
@@ -139,7 +139,7 @@
 	h.settled = true
 }
 
-// Drop has a connection hold nothing.
+// Drop records that a connection holds nothing any more.
 func (m *Memory) Drop(h *Holder) {
 	if m == nil {
 		return
@@ -149,7 +149,8 @@
 	m.drop(h)
 }
 
-// Leave counts what a connection holds as that of one that is being closed, until End.
+// Leave records that a connection is being closed. What it holds counts until End, but it
+// is no longer a candidate for eviction.
 func (m *Memory) Leave(h *Holder) {
 	if m == nil {
 		return
@@ -169,7 +170,7 @@
 	delete(m.holders, h)
 }
 
-// End has a connection that has ended hold nothing from now on.
+// End records that a connection has ended and holds nothing from now on.
 func (m *Memory) End(h *Holder) {
 	if m == nil {
 		return
@@ -192,9 +193,9 @@
 // connections to evict is seldom: one in eight.
 const relief = 8
 
-// choose has the holders leave with the largest products of what they hold and for how long,
-// until there is room, and returns them. A connection whose request is complete within
-// milliseconds is thus evicted last. The caller holds mu.
+// choose records as leaving the holders with the largest products of what they hold and for
+// how long, until there is room, and returns them. A connection whose request is complete
+// within milliseconds is thus evicted last. The caller holds mu.
 func (m *Memory) choose() []*Holder {
 	now := time.Now()
 	weight := func(h *Holder) float64 { return float64(h.held) * float64(now.Sub(h.since)+time.Millisecond) }
--- a/internal/transport/intake/listener.go
+++ b/internal/transport/intake/listener.go
@@ -170,7 +170,8 @@
 	c.Conn.Close()
 }
 
-// admit has the connection be that of a peer.
+// admit records that the connection is that of a peer, which lifts the limits for unknown
+// senders.
 func (c *Conn) admit() {
 	c.mu.Lock()
 	again := c.admitted
@@ -193,7 +194,7 @@
 	}
 }
 
-// AfterClose has f be called when a connection is closed, also by its [Listener]. It has
+// AfterClose registers f to be called when a connection is closed, also by its [Listener]. It has
 // no effect on connections that none has accepted. f must not block.
 func AfterClose(conn net.Conn, f func()) {
 	c := find(conn)
--- a/internal/transport/tunnel/split.go
+++ b/internal/transport/tunnel/split.go
@@ -80,7 +80,7 @@
 	once sync.Once
 }
 
-// hand has Accept return a connection.
+// hand passes a connection to Accept.
 func (p *part) hand(conn net.Conn) {
 	select {
 	case p.conns <- conn:
