--- a/internal/coordination/fairshare/shares.go
+++ b/internal/coordination/fairshare/shares.go
@@ -1,7 +1,9 @@
 package fairshare
 
+import "lovageport.example/pkg/declaration"
+
 // priorities is the number of priorities; 0 is the most urgent.
-const priorities = 10
+const priorities = declaration.MaxPriority + 1
 
 // Each priority gets a guaranteed part of its proportional capacity before the more urgent
 // ones get theirs, so that none is served less than a quarter as often as all. Priorities
