--- a/cmd/lovageport/choose.go
+++ b/cmd/lovageport/choose.go
@@ -54,9 +54,9 @@
 
 // ask returns the answer of the gateway.
 func (c *chooseCommand) ask() ([]byte, error) {
-	p := url.Values{"route": {c.Route}, "part": c.Part}
-	for name, value := range map[string]string{"account": c.Account, "service": c.Service, "prompt": strconv.Itoa(c.Prompt), "answer": strconv.Itoa(c.Answer)} {
-		p.Set(name, value)
+	p := url.Values{
+		"route": {c.Route}, "account": {c.Account}, "service": {c.Service},
+		"prompt": {strconv.Itoa(c.Prompt)}, "answer": {strconv.Itoa(c.Answer)}, "part": c.Part,
 	}
 	client := &http.Client{Timeout: callTimeout}
 	response, err := client.Get(strings.TrimSuffix(c.Gateway, "/") + gateway.ChoicePath + "?" + p.Encode())
@@ -107,7 +107,8 @@
 	}
 	fmt.Fprintf(out, "\ncandidates, the cheapest first; costs without the random part:\n")
 	for _, x := range c.Candidates {
-		fmt.Fprintf(w, "%s%s\t%s\t%.2f\tfill %.2f\t%s\t%s\n", x.Upstream, layerText(x.From, x.To), x.Zone, x.Cost, x.Fill, termText(x.Terms), cachedText(&x))
+		fmt.Fprintf(w, "%s%s\t%s\t%.2f\tfill %.2f\t%s\t%s\n",
+			x.Upstream, layerText(x.From, x.To), x.Zone, x.Cost, x.Fill, termText(x.Terms), cachedText(&x))
 	}
 	if err := w.Flush(); err != nil {
 		return err
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -166,7 +166,12 @@
 		}
 		return float64(g.Dropped())
 	})
-	m.registry.MustRegister(m.answers, m.refusals, m.queueRefusals, m.queuedReturns, m.retries, m.firstByte, m.requestTime, m.connections, m.closedConns, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams, m.tunnels, m.held, m.rejectedDemand, m.panics, m.containedPanics, m.prefixTokens, m.pauses, m.tableVersion, m.storeRestorations, m.peerMessages, inFlight, reporter, invalidReports, dropped)
+	m.registry.MustRegister(
+		m.answers, m.refusals, m.queueRefusals, m.queuedReturns, m.retries, m.firstByte, m.requestTime,
+		m.connections, m.closedConns, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams,
+		m.tunnels, m.held, m.rejectedDemand, m.panics, m.containedPanics, m.prefixTokens, m.pauses, m.tableVersion,
+		m.storeRestorations, m.peerMessages, inFlight, reporter, invalidReports, dropped,
+	)
 	return m
 }
 
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -206,12 +206,22 @@
 
 // newTableWatcher returns the watcher of the configuration.
 func (g *Gateway) newTableWatcher() *watcher {
-	return &watcher{g: g, name: tableName, wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), resume: make(chan struct{}, 1), read: g.readTable, watch: g.watchTable, interval: g.watchInterval, longer: g.longerTablePause}
+	return &watcher{
+		g: g, name: tableName,
+		wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), resume: make(chan struct{}, 1),
+		read: g.readTable, watch: g.watchTable,
+		interval: g.watchInterval, longer: g.longerTablePause,
+	}
 }
 
 // newUpstreamWatcher returns the watcher of the list of upstreams.
 func (g *Gateway) newUpstreamWatcher() *watcher {
-	return &watcher{g: g, name: listName, wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), resume: make(chan struct{}, 1), read: g.readUpstreams, watch: g.watchUpstreams, interval: g.watchInterval, longer: g.longerListPause}
+	return &watcher{
+		g: g, name: listName,
+		wake: make(chan struct{}, 1), reachable: make(chan struct{}, 1), resume: make(chan struct{}, 1),
+		read: g.readUpstreams, watch: g.watchUpstreams,
+		interval: g.watchInterval, longer: g.longerListPause,
+	}
 }
 
 // watchInterval returns the pause between two watches.
--- a/internal/protocol/peering/update.go
+++ b/internal/protocol/peering/update.go
@@ -9,8 +9,8 @@
 
 // Update is the message in which gateways exchange [News]. It is encoded as a map,
 // in which a receiver ignores the fields that it does not know, so fields may be
-// added to it, and fields without value are left out. The elements of News itself are fixed, since builds that do not know
-// Update exchange them alone.
+// added to it, and fields without value are left out. The elements of News itself are
+// fixed, since builds that do not know Update exchange them alone.
 type Update struct {
 	News    *News
 	Store   StoreNews
--- a/internal/transport/drain/listener.go
+++ b/internal/transport/drain/listener.go
@@ -113,8 +113,7 @@
 }
 
 // Track records that a connection waits for its next request, or that the head of a
-// request is complete. It is meant for
-// [http.Server.ConnState].
+// request is complete. It is meant for [http.Server.ConnState].
 func Track(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*conn)
 	if !ok {
