Forget the times that no refused caller used, and ignore demand of peers by default

Callers without account were told about 900 ms instead of 300 ms after 256 refusals less than 4 s apart: times that nobody claims were dropped only when a caller of the account returned (TestUnclaimedTimesAreForgotten failed with 917 ms). In a fleet in which only some gateways have Shares.AcrossGateways, the others refused by the reports of those; demand of peers now counts only with the setting (TestSharesAreOffByDefault).

--- a/internal/coordination/admission/returns.go
+++ b/internal/coordination/admission/returns.go
@@ -93,6 +93,7 @@
 		return wait
 	}
 	a.until = now.Add(returnLifetime)
+	a.dropMissed(now)
 	interval := unknownInterval
 	if f.Rate > 0 {
 		interval = time.Duration(min(float64(time.Second)/f.Rate, float64(MaxReturn)))
@@ -123,9 +124,7 @@
 	if a == nil {
 		return false
 	}
-	for len(a.promised) > 0 && now.After(a.promised[0].Add(ReturnGrace)) {
-		a.promised = a.promised[1:]
-	}
+	a.dropMissed(now)
 	if len(a.promised) == 0 || now.Before(a.promised[0].Add(-returnEarly)) {
 		return false
 	}
@@ -133,6 +132,13 @@
 	return true
 }
 
+// dropMissed drops the promised times at which no caller returned.
+func (a *accountReturns) dropMissed(now time.Time) {
+	for len(a.promised) > 0 && now.After(a.promised[0].Add(ReturnGrace)) {
+		a.promised = a.promised[1:]
+	}
+}
+
 // Accounts returns the number of accounts of a pool and priority that were refused
 // recently.
 func (r *Returns) Accounts(pool string, priority int) int {
--- a/internal/coordination/admission/returns_test.go
+++ b/internal/coordination/admission/returns_test.go
@@ -87,3 +87,17 @@
 		}
 	})
 }
+
+// TestUnclaimedTimesAreForgotten guards against callers that are told to return later than
+// there is room, because many before them were told times that nobody claimed, as those
+// of requests without account.
+func TestUnclaimedTimesAreForgotten(t *testing.T) {
+	var r Returns
+	f := Refusal{Pool: "m", Wait: 300 * time.Millisecond, Rate: 1000, Limit: time.Second}
+	now := noon
+	for range 2 * maxPromised {
+		r.Refuse(f, now)
+		now = now.Add(10 * time.Millisecond)
+	}
+	qt.Check(t, r.Refuse(f, now), qt.Equals, f.Wait)
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -140,9 +140,8 @@
 	case n.Address.Address == s.members.Self.Address:
 	case n.Zone == s.zone && !n.OfZone:
 		s.zonePeers.Set(n.Address.Address, n)
-		s.mergeWaiting(n.Address.Address, &n.Demand, now)
 		s.zoneRetries.Set(n.Address.Address, retryReport(n), s.retryAllowance.Window, now)
-		s.mergeDemand(n, now)
+		s.mergePeerDemand(n.Address.Address, n, now)
 	case n.Zone != s.zone && n.OfZone:
 		s.mergeDirect(n, now)
 	}
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -231,10 +231,21 @@
 	}
 }
 
+// mergePeerDemand merges the demand that a peer reports, for the shares and for the
+// prediction of waits. It changes nothing unless the settings ask for shares across all
+// gateways.
+func (s *state) mergePeerDemand(source string, n *peering.News, madeAt time.Duration) {
+	if !s.sharesAcross {
+		return
+	}
+	s.mergeDemand(n, madeAt)
+	s.mergeWaiting(source, &n.Demand, madeAt)
+}
+
 // mergeDemand merges the demand that a peer reports for itself or its zone.
 func (s *state) mergeDemand(n *peering.News, now time.Duration) {
 	source, ownZone := n.Address.Address, n.Zone == s.zone
-	if !s.sharesAcross || source == s.members.Self.Address || ownZone == n.OfZone {
+	if source == s.members.Self.Address || ownZone == n.OfZone {
 		return
 	}
 	if !ownZone {
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"lovageport.example/internal/coordination/admission"
 	"lovageport.example/internal/coordination/fairshare"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/protocol/relay"
@@ -66,6 +67,13 @@
 	n := &peering.News{}
 	s.addDemand(n, now)
 	qt.Check(t, n.Demand.Services, qt.HasLen, 0)
+
+	// A peer whose settings ask for them.
+	n = &peering.News{Address: peering.Address{Gateway: "peer", Zone: s.zone, Address: "peer:1"}}
+	n.Demand.Services = []peering.ServiceDemand{{Service: "llm", DispatchRate: 1, Classes: []peering.ClassDemand{{Account: "large", Accounts: 1, Waiting: 1000, Wanted: 1000}}}}
+	s.mergeNews(n, now)
+	qt.Check(t, s.shares, qt.HasLen, 0)
+	qt.Check(t, s.waiting.reports.Fleet("llm", "large", 5, bootTime(now)), qt.Equals, admission.Fleet{})
 }
 
 // limitLarge returns a state whose engine is full, mostly of the account "large", while
--- a/internal/gateway/waiting_test.go
+++ b/internal/gateway/waiting_test.go
@@ -107,6 +107,7 @@
 	c := qt.New(t)
 	now := 20 * time.Second
 	s := newBusyState(t, 10, now)
+	s.sharesAcross = true
 	news := &peering.News{Version: peering.Version, Address: peering.Address{Gateway: "g2", Zone: s.zone, Address: "peer:1"}}
 	news.Demand = *demandOf(90, peering.ClassDemand{Priority: 5, Accounts: 500, Waiting: 500})
 	s.mergeNews(news, now)
--- a/internal/gateway/zonereports.go
+++ b/internal/gateway/zonereports.go
@@ -138,8 +138,7 @@
 	s.otherZones.Set(n.Zone, n)
 	s.otherRetries.Set(n.Zone, retryReport(n), s.retryAllowance.Window, madeAt)
 	s.checkDemand(n)
-	s.mergeDemand(n, madeAt)
-	s.mergeWaiting(n.Zone, &n.Demand, madeAt)
+	s.mergePeerDemand(n.Zone, n, madeAt)
 }
 
 // dropOldReports drops the load of zones of which no recent report was received, from a
