Tell the age of the load in the explanation of a choice, and why no pool serves

The oldest report was dated by the peer's last message, which among 25 gateways or more mostly holds no load between zones. Without a pool every upstream was said to have lost its address. Both tests failed before.

--- a/internal/gateway/choice.go
+++ b/internal/gateway/choice.go
@@ -138,9 +138,7 @@
 		Target: []ChosenStage{}, Candidates: []CandidateCost{}, Excluded: []ExcludedUpstream{},
 		ListAge: toMS(now - s.listedAt), PeerReportAge: -1,
 	}
-	for _, m := range s.members.Alive(now) {
-		c.PeerReportAge = max(c.PeerReportAge, toMS(now-m.LastHeard))
-	}
+	c.PeerReportAge = s.oldestReportAge(now)
 	pool := s.poolOf(q)
 	c.Excluded = append(c.Excluded, s.unusedUpstreams(pool, q.service, now)...)
 	var to target
@@ -255,7 +253,9 @@
 		return "its entry is unusable"
 	case s.isLeaving(u):
 		return "it has announced its shutdown"
-	case p == nil || !slices.ContainsFunc(p.members, func(m *fleet.Upstream) bool { return m.Instance == u.Instance }):
+	case p == nil:
+		return "no upstream of its service is in service"
+	case !slices.ContainsFunc(p.members, func(m *fleet.Upstream) bool { return m.Instance == u.Instance }):
 		return "another upstream is registered at its address since"
 	case s.health.ConfirmedDown(u.Instance):
 		return "known to have ended"
@@ -271,6 +271,24 @@
 	return ""
 }
 
+// oldestReportAge returns the age of the oldest report of load by a peer of the own zone or
+// by another zone, in milliseconds; -1 if there is none.
+func (s *state) oldestReportAge(now time.Duration) float64 {
+	oldest := -1.0
+	for _, m := range s.members.Alive(now) {
+		at := m.LastHeard
+		if m.Zone != s.zone {
+			// Its messages may hold no load.
+			var reported bool
+			if at, reported = s.zoneReports.MadeAt(m.Zone); !reported {
+				continue
+			}
+		}
+		oldest = max(oldest, toMS(now-at))
+	}
+	return oldest
+}
+
 func toMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // serveChoice answers where the request that the parameters describe would go.
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -13,6 +13,7 @@
 
 	"lovageport.example/internal/coordination/health"
 	"lovageport.example/internal/loop"
+	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
 )
@@ -139,3 +140,30 @@
 	status, _ = get("/metrics", nil)
 	c.Check(status, qt.Equals, http.StatusOK)
 }
+
+// TestChoiceTellsAgeOfLoad guards against the age of a peer's last message in place of that
+// of the load that it has reported: messages between zones may hold none.
+func TestChoiceTellsAgeOfLoad(t *testing.T) {
+	s := newChoiceState(t)
+	now := 10 * time.Second
+	news := &peering.News{Version: peering.Version, Address: peering.Address{Gateway: "g2", Zone: "b", Address: "g2:1"}, OfZone: true}
+	s.mergeNews(news, now-time.Second)
+	news.OfZone = false
+	s.mergeNews(news, now)
+	q, err := choiceRequest(s.table, choiceParameters, now)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.explainChoice(q, now).PeerReportAge, qt.Equals, 1000.0)
+}
+
+// TestChoiceWithoutPool guards against a wrong reason for the upstreams of a service of
+// which none is in service.
+func TestChoiceWithoutPool(t *testing.T) {
+	s := newChoiceState(t)
+	now := 10 * time.Second
+	q, err := choiceRequest(s.table, choiceParameters, now)
+	qt.Assert(t, err, qt.IsNil)
+	delete(s.pools, "llm")
+	for _, x := range s.explainChoice(q, now).Excluded {
+		qt.Check(t, x.Upstream == "d" || x.Reason == "no upstream of its service is in service", qt.IsTrue, qt.Commentf("%v", x))
+	}
+}
