--- a/review/lab/caller.go
+++ b/review/lab/caller.go
@@ -70,7 +70,7 @@
 		c.status, c.header, c.body = response.StatusCode, response.Header, string(text)
 	}
 	c.err, c.ended = err, time.Now()
-	l.record("%s %s %s with %d bytes at %s, sent %s: status %d, %v, stamp %q, %d bytes, %.40q", c.id, method, path, len(text), g.name, l.since(c.sent), c.status, c.err, c.header.Get("Origin-Stamp"), len(c.body), strings.TrimSpace(c.body))
+	l.record("%s %s %s with %d bytes at %s, sent %s: status %d, %v, stamp %q, %d bytes, %.40q", c.id, method, path, len(text), g.name, l.since(c.sent), c.status, c.err, c.header.Get(wire.Origin), len(c.body), strings.TrimSpace(c.body))
 	return c
 }
 
--- a/review/lab/crashingrequest.go
+++ b/review/lab/crashingrequest.go
@@ -94,8 +94,8 @@
 		time.Sleep(tokenTime)
 		e.crash(lastStage(chain), req.ID)
 	}
-	w.Header().Set("Not-Executed", "1")
-	w.Header().Set("At-Server", lastStage(chain))
+	w.Header().Set(wire.NotRun, "1")
+	w.Header().Set(wire.Fault, lastStage(chain))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/review/lab/earlyanswer.go
+++ b/review/lab/earlyanswer.go
@@ -49,7 +49,7 @@
 			<-ready
 			request := r.Header.Get("Request-Id")
 			text := wholeAnswer(id, request)
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nOrigin-Stamp: %s\r\nContent-Type: text/plain\r\n\r\n%s", request, id, text[:len(text)/2])
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: %s\r\nContent-Type: text/plain\r\n\r\n%s", request, wire.Origin, id, text[:len(text)/2])
 			time.Sleep(answerPause)
 			if trouble {
 				l.record("%s crashes in the middle of its answer to %s", id, request)
@@ -79,7 +79,7 @@
 	for i := range earlyTries {
 		g := l.gateways[i%len(l.gateways)]
 		c := l.sendBody(g, "/book/1", apiKey, bytes.Repeat([]byte("b"), longBody), time.Second)
-		stamp := c.header.Get("Origin-Stamp")
+		stamp := c.header.Get(wire.Origin)
 		whole := wholeAnswer(stamp, c.id)
 		switch {
 		case c.err == nil && c.status/100 == 2 && c.body != whole:
--- a/review/lab/frozenstream.go
+++ b/review/lab/frozenstream.go
@@ -36,7 +36,7 @@
 	return func(c *net.TCPConn, _ *bufio.Reader, r *http.Request) bool {
 		// What fails here fails because the caller has gone, or the runner has ended.
 		_, _ = io.Copy(io.Discard, r.Body)
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nOrigin-Stamp: %s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Request-Id"), id)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Request-Id"), wire.Origin, id)
 		after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		for n := after + 1; n <= streamEvents; n++ {
 			if _, err := io.WriteString(c, platformtest.EventText(n, n)); err != nil {
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -201,7 +201,7 @@
 func (g *gateway) awaitReady(timeout time.Duration) error {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		response, err := client.Get("http://" + g.health + "/v1/readyz")
+		response, err := client.Get("http://" + g.health + wire.Ready)
 		if err != nil {
 			continue
 		}
--- a/review/lab/rawrunner.go
+++ b/review/lab/rawrunner.go
@@ -47,7 +47,7 @@
 	u := &rawRunner{lab: l, id: id, zone: zone, listener: listener, answer: answer, conns: make(map[*net.TCPConn]bool)}
 	u.registration = map[string]any{
 		"service": platformtest.PlainService, "address": listener.Addr().String(), "zone": zone, "version": "v1", "slots": 6,
-		"state": "ready", "cold_left_ms": 0, "seq": 1, "born": l.began.UnixMilli(),
+		"state": "ready", wire.ColdLeft: 0, "seq": 1, "born": l.began.UnixMilli(),
 	}
 	l.store.Put("servers", id, u.registration)
 	go u.serve()
@@ -85,12 +85,12 @@
 			return
 		}
 		id := r.Header.Get("Request-Id")
-		switch expected := r.Header.Get("Expect-Instance"); {
+		switch expected := r.Header.Get(wire.Expected); {
 		case expected != "" && expected != u.id:
-			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, u.id)
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", id, wire.Instance, u.id)
 			return
 		case r.URL.Path == "/healthz":
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", u.id)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wire.Instance, u.id)
 			continue
 		}
 		u.lab.record("%s runs %s", u.id, id)
