review/9: keep the release within the site's doses

Runners were replaced every 0.35 s without end; the site's releases take 0.39 of the runners, 0.79 s apart.

The scripts end their processes and remove their folder when they are interrupted (tried with case 6).

--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -67,6 +67,17 @@
 	_ = l.out.Flush()
 }
 
+// abandon ends all processes, which end with this one in any case, and removes the
+// temporary folder.
+func (l *lab) abandon() {
+	for _, g := range l.gateways {
+		if g.command != nil && g.command.Process != nil {
+			_ = g.command.Process.Kill()
+		}
+	}
+	_ = os.RemoveAll(l.directory)
+}
+
 // since returns the time since the case began, for the record.
 func (l *lab) since(t time.Time) string { return fmt.Sprintf("%.3f", t.Sub(l.began).Seconds()) }
 
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -8,8 +8,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
 	"strings"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -46,6 +48,17 @@
 	os.Exit(exitFailed)
 }
 
+// endOnSignal ends the case and its processes if this process is interrupted.
+func endOnSignal(l *lab) {
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		l.record("interrupted by %v", <-interrupts)
+		l.abandon()
+		os.Exit(exitFailed)
+	}()
+}
+
 // runCase runs a case in the directory of its record and returns the exit code.
 func runCase(name, directory string, run caseFunc) int {
 	trouble := os.Getenv("TROUBLE") != "0"
@@ -55,6 +68,7 @@
 		return exitFailed
 	}
 	l.record("case %s, disruption: %v", name, trouble)
+	endOnSignal(l)
 	broken, err := run(l, trouble)
 	l.close()
 	switch {
--- a/review/lab/silentwatch.go
+++ b/review/lab/silentwatch.go
@@ -16,10 +16,13 @@
 	judgeMargin = 20 * time.Millisecond
 	// calmTime is how long calm traffic runs before the disruption.
 	calmTime = 10 * time.Second
-	// releaseGap is the pause between two runners that leave, and serveAfter how long each
-	// serves after its entry is gone: drain_ms and some seconds.
-	releaseGap = 350 * time.Millisecond
-	serveAfter = 4 * time.Second
+	// releaseRunners is the number of runners of the service. In each release, releaseCount
+	// of them, 0.39, are replaced one after the other, with releaseGap between two.
+	// serveAfter is how long each serves after its entry is gone: drain_ms and some seconds.
+	releaseRunners = 33
+	releaseCount   = 13
+	releaseGap     = 800 * time.Millisecond
+	serveAfter     = 4 * time.Second
 	// silences is how often the connections go silent, with silenceGap between them.
 	silences   = 6
 	silenceGap = 11 * time.Second
@@ -34,8 +37,8 @@
 }
 
 // silentWatch replaces runners one after the other, whose entries are removed from the store
-// while they serve on. Meanwhile the open connections between the gateways and the store go
-// silent once. No request that is sent later than the drain bound after an entry was removed,
+// while they serve on. At the begin of each release the open connections between the gateways
+// and the store go silent. No request that is sent later than the drain bound after an entry was removed,
 // to a gateway whose connections went silent longer ago than the stable window, may reach the
 // runner.
 func silentWatch(l *lab, trouble bool) ([]string, error) {
@@ -57,7 +60,7 @@
 			u.Close()
 		}
 	}()
-	for range 6 {
+	for range releaseRunners {
 		startRunner()
 	}
 	err := l.startFleet(func() (string, error) {
@@ -96,7 +99,7 @@
 			l.record("%d connections to the store go silent", silent)
 		}
 		silencedAt = append(silencedAt, time.Now())
-		for time.Since(silencedAt[len(silencedAt)-1]) < silenceGap {
+		for range releaseCount {
 			startRunner()
 			time.Sleep(releaseGap)
 			leaver := runners[len(departures)]
@@ -104,6 +107,7 @@
 			departures = append(departures, departure{leaver, time.Now()})
 			l.record("the store has removed the entry of %s, which serves on for %v", leaver.Instance, serveAfter)
 		}
+		time.Sleep(time.Until(silencedAt[len(silencedAt)-1].Add(silenceGap)))
 	}
 	time.Sleep(serveAfter)
 	close(stop)
