http1: leave the error of a socket to its read when looking for unread data

Callers saw streams without length end as complete after some 11 of 40 events: an upstream had reset them while their gateway stood still.

Cause: the kernel reports a socket's error to one call only. HasUnread peeked with MSG_PEEK, got the reset and dropped it; the read after it got the end of the file, which ends a response without length. The stall detector's timer and the read are due together after a standstill.

Change: SIOCINQ says how many bytes can be read and receives nothing. The pool's look at an idle connection stays a peek: whatever it finds, the connection is not used again.

--- a/internal/transport/http1/peek.go
+++ b/internal/transport/http1/peek.go
@@ -8,10 +8,11 @@
 )
 
 // HasUnread reports whether data of the response has arrived that was not read
-// from the socket yet. It may be called while another goroutine reads the body.
+// from the socket yet. It may be called while another goroutine reads the body, which
+// still gets the error of the connection.
 func (r *Response) HasUnread() bool {
 	unread := false
-	inspect(r.conn.Conn, func(fd int) { unread = isReadable(fd) })
+	inspect(r.conn.Conn, func(fd int) { unread = hasUnread(fd) })
 	return unread
 }
 
@@ -22,7 +23,7 @@
 func (c *connection) hasDataBefore(size int) bool {
 	before := false
 	inspect(c.Conn, func(fd int) {
-		if !isReadable(fd) {
+		if !hasUnread(fd) {
 			return
 		}
 		unacknowledged, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
@@ -46,16 +47,10 @@
 	_ = raw.Control(func(fd uintptr) { look(int(fd)) })
 }
 
-// isReadable reports whether data can be read from a socket without waiting.
-func isReadable(fd int) bool {
-	n, err := peek(fd)
+// hasUnread reports whether data can be read from a socket without waiting. It receives
+// nothing: the kernel reports the error of a socket to one receiving call only, also to one
+// that peeks, and the read after that would find the end of the data.
+func hasUnread(fd int) bool {
+	n, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
 	return err == nil && n > 0
 }
-
-// peek returns the number of bytes, at most one, that can be read from a socket
-// without waiting. It leaves them there.
-func peek(fd int) (int, error) {
-	var one [1]byte
-	n, _, err := syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -299,7 +299,9 @@
 	}
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
-		_, recvErr := peek(int(fd))
+		// A connection whose error this takes is not used again.
+		var one [1]byte
+		_, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = recvErr == syscall.EAGAIN
 		return true
 	})
