http1: return the error of a connection to its read, whichever call got it

Callers got a part of an answer as a whole one, with 200 and the length of that part: the upstream had answered a long upload before reading it, without a length, and reset the connection in the middle of its answer.

Cause: the kernel reports a socket's error to one call only. The write of the body, in a goroutine of its own, got ECONNRESET; the read found the end of the file, which ends an answer without length.

Change: socket.Conn records the errors of all reads and writes of a connection. A read that finds the end returns io.EOF only if the TCP state, or the first error, shows that the upstream had ended its data before. A clean end beside a waiting body stays a whole answer.

--- a/internal/transport/http1/pool.go
+++ b/internal/transport/http1/pool.go
@@ -13,6 +13,7 @@
 
 	"lovageport.example/internal/transport/buffer"
 	"lovageport.example/internal/transport/dial"
+	"lovageport.example/internal/transport/socket"
 )
 
 // Limits of idle connections.
@@ -117,6 +118,7 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
+	conn = socket.Track(conn)
 	source := &boundedReader{source: conn}
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(source, bufferSize), source: source}, nil
 }
--- a/internal/transport/http1/reset_test.go
+++ b/internal/transport/http1/reset_test.go
@@ -9,15 +9,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"golang.org/x/sys/unix"
+
+	"lovageport.example/internal/transport/socket"
 )
 
 // awaitState waits until a TCP connection is in a state, which leaves its error.
-func awaitState(t *testing.T, conn net.Conn, state uint8) {
+func awaitState(t *testing.T, conn net.Conn, state socket.TCPState) {
 	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
-		var info *unix.TCPInfo
-		inspect(conn, func(fd int) { info, _ = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
-		if info != nil && info.State == state {
+		if now, ok := socket.State(conn); ok && now == state {
 			return
 		}
 		qt.Assert(t, time.Now().Before(end), qt.IsTrue, qt.Commentf("state %d not reached", state))
@@ -46,9 +45,9 @@
 	_, err = io.ReadFull(resp, half)
 	qt.Assert(t, err, qt.IsNil)
 	close(cut)
-	state := uint8(unix.BPF_TCP_CLOSE_WAIT)
+	state := socket.CloseWait
 	if reset {
-		state = unix.BPF_TCP_CLOSE
+		state = socket.Closed
 	}
 	awaitState(t, resp.conn.Conn, state)
 	return resp
@@ -70,3 +69,59 @@
 		})
 	}
 }
+
+// TestResetBesideBodyIsNotWhole guards against a response without length that ends as
+// whole although its connection was reset: the write of the long request body, which the
+// upstream has not read yet, took the error. One that ends while the body is written is whole.
+func TestResetBesideBodyIsNotWhole(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		whole bool
+		// end ends the connection once the first half of the response has been read.
+		end func(conn *net.TCPConn, body io.Reader)
+	}{
+		{"reset", false, func(conn *net.TCPConn, _ io.Reader) { conn.SetLinger(0) }},
+		{"closed with the body unread", false, func(*net.TCPConn, io.Reader) {}},
+		{"ended while the body waits", true, func(conn *net.TCPConn, _ io.Reader) {
+			io.WriteString(conn, "half")
+			conn.CloseWrite()
+			// The client aborts the exchange.
+			io.Copy(io.Discard, conn)
+		}},
+		{"ended after the body", true, func(conn *net.TCPConn, body io.Reader) {
+			io.WriteString(conn, "half")
+			io.Copy(io.Discard, body)
+		}},
+	} {
+		for _, reader := range readers {
+			t.Run(x.name+"/"+reader.name, func(t *testing.T) {
+				for range 10 {
+					answered := make(chan bool)
+					s := newTestServer(t, func(s *testServer, conn net.Conn, from *bufio.Reader) {
+						c := conn.(*net.TCPConn)
+						c.SetReadBuffer(64 << 10)
+						r, err := http.ReadRequest(from)
+						qt.Check(t, err, qt.IsNil)
+						io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+						<-answered
+						x.end(c, r.Body)
+					})
+					pool := newPool()
+					resp, err := pool.Do(t.Context(), &Request{Address: s.address, Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, longBody)})
+					qt.Assert(t, err, qt.IsNil)
+					close(answered)
+					body, err := reader.read(resp)
+					qt.Check(t, err == nil, qt.Equals, x.whole, qt.Commentf("%q, %v", body, err))
+					if x.whole {
+						qt.Check(t, body, qt.Equals, "halfhalf")
+					}
+					resp.Close()
+					pool.Close()
+				}
+			})
+		}
+	}
+}
+
+// longBody is the size in bytes of a body that does not fit the buffers of a connection.
+const longBody = 4 << 20
