gateway: log how the end of a stream was known

A stream that ends as complete too early left no sign of why: "request answered" did not say whether a length, the last chunk or the end of the connection ended it. It says so now, for the latter with the TCP state and the error that an operation on the connection has got.

--- a/internal/gateway/generation.go
+++ b/internal/gateway/generation.go
@@ -223,6 +223,7 @@
 		return a.recordBrokenStream(s.lastEventID, errNoEvent)
 	}
 	a.recordRead(true)
+	s.ending = a.response.Ending()
 	// If the caller already has all events the stream is empty, and its header
 	// is still to be written.
 	s.writeHeaderOnce(a.response)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
 	"lovageport.example/internal/state/routing"
+	"lovageport.example/internal/transport/http1"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -55,6 +56,8 @@
 	// firstEvent is the time from arrival until the first byte of the response
 	// was passed on, and longestPause the longest time between two events.
 	firstEvent, longestPause time.Duration
+	// ending is how the end of a stream was known; its zero value for other responses.
+	ending http1.Ending
 
 	memory heldMemory
 	attemptHistory
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/internal/transport/buffer"
+	"lovageport.example/internal/transport/http1"
 	"lovageport.example/pkg/verdict"
 	"lovageport.example/platform"
 )
@@ -247,6 +248,7 @@
 		g.metrics.requestTime.WithLabelValues(q.service).Observe((g.Now() - q.arrived).Seconds())
 	}
 	if e == nil {
+		fields = append(fields, endingFields(q.ending)...)
 		g.Log.Info("request answered", fields...)
 		return
 	}
@@ -256,6 +258,17 @@
 	g.Log.Info("request failed", fields...)
 }
 
+// endingFields returns the log fields of how the end of a stream was known.
+func endingFields(e http1.Ending) []zap.Field {
+	switch e.Mark {
+	case "":
+		return nil
+	case http1.ConnectionClosed:
+		return []zap.Field{zap.String("end", string(e.Mark)), zap.Uint8("end_state", uint8(e.State)), zap.NamedError("end_failure", e.Failure)}
+	}
+	return []zap.Field{zap.String("end", string(e.Mark))}
+}
+
 func outcomeLabel(status int, e *verdict.Error) string {
 	switch {
 	case e != nil:
--- a/internal/transport/http1/client.go
+++ b/internal/transport/http1/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"lovageport.example/internal/transport/buffer"
+	"lovageport.example/internal/transport/socket"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -272,6 +273,44 @@
 	r.pool.put(r.address, r.conn, r.keep, time.Now())
 }
 
+// EndMark is what shows the end of a body.
+type EndMark string
+
+// The marks of the end of a body.
+const (
+	LengthReached    EndMark = "length"
+	LastChunk        EndMark = "last_chunk"
+	ConnectionClosed EndMark = "connection"
+)
+
+// Ending is how the end of a body was known.
+type Ending struct {
+	// Mark is empty if the body was not read to its end.
+	Mark EndMark
+	// State is the state of the connection, and Failure the error that an operation on it
+	// has got, for ConnectionClosed.
+	State   socket.TCPState
+	Failure error
+}
+
+// Ending returns how the end of the body was known. It must be called before Close.
+func (r *Response) Ending() Ending {
+	switch {
+	case !r.whole:
+		return Ending{}
+	case r.ContentLength >= 0:
+		return Ending{Mark: LengthReached}
+	case !r.CloseDelimited:
+		return Ending{Mark: LastChunk}
+	}
+	e := Ending{Mark: ConnectionClosed}
+	e.State, _ = socket.State(r.conn.Conn)
+	if c, ok := r.conn.Conn.(*socket.Conn); ok {
+		e.Failure = c.Failure()
+	}
+	return e
+}
+
 // requestSent reports whether the whole request was written.
 func (r *Response) requestSent() bool {
 	if r.sent == nil {
