tunnel: return the error of an upstream's connection to its read

Cause: the peer writes the body to the upstream and reads the answer at once. Its write got the reset, its read the end of the file, and it told the gateway that the answer had ended.

--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -18,6 +18,7 @@
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/transport/dial"
 	"lovageport.example/internal/transport/intake"
+	"lovageport.example/internal/transport/socket"
 )
 
 // Prefix begins a tunnel. The first bytes of a call of a peer differ from it.
@@ -145,6 +146,7 @@
 	}
 	upstream, outcome := s.Connect(ctx, &request)
 	if upstream != nil {
+		upstream = socket.Track(upstream)
 		defer upstream.Close()
 	}
 	message, err := encode(&peering.TunnelReply{Version: peering.Version, Outcome: outcome})
--- a/internal/transport/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -17,6 +17,7 @@
 
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/transport/dial"
+	"lovageport.example/internal/transport/socket"
 	"lovageport.example/internal/transport/tunnel"
 )
 
@@ -132,6 +133,60 @@
 	}
 }
 
+// TestEndBesideWaitingBody guards against a part of a response that looks complete because
+// the peer's write of the request's body got the reset of the upstream.
+func TestEndBesideWaitingBody(t *testing.T) {
+	response := bytes.Repeat([]byte("0123456789"), 100_000)
+	for _, x := range []struct {
+		name  string
+		whole bool
+		end   func(upstream *net.TCPConn)
+	}{
+		{"reset", false, func(conn *net.TCPConn) { conn.SetLinger(0) }},
+		{"closed with the body unread", false, func(*net.TCPConn) {}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			for range 5 {
+				peer, _ := startPeer(t)
+				read := make(chan struct{})
+				conn := open(t, peer, upstream(t, func(conn *net.TCPConn) {
+					conn.SetReadBuffer(64 << 10)
+					for !socket.HasUnread(conn) {
+						time.Sleep(time.Millisecond)
+					}
+					_, err := conn.Write(response)
+					qt.Check(t, err, qt.IsNil)
+					if !x.whole {
+						<-read
+					}
+					x.end(conn)
+					if x.whole {
+						<-read
+					}
+				}))
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					conn.Write(make([]byte, 8<<20))
+				}()
+				got := make([]byte, len(response))
+				_, err := io.ReadFull(conn, got)
+				qt.Check(t, err, qt.IsNil)
+				if !x.whole {
+					close(read)
+				}
+				_, err = conn.Read(make([]byte, 1))
+				qt.Check(t, err == io.EOF, qt.Equals, x.whole, qt.Commentf("%v", err))
+				if x.whole {
+					close(read)
+				}
+				conn.Close()
+				<-written
+			}
+		})
+	}
+}
+
 // TestKilledPeerIsNoEnd guards against the same if the connection to the peer is closed
 // as the kernel closes that of a process that is killed.
 func TestKilledPeerIsNoEnd(t *testing.T) {
