tunnel: pass on an answer whose upstream takes no more of the body

A caller of a gateway that reaches an upstream through a peer lost an answer that the upstream had sent and ended without reading the whole body.

Cause: the peer's failed write of the body reset the connection to the upstream, with what was not read of it; and closing the connection to the gateway while that still sends the body reset that, too.

Change: after a failed write the answer is read to its end, and what still comes of the body is dropped. The peer ends its side of the connection and closes it once the gateway has, or after a second.

--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -168,37 +168,87 @@
 	return join(conn, upstream)
 }
 
+// lingerTime bounds how long a tunnel whose upstream has ended its data waits for the peer
+// to read them. To close the connection while the peer sends would reset it.
+const lingerTime = time.Second
+
 // join copies between the connection of a peer and that of an upstream until one of them
 // ends. Either is reset if the other has failed, so that data that is still on its way is
 // not delivered and no response looks complete.
 func join(peer, upstream net.Conn) error {
 	sent := make(chan error, 1)
-	go func() {
-		_, err := io.Copy(upstream, plainReader{peer})
-		if err != nil {
-			reset(upstream)
-		}
-		upstream.Close()
-		sent <- err
-	}()
+	go func() { sent <- copyToUpstream(upstream, peer) }()
 	err := (&frameWriter{Conn: peer}).copyFrom(upstream)
 	if err != nil {
 		reset(peer)
 		reset(upstream)
 	}
-	peer.Close()
 	// An upstream that does not read would hold up the other direction.
 	upstream.Close()
-	if sendErr := <-sent; err == nil && sendErr != nil && !errors.Is(sendErr, net.ErrClosed) {
-		return fmt.Errorf("tunnel: %w", sendErr)
-	}
+	sendErr := finish(peer, sent)
 	if errors.Is(err, net.ErrClosed) {
 		// The peer has closed the tunnel.
 		return nil
 	}
+	if err == nil && sendErr != nil && !errors.Is(sendErr, net.ErrClosed) {
+		return fmt.Errorf("tunnel: %w", sendErr)
+	}
+	return err
+}
+
+// finish closes the connection of a peer once that has ended it, or after lingerTime, and
+// returns the result of copying from it.
+func finish(peer net.Conn, sent chan error) error {
+	if c, ok := peer.(interface{ CloseWrite() error }); ok {
+		// It fails only if the connection has ended.
+		_ = c.CloseWrite()
+	}
+	linger := time.NewTimer(lingerTime)
+	defer linger.Stop()
+	select {
+	case err := <-sent:
+		peer.Close()
+		return err
+	case <-linger.C:
+		peer.Close()
+		return <-sent
+	}
+}
+
+// copyToUpstream copies what a peer sends until that ends, and closes the connection to the
+// upstream, which is reset if that of the peer has failed. An upstream that takes no more
+// may have answered: its connection is left to its reader, and what the peer still sends
+// is dropped.
+func copyToUpstream(upstream, peer net.Conn) error {
+	from := &errorReader{Reader: peer}
+	_, err := io.Copy(upstream, from)
+	switch {
+	case from.err != nil:
+		reset(upstream)
+	case err != nil:
+		// It ends with the connection of the peer.
+		_, _ = io.Copy(io.Discard, plainReader{peer})
+	}
+	upstream.Close()
 	return err
 }
 
+// errorReader keeps the error of a reader, other than [io.EOF]. Like a plainReader it has no
+// other methods.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements [io.Reader].
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 // plainReader hides the methods of a connection by which io.Copy would leave the copying
 // to the kernel, where a deadline does not end it.
 type plainReader struct{ io.Reader }
--- a/internal/transport/tunnel/tunnel_test.go
+++ b/internal/transport/tunnel/tunnel_test.go
@@ -134,7 +134,8 @@
 }
 
 // TestEndBesideWaitingBody guards against a part of a response that looks complete because
-// the peer's write of the request's body got the reset of the upstream.
+// the peer's write of the request's body got the reset of the upstream, and against a
+// response that is cut off although the upstream ended it, while the body waits.
 func TestEndBesideWaitingBody(t *testing.T) {
 	response := bytes.Repeat([]byte("0123456789"), 100_000)
 	for _, x := range []struct {
@@ -144,6 +145,12 @@
 	}{
 		{"reset", false, func(conn *net.TCPConn) { conn.SetLinger(0) }},
 		{"closed with the body unread", false, func(*net.TCPConn) {}},
+		{"ended", true, func(conn *net.TCPConn) { conn.CloseWrite() }},
+		{"ended, then reset", true, func(conn *net.TCPConn) {
+			conn.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+			conn.SetLinger(0)
+		}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			for range 5 {
