transport: take no answer whose status is outside of 100 to 599

Callers of a gateway got answers with status 600 or 999 as an upstream's. An entry took all such answers of services, also 000, 001, 099 and "+20", which its server cannot write: net/http panics and the caller's connection ends.

Cause: net/http reads any three characters that strconv takes for a number. The gateway checked the lower bound alone, the entry's clients nothing.

Change: httpclient.HeadFault, used by the gateway's client and by httpclient.Transport, through which all clients of net/http make their calls. The call may have run.

Evidence: TestOddHeadIsNotPassedOn failed in "600" and "999", TestOddHeadIsNoServiceAnswer in these and "000", "001", "099" and "+20"; both pass.

--- a/internal/transport/http1/head.go
+++ b/internal/transport/http1/head.go
@@ -47,10 +47,13 @@
 	switch {
 	case response.ProtoMajor != 1:
 		return fmt.Errorf("%w: version %s", ErrMalformed, response.Proto)
-	case response.StatusCode < http.StatusContinue, response.StatusCode == http.StatusSwitchingProtocols:
+	case response.StatusCode == http.StatusSwitchingProtocols:
 		// No request asks for another protocol.
 		return fmt.Errorf("%w: status %.40q", ErrMalformed, response.Status)
 	}
+	if fault := httpclient.HeadFault(response); fault != "" {
+		return fmt.Errorf("%w: %s", ErrMalformed, fault)
+	}
 	for name := range response.Header {
 		if strings.Contains(name, " ") {
 			// A space before the colon hides a length from net/http.
--- a/internal/transport/http1/whole_test.go
+++ b/internal/transport/http1/whole_test.go
@@ -182,6 +182,8 @@
 		{"informational responses above the limit", informational(maxInformational)},
 		{"switched protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade" + body},
 		{"status below 100", "HTTP/1.1 099 OK\r\n\r\n" + okResponse},
+		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 2" + body},
+		{"status above 599", "HTTP/1.1 600 OK\r\nContent-Length: 2" + body},
 		{"signed status", "HTTP/1.1 +20 OK\r\n\r\n" + okResponse},
 		{"status of four digits", "HTTP/1.1 2000 OK\r\nContent-Length: 2" + body},
 		{"HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 2" + body},
--- a/internal/transport/objectstore/client.go
+++ b/internal/transport/objectstore/client.go
@@ -44,11 +44,11 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	c.http = &http.Client{Transport: &http.Transport{
+	c.http = &http.Client{Transport: httpclient.Transport{Transport: &http.Transport{
 		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
 		DialContext:            limitDial(dial, c.Timeout),
 		DisableKeepAlives:      true,
-	}}
+	}}}
 	return store.ObjectAPI{
 		Get:    c.get,
 		Put:    c.put,
--- a/internal/transport/upstream/engines.go
+++ b/internal/transport/upstream/engines.go
@@ -49,13 +49,13 @@
 		dial = (&net.Dialer{}).DialContext
 	}
 	e := &EngineClient{Dial: dial}
-	e.client = &http.Client{Transport: &http.Transport{
+	e.client = &http.Client{Transport: httpclient.Transport{Transport: &http.Transport{
 		MaxResponseHeaderBytes: httpclient.MaxHeaderBytes,
 		DialContext:            limitDial(dial, &e.Running),
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		IdleConnTimeout:        time.Minute,
 		DisableCompression:     true,
-	}}
+	}}}
 	return e
 }
 
--- a/internal/transport/upstream/probe.go
+++ b/internal/transport/upstream/probe.go
@@ -84,7 +84,7 @@
 		return ProbeUnanswered
 	}
 	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, httpclient.MaxHeaderBytes)), request)
-	if err != nil {
+	if err != nil || httpclient.HeadFault(response) != "" {
 		return ProbeUnanswered
 	}
 	response.Body.Close()
--- a/internal/transport/upstream/services.go
+++ b/internal/transport/upstream/services.go
@@ -103,7 +103,7 @@
 
 func newServiceClient(transport *http.Transport) *http.Client {
 	return &http.Client{
-		Transport: transport,
+		Transport: httpclient.Transport{Transport: transport},
 		// A redirect is returned to the caller: following it would make a call
 		// that the configuration does not declare.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -196,6 +196,9 @@
 	if errors.As(err, &connectErr) {
 		return connectErr.verdict(c.Upstream, err)
 	}
+	if errors.Is(err, httpclient.ErrMalformedHead) {
+		return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamProtocol, Upstream: c.Upstream, Err: err}
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return &verdict.Error{Run: verdict.MayHaveRun, Reason: verdict.UpstreamSilent, Upstream: c.Upstream, Err: err}
 	}
--- a/internal/transport/upstream/stream.go
+++ b/internal/transport/upstream/stream.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lovageport.example/internal/protocol/engine"
+	"lovageport.example/internal/transport/httpclient"
 	"lovageport.example/pkg/verdict"
 )
 
@@ -205,6 +206,8 @@
 	switch {
 	case errors.As(err, &connectErr):
 		return connectErr.verdict(s.firstStage(), err)
+	case errors.Is(err, httpclient.ErrMalformedHead):
+		return s.newError(verdict.UpstreamProtocol, s.firstStage(), err)
 	case s.gaveUp.Load():
 		return s.newError(verdict.UpstreamSilent, s.firstStage(), err)
 	}
--- a/internal/transport/upstream/untrusted_test.go
+++ b/internal/transport/upstream/untrusted_test.go
@@ -209,3 +209,27 @@
 		})
 	}
 }
+
+// TestOddHeadIsNoServiceAnswer guards against an answer whose head has a status or a field
+// that is none, or can be read in two ways, so that its body may not be the service's.
+func TestOddHeadIsNoServiceAnswer(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		for _, x := range scripted.OddHeads() {
+			t.Run(fmt.Sprintf("%s/repeatable=%t", x.Name, repeatable), func(t *testing.T) {
+				text := x.Text(upstream.AttemptHeader + ": a1\r\n")
+				address := startScripted(t, &scripted.Server{Answer: func(int, *http.Request) (string, bool) { return text, true }})
+				c := upstream.NewServiceClient(nil)
+				defer c.Close()
+				call := readCall(address, "a1", true)
+				call.Repeatable = repeatable
+				response, err := c.Do(context.Background(), call)
+				if err == nil && x.Harmless {
+					qt.Check(t, string(response.Body), qt.Equals, scripted.OddBody)
+					return
+				}
+				qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%+v", response))
+				qt.Check(t, verdict.Of(err).Run, qt.Equals, verdict.MayHaveRun)
+			})
+		}
+	}
+}
