httpclient: take no answer in whose head a field's name holds a blank

Callers of an entry got "e\r\nthe whole b" as the body of a service whose answer had a length and "Transfer-Encoding : chunked".

Cause: net/http keeps a name with a blank as it is, and does not read the field. The gateway's client refused such names, the clients of net/http didn't look.

Change: the check stands in HeadFault, so all clients make it.

Evidence: TestOddHeadIsNoServiceAnswer failed before in seven heads with a blank in or after a name, each for repeatable calls and others; it passes. TestOddHeadIsNotPassedOn, the same heads through a gateway, passed before: tabs, control bytes, DEL and bytes above 0x7f were refused already.

--- a/internal/standin/scripted/heads.go
+++ b/internal/standin/scripted/heads.go
@@ -22,6 +22,9 @@
 // lengthLine is the field of the length of OddBody.
 var lengthLine = fmt.Sprintf("Content-Length: %d\r\n", len(OddBody))
 
+// chunks is OddBody in chunks, without the end of the trailer.
+var chunks = fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(OddBody), OddBody)
+
 // Text returns the answer, with the fields given in its head.
 func (h *OddHead) Text(fields string) string {
 	status, own, body := h.status, h.fields, h.body
@@ -37,9 +40,39 @@
 	return h.before + status + "\r\n" + fields + own + "\r\n" + body
 }
 
-// OddHeads returns the answers with odd heads.
-func OddHeads() []OddHead {
-	return oddStatuses()
+// OddHeads returns the answers with odd heads. Besides names of their own they have odd
+// bytes in the given names of fields.
+func OddHeads(names ...string) []OddHead {
+	heads := append(oddLines(), oddStatuses()...)
+	for _, odd := range []struct{ name, text string }{
+		{"a blank", " "}, {"a tab", "\t"}, {"NUL", "\x00"}, {"a control byte", "\x01"}, {"a vertical tab", "\x0b"},
+		{"DEL", "\x7f"}, {"a byte above 0x7f", "\x80"}, {"a carriage return", "\r"}, {"a bracket", "("},
+	} {
+		heads = append(heads, oddNames(odd.name, odd.text, names)...)
+	}
+	for _, c := range []string{"\x00", "\x01", "\x0b", "\x1b", "\x7f", "\r"} {
+		heads = append(heads, OddHead{Name: fmt.Sprintf("%q in a value", c), fields: "Odd: y" + c + "z\r\n" + lengthLine})
+	}
+	return heads
+}
+
+// oddLines returns heads whose lines are no fields, also those of trailers and of
+// informational answers.
+func oddLines() []OddHead {
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	return []OddHead{
+		{Name: "first line begins with a blank", status: "HTTP/1.1 200 OK\r\n Odd: y"},
+		{Name: "status line begins with a blank", status: " HTTP/1.1 200 OK"},
+		{Name: "blank line first", before: "\r\n"},
+		{Name: "line without colon", fields: "Odd\r\n" + lengthLine},
+		{Name: "empty name", fields: ": Odd\r\n" + lengthLine},
+		{Name: "blank in the name of a trailer", fields: chunked, body: chunks + "Odd name: y\r\n\r\n", Harmless: true},
+		{Name: "control byte in the name of a trailer", fields: chunked, body: chunks + "Odd\x01: y\r\n\r\n"},
+		{Name: "trailer begins with a blank", fields: chunked, body: chunks + " Odd: y\r\n\r\n"},
+		{Name: "blank in a name of an informational answer", before: "HTTP/1.1 103 Early Hints\r\nOdd name: y\r\n\r\n", Harmless: true},
+		{Name: "control byte in a name of an informational answer", before: "HTTP/1.1 103 Early Hints\r\nOdd\x01: y\r\n\r\n"},
+		{Name: "informational answer of status 000", before: "HTTP/1.1 000 Odd\r\n\r\n"},
+	}
 }
 
 // oddStatuses returns heads whose status lines have no status.
@@ -50,3 +83,20 @@
 	}
 	return heads
 }
+
+// oddNames returns heads with a text in and around the names of fields, including those
+// that say where the body ends.
+func oddNames(name, text string, names []string) []OddHead {
+	heads := []OddHead{
+		{Name: name + " in a name", fields: "Odd" + text + "name: y\r\n" + lengthLine},
+		{Name: name + " at the start of a name", fields: lengthLine + text + "Odd: y\r\n"},
+		{Name: name + " after the length", fields: "Content-Length" + text + ": 3\r\n"},
+		{Name: name + " after a second length", fields: lengthLine + "Content-Length" + text + ": 3\r\n"},
+		{Name: name + " after the encoding", fields: "Transfer-Encoding" + text + ": chunked\r\n", body: chunks + "\r\n"},
+		{Name: name + " after the encoding, with a length", fields: lengthLine + "Transfer-Encoding" + text + ": chunked\r\n", body: chunks + "\r\n"},
+	}
+	for _, field := range names {
+		heads = append(heads, OddHead{Name: name + " after " + field, fields: field + text + ": y\r\n" + lengthLine})
+	}
+	return heads
+}
--- a/internal/transport/http1/head.go
+++ b/internal/transport/http1/head.go
@@ -54,12 +54,6 @@
 	if fault := httpclient.HeadFault(response); fault != "" {
 		return fmt.Errorf("%w: %s", ErrMalformed, fault)
 	}
-	for name := range response.Header {
-		if strings.Contains(name, " ") {
-			// A space before the colon hides a length from net/http.
-			return fmt.Errorf("%w: field name %.40q", ErrMalformed, name)
-		}
-	}
 	return checkFraming(response, text)
 }
 
--- a/internal/transport/httpclient/head.go
+++ b/internal/transport/httpclient/head.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // ErrMalformedHead is returned for a response whose head net/http accepts although it
@@ -18,6 +19,12 @@
 	if response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus {
 		return fmt.Sprintf("status %.40q", response.Status)
 	}
+	for name := range response.Header {
+		if strings.Contains(name, " ") {
+			// A space before the colon hides a length from net/http.
+			return fmt.Sprintf("field name %.40q", name)
+		}
+	}
 	return ""
 }
 
--- a/internal/transport/upstream/untrusted_test.go
+++ b/internal/transport/upstream/untrusted_test.go
@@ -214,7 +214,7 @@
 // that is none, or can be read in two ways, so that its body may not be the service's.
 func TestOddHeadIsNoServiceAnswer(t *testing.T) {
 	for _, repeatable := range []bool{false, true} {
-		for _, x := range scripted.OddHeads() {
+		for _, x := range scripted.OddHeads("Odd", "Content-Type", "Connection", upstream.AttemptHeader) {
 			t.Run(fmt.Sprintf("%s/repeatable=%t", x.Name, repeatable), func(t *testing.T) {
 				text := x.Text(upstream.AttemptHeader + ": a1\r\n")
 				address := startScripted(t, &scripted.Server{Answer: func(int, *http.Request) (string, bool) { return text, true }})
