http1: take no answer whose head has a line that begins with a blank

Callers of a gateway got such a line as a part of the value before it, also of the upstream's stamp; and one that named chunks left the sizes of the chunks in the body, which then ended with the connection.

Cause: net/http joins such a line with the one before, as HTTP allows. To an upstream in trouble it may be a field. RFC 9112, section 5.2, lets a gateway answer 502 instead, and forbids senders to write it.

Evidence: TestOddHeadIsNotPassedOn failed before in six heads, passes now.

--- a/internal/standin/scripted/heads.go
+++ b/internal/standin/scripted/heads.go
@@ -14,6 +14,9 @@
 	fields, body string
 	// Harmless reports whether the answer may be passed on without the odd line.
 	Harmless bool
+	// Folded reports whether the odd line continues the one before, which HTTP lets a
+	// recipient join or refuse.
+	Folded bool
 }
 
 // OddBody is the body of the answers of [OddHeads]. The odd lines contain "Odd".
@@ -61,11 +64,17 @@
 func oddLines() []OddHead {
 	const chunked = "Transfer-Encoding: chunked\r\n"
 	return []OddHead{
+		{Name: "line begins with a blank", fields: "X: y\r\n Odd: y\r\n" + lengthLine, Folded: true},
+		{Name: "line begins with a tab", fields: "X: y\r\n\tOdd: y\r\n" + lengthLine, Folded: true},
+		{Name: "length begins with a blank", fields: "X: y\r\n Content-Length: 3\r\n", Folded: true},
+		{Name: "length begins with a tab", fields: "X: y\r\n\tContent-Length: 3\r\n", Folded: true},
+		{Name: "encoding begins with a blank", fields: "X: y\r\n Transfer-Encoding: chunked\r\n", body: chunks + "\r\n", Folded: true},
 		{Name: "first line begins with a blank", status: "HTTP/1.1 200 OK\r\n Odd: y"},
 		{Name: "status line begins with a blank", status: " HTTP/1.1 200 OK"},
 		{Name: "blank line first", before: "\r\n"},
 		{Name: "line without colon", fields: "Odd\r\n" + lengthLine},
 		{Name: "empty name", fields: ": Odd\r\n" + lengthLine},
+		{Name: "only a blank as name", fields: "X: y\r\n : Odd\r\n" + lengthLine, Folded: true},
 		{Name: "blank in the name of a trailer", fields: chunked, body: chunks + "Odd name: y\r\n\r\n", Harmless: true},
 		{Name: "control byte in the name of a trailer", fields: chunked, body: chunks + "Odd\x01: y\r\n\r\n"},
 		{Name: "trailer begins with a blank", fields: chunked, body: chunks + " Odd: y\r\n\r\n"},
--- a/internal/transport/http1/head.go
+++ b/internal/transport/http1/head.go
@@ -54,6 +54,10 @@
 	if fault := httpclient.HeadFault(response); fault != "" {
 		return fmt.Errorf("%w: %s", ErrMalformed, fault)
 	}
+	if hasFoldedLine(text) {
+		// One that names a field is none to net/http, and may be one to the upstream.
+		return fmt.Errorf("%w: folded line", ErrMalformed)
+	}
 	return checkFraming(response, text)
 }
 
@@ -78,6 +82,11 @@
 	return nil
 }
 
+// hasFoldedLine reports whether a line of the text of a header continues the one before.
+func hasFoldedLine(text []byte) bool {
+	return bytes.Contains(text, []byte("\n ")) || bytes.Contains(text, []byte("\n\t"))
+}
+
 // hasField reports whether the text of a header has a field.
 func hasField(text []byte, name string) bool {
 	for line := range bytes.Lines(text) {
