jsontext: take no object whose text is cut off

A list or a watch of the store whose text ended early, at a closing bracket, counted as whole if it had an entry nested more than 10,000 levels deep. An event after that point would have been missed until the next list.

Cause: encoding/json stops at that entry, so what follows is not checked, and Parse looked at the first and the last byte only.

Change: the last byte must close the bracket that the text begins with. The test that recorded that a cut text parses asks for the contrary now.

--- a/internal/protocol/jsontext/jsontext.go
+++ b/internal/protocol/jsontext/jsontext.go
@@ -27,11 +27,33 @@
 type Object struct{ text gjson.Result }
 
 // Parse returns the object that a text consists of. It returns false if the text is
-// none.
+// none, or is cut off.
 func Parse(text []byte) (Object, bool) {
 	text = bytes.TrimSpace(text)
-	isObject := bytes.HasPrefix(text, []byte("{")) && bytes.HasSuffix(text, []byte("}"))
-	return Object{gjson.ParseBytes(text)}, isObject
+	return Object{gjson.ParseBytes(text)}, bytes.HasPrefix(text, []byte("{")) && isClosed(text)
+}
+
+// isClosed reports whether the last byte of a text, and none before it, closes the bracket
+// that the text begins with. It needs no memory for the levels of the text.
+func isClosed(text []byte) bool {
+	level, quoted := 0, false
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '{', c == '[':
+			level++
+		case c == '}', c == ']':
+			level--
+			if level == 0 {
+				return i == len(text)-1
+			}
+		}
+	}
+	return false
 }
 
 // Text returns the text of the object.
--- a/internal/protocol/jsontext/jsontext_test.go
+++ b/internal/protocol/jsontext/jsontext_test.go
@@ -34,7 +34,9 @@
 	}{
 		{"deep", `{"Entries":[{"Name":` + deep + `}]}`, true, true},
 		{"another type", `{"Entries":[{"Name":3}]}`, true, true},
-		{"cut", `{"Entries":[{"Name":"a"}`, false, true},
+		{"cut", `{"Entries":[{"Name":"a"}`, false, false},
+		{"deep and cut after a bracket", `{"Entries":[{"Name":` + deep + `}`, true, false},
+		{"brackets in texts", `{"Entries":[{"Name":` + deep + `,"}\"}]{":"\\"}]}`, true, true},
 		{"deep and cut", `{"Entries":[{"Name":` + deep + `},`, true, false},
 		{"no JSON", `not found`, false, false},
 		{"empty", ``, false, false},
