--- a/internal/endtoend/limits_test.go
+++ b/internal/endtoend/limits_test.go
@@ -214,18 +214,25 @@
 		s.Limits = map[string]any{"max_header_bytes": headBytes, "max_body_bytes": largestBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 		platformtest.Named(s.Routes, "book")["timeout_ms"] = 10_000
 	}})
-	g := &gatewayProcess{health: freeAddress(t), metrics: freeAddress(t), headBytes: headBytes}
+	g := runGateway(t, store, descriptors, "")
+	g.headBytes = headBytes
+	awaitAnswer(t, g.call)
+	return g
+}
+
+// runGateway starts a gateway, with further settings, and waits until it listens.
+func runGateway(t *testing.T, store *platformtest.Store, descriptors int, settings string) *gatewayProcess {
+	g := &gatewayProcess{health: freeAddress(t), metrics: freeAddress(t)}
 	callers, peers := freeAddress(t), freeAddress(t)
 	var b strings.Builder
 	fmt.Fprintf(&b, "Name = \"g1\"\nZone = \"a\"\nFirstStart = true\n")
 	fmt.Fprintf(&b, "[Listen]\nCallers = %q\nHealth = %q\nPeers = %q\nMetrics = %q\n", callers, g.health, peers, g.metrics)
-	fmt.Fprintf(&b, "[Platform]\nAddress = %q\n", store.Address)
+	fmt.Fprintf(&b, "[Platform]\nAddress = %q\n%s", store.Address, settings)
 	path := filepath.Join(t.TempDir(), "g1.toml")
 	writeLimits(t, path, b.String(), "--gateway", descriptors)
 	g.process = startProgram(t, "lovageport", "gateway", "--config", path)
 	g.callers, g.peers = callers, peers
 	awaitListening(t, g.callers)
-	awaitAnswer(t, g.call)
 	return g
 }
 
