--- a/internal/transport/socket/conn.go
+++ b/internal/transport/socket/conn.go
@@ -12,7 +12,8 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrUnknownEnd is returned for the end of a failed connection whose error no call got.
+// ErrUnknownEnd is why a read fails at the end of a failed connection whose error no call
+// got.
 var ErrUnknownEnd = errors.New("socket: the connection has failed")
 
 // Conn is a TCP connection that may be read and written at once. Its Read returns
@@ -105,7 +106,7 @@
 	case c.failure != nil && !errors.Is(c.failure, syscall.EPIPE):
 		return fmt.Errorf("socket: the connection has failed: %w", c.failure)
 	case c.failure == nil && !c.hasError():
-		return ErrUnknownEnd
+		return &net.OpError{Op: "read", Net: "tcp", Err: ErrUnknownEnd}
 	}
 	// EPIPE is the first error only of a connection whose remote host had ended its data,
 	// and a read that leaves the error of the socket has found that end before it.
--- a/internal/transport/socket/conn_test.go
+++ b/internal/transport/socket/conn_test.go
@@ -1,6 +1,7 @@
 package socket_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"strings"
@@ -165,3 +166,19 @@
 		})
 	}
 }
+
+// TestUnknownEndIsNoEnd guards against data that count as whole although what takes the
+// error of their connection is not known to it, and against an error that does not look
+// like one of a connection.
+func TestUnknownEndIsNoEnd(t *testing.T) {
+	near, far := pair(t)
+	reset(far)
+	awaitState(t, near, socket.Closed)
+	// This write is not seen by near.
+	_, err := near.TCPConn.Write([]byte("x"))
+	qt.Assert(t, err, qt.ErrorIs, syscall.ECONNRESET)
+	_, err = near.Read(make([]byte, 1))
+	qt.Check(t, err, qt.ErrorIs, socket.ErrUnknownEnd)
+	var network net.Error
+	qt.Check(t, errors.As(err, &network), qt.IsTrue)
+}
--- a/internal/transport/tunnel/tunnel.go
+++ b/internal/transport/tunnel/tunnel.go
@@ -169,7 +169,7 @@
 }
 
 // lingerTime bounds how long a tunnel whose upstream has ended its data waits for the peer
-// to read them. To close the connection while the peer sends would reset it.
+// to read it. Closing the connection while the peer still sends would reset it.
 const lingerTime = time.Second
 
 // join copies between the connection of a peer and that of an upstream until one of them
