--- a/internal/transport/http1/reset_test.go
+++ b/internal/transport/http1/reset_test.go
@@ -104,6 +104,9 @@
 						qt.Check(t, err, qt.IsNil)
 						io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
 						<-answered
+						for !socket.HasUnread(c) {
+							time.Sleep(time.Millisecond)
+						}
 						x.end(c, r.Body)
 					})
 					pool := newPool()
