--- a/review/cases-3/harness.go
+++ b/review/cases-3/harness.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lovageport.example/internal/standin/program"
+	"lovageport.example/platform"
 	"lovageport.example/platform/platformtest"
 )
 
@@ -129,7 +130,7 @@
 // ready reports whether the platform's probe is answered with 200.
 func (g *gateway) ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Get("http://" + g.health + "/v1/readyz")
+	resp, err := client.Get("http://" + g.health + platform.ReadyPath)
 	if err != nil {
 		return false
 	}
