Review case 12: a hold-off is forgotten when the server's entry lapses

Cause: rebuildPools drops the health record of an upstream that is not listed at the moment, with the hold-off that it has asked for. Shown by review/12/run.sh between stand-ins: a server that is cut off from the store for 5 s gets requests again some 6 s after its Retry-After: 20.

--- a/review/cases-3/main.go
+++ b/review/cases-3/main.go
@@ -25,6 +25,7 @@
 func main() {
 	cases := map[string]func(dir string, r *record) (int, error){
 		"reentry": playReentry,
+		"holdoff": playHoldOff,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases-3 CASE ROOT")
