--- a/review/cases-3/main.go
+++ b/review/cases-3/main.go
@@ -24,8 +24,9 @@
 
 func main() {
 	cases := map[string]func(dir string, r *record) (int, error){
-		"reentry": playReentry,
-		"holdoff": playHoldOff,
+		"reentry":    playReentry,
+		"holdoff":    playHoldOff,
+		"limitlapse": playLimitLapse,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases-3 CASE ROOT")
