--- a/review/cases-3/holdoff.go
+++ b/review/cases-3/holdoff.go
@@ -50,6 +50,7 @@
 	gateway, _, _ := strings.Cut(id, "/")
 	now := time.Now()
 	time.Sleep(answerTime)
+	o.r.line("%s refuses %s", o.server.Instance, id)
 	o.mu.Lock()
 	a := o.from[gateway]
 	switch {
@@ -107,6 +108,7 @@
 					case <-time.After(100 * time.Millisecond):
 					}
 					a := call(g, "GET", "/look/x", fmt.Sprintf("%s/%d/%d", g.name, k, n), "key", time.Second, 1, nil)
+					r.line("%s/%d/%d is answered %d, from a server %v, %v", g.name, k, n, a.status, platformtest.FromUpstream(a.header), a.err)
 					mu.Lock()
 					answers[a.status]++
 					mu.Unlock()
@@ -136,6 +138,9 @@
 	r.line("answers, by status: %v", answers)
 	most := 0
 	for _, o := range servers {
+		for _, q := range o.server.Requests() {
+			r.line("%s has run %s at %.3f", o.server.Instance, q.ID, q.At.Sub(r.began).Seconds())
+		}
 		o.mu.Lock()
 		for gateway, a := range o.from {
 			r.line("%s: %d requests from %s in the time for which it asked for none, without the first half second", o.server.Instance, a.late, gateway)
--- a/review/cases-3/limitlapse.go
+++ b/review/cases-3/limitlapse.go
@@ -113,6 +113,7 @@
 					case <-time.After(100 * time.Millisecond):
 					}
 					a := call(g, "GET", "/look/x", fmt.Sprintf("%s/%d/%d", g.name, k, n), "key", time.Second, 1, nil)
+					r.line("%s/%d/%d is answered %d, from a server %v, %v", g.name, k, n, a.status, platformtest.FromUpstream(a.header), a.err)
 					mu.Lock()
 					answers[a.status]++
 					mu.Unlock()
@@ -144,6 +145,9 @@
 	allowed := int(limitFactor*serverLimit*limitWindow.Seconds()) + limitExtra
 	code := held
 	for _, u := range servers {
+		for _, q := range u.Requests() {
+			r.line("%s has run %s at %.3f", u.Instance, q.ID, q.At.Sub(r.began).Seconds())
+		}
 		n, when := got[u.Instance].most()
 		r.line("%s: at most %d requests in %v, from %.3f s on; %d are allowed", u.Instance, n, limitWindow, when.Sub(r.began).Seconds(), allowed)
 		if n > allowed {
--- a/review/cases-3/reentry.go
+++ b/review/cases-3/reentry.go
@@ -216,6 +216,11 @@
 			return 0, err
 		}
 	}
+	for _, u := range servers {
+		for _, q := range u.Requests() {
+			r.line("%s has run %s at %.3f", u.Instance, q.ID, q.At.Sub(r.began).Seconds())
+		}
+	}
 	for _, g := range gateways {
 		r.line("%s is ready: %v", g.name, g.ready())
 	}
