internal/state/registry: keep the list of upstreams in a type of its own

The list as the store has it, the removals, the revision and the digest were fields of the gateway's state, and the upstreams in use were the same map. What decides whether a list or a change is outdated stood at several places there. registry.List holds them now; state.upstreams is what the gateway uses: the list with the entries that are retained or withheld.

No change of behaviour but one: a peer gets the entries as the store lists them, as the digest has always counted them, without the layers that an engine has reported to this gateway since.

--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -12,6 +12,7 @@
 	"lovageport.example/internal/coordination/retry"
 	"lovageport.example/internal/protocol/relay"
 	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/registry"
 	"lovageport.example/internal/state/routing"
 	"lovageport.example/pkg/verdict"
 )
@@ -31,6 +32,13 @@
 	return s
 }
 
+// emptyState returns the state of a gateway that knows no upstreams yet.
+func emptyState(t testing.TB) *state {
+	s := newState(t)
+	s.list, s.upstreams = registry.List{}, make(map[string]*fleet.Upstream)
+	return s
+}
+
 // newStateAt returns the state of a gateway that starts at a boot time.
 func newStateAt(t testing.TB, start time.Duration) *state {
 	g := &Gateway{Log: zap.NewNop(), Random: func() float64 { return 0.5 }, Now: func() time.Duration { return start }}
--- a/internal/gateway/listsync.go
+++ b/internal/gateway/listsync.go
@@ -63,8 +63,9 @@
 			return
 		}
 		out.ListAge = g.Now() - s.listedAt
-		out.ListRevision, out.ListEra = s.listRevision.Number, s.listRevision.Era
-		out.Upstreams = s.listForPeer()
+		at := s.list.Revision()
+		out.ListRevision, out.ListEra = at.Number, at.Era
+		out.Upstreams = s.list.Entries()
 	})
 	return out, nil
 }
@@ -132,10 +133,10 @@
 		return 0
 	}
 	at, known := s.peerRevision(n.Store.ListEra, n.ListRevision)
-	if !known || at.Era < s.listRevision.Era {
+	if !known || at.Era < s.list.Revision().Era {
 		return 0
 	}
-	newer := at.After(s.listRevision) && n.ListDigest != s.listDigest || g.isNewerTable(n.Table)
+	newer := at.After(s.list.Revision()) && n.ListDigest != s.list.Digest() || g.isNewerTable(n.Table)
 	fresher := age > staleAge && max(n.TableAge, n.ListAge)+now-m.LastHeard < age-minFreshnessGain
 	switch {
 	case !newer && !fresher:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -288,7 +288,7 @@
 	}
 	if s.listedAt > 0 {
 		n.ListAge = now - s.listedAt
-		n.ListDigest, n.ListRevision = s.listDigest, s.listRevision.Number
+		n.ListDigest, n.ListRevision = s.list.Digest(), s.list.Revision().Number
 		n.Follows = s.followsStore()
 	}
 	n.Store = s.storeNews(now)
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -27,7 +27,7 @@
 	return s, func() *peering.News {
 		next++
 		i := next % peers
-		n := &peering.News{Version: peering.Version, Table: 1, ListDigest: s.listDigest, Follows: true}
+		n := &peering.News{Version: peering.Version, Table: 1, ListDigest: s.list.Digest(), Follows: true}
 		n.Address = peering.Address{Gateway: fmt.Sprint("g", i), Zone: fmt.Sprint(i % 3), Address: fmt.Sprintf("10.0.%d.1:1", i)}
 		n.OfZone = n.Zone != s.zone
 		for k := range engines / 2 {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -138,7 +138,7 @@
 	now := s.now()
 	s.pools = make(map[string]*servicePool)
 	s.pruneLeaving(now)
-	s.pruneRemovals(now)
+	s.list.ForgetRemovalsBefore(now - removedRetention)
 	s.formerPools = slices.DeleteFunc(s.formerPools, func(f *formerPool) bool { return now > f.until })
 	if s.table == nil {
 		return
--- a/internal/gateway/removal_test.go
+++ b/internal/gateway/removal_test.go
@@ -55,7 +55,7 @@
 		s.expireRetained(now)
 	}
 	qt.Check(t, s.upstreams, qt.HasLen, 0)
-	qt.Check(t, s.listForPeer(), qt.HasLen, 0)
+	qt.Check(t, s.list.Entries(), qt.HasLen, 0)
 }
 
 // TestEntryListedAgainIsKept guards against an upstream that was retained after an
@@ -173,8 +173,7 @@
 		now := time.Second
 		var gateways []*modelGateway
 		for range 3 {
-			s := newState(t)
-			s.upstreams = make(map[string]*fleet.Upstream)
+			s := emptyState(t)
 			gateways = append(gateways, &modelGateway{s: s, present: make(map[int64]bool), absent: make(map[int64]bool)})
 		}
 		pick := func() *modelGateway { return gateways[rapid.IntRange(0, 2).Draw(r, "gateway")] }
@@ -216,8 +215,8 @@
 			},
 			"borrow": func(r *rapid.T) {
 				g, from := pick(), pick()
-				l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: from.s.listRevision, asOf: from.s.listedAt, fromPeer: true}
-				for _, u := range from.s.listForPeer() {
+				l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: from.s.list.Revision(), asOf: from.s.listedAt, fromPeer: true}
+				for _, u := range from.s.list.Entries() {
 					l.upstreams[u.Instance] = u
 				}
 				g.s.replaceUpstreams(l, now)
@@ -248,7 +247,7 @@
 			r.Fatalf("removed entry %s of revision %d is present again", u.Instance, u.Registered)
 		}
 		_, retained := g.s.retained[u.Instance]
-		if current := m.entries[u.Instance]; g.s.listRevision.Number == m.revision && !retained && (current == nil || current.Registered != u.Registered) {
+		if current := m.entries[u.Instance]; g.s.list.Revision().Number == m.revision && !retained && (current == nil || current.Registered != u.Registered) {
 			r.Fatalf("removed entry %s of revision %d is still present at revision %d of the list", u.Instance, u.Registered, m.revision)
 		}
 		if until, retained := g.s.retained[u.Instance]; retained && until > now+retentionTime {
--- a/internal/gateway/restoration.go
+++ b/internal/gateway/restoration.go
@@ -99,7 +99,7 @@
 
 // storeNews returns what this gateway tells peers about the store.
 func (s *state) storeNews(now time.Duration) peering.StoreNews {
-	out := peering.StoreNews{Era: s.eras.Era(), EraAge: s.eras.Age(now), ListEra: s.listRevision.Era}
+	out := peering.StoreNews{Era: s.eras.Era(), EraAge: s.eras.Age(now), ListEra: s.list.Revision().Era}
 	for _, u := range s.withheld {
 		if len(out.Withheld) < peering.MaxListItems {
 			out.Withheld = append(out.Withheld, u.Incarnation())
@@ -120,7 +120,7 @@
 		return revision.Revision{}, false
 	}
 	if era == 0 {
-		era = s.listRevision.Era
+		era = s.list.Revision().Era
 	}
 	return revision.Revision{Era: era, Number: number}, true
 }
--- a/internal/gateway/restoration_test.go
+++ b/internal/gateway/restoration_test.go
@@ -129,8 +129,7 @@
 		{"draining, once the old number has passed", func(l *listSource) { l.list(1, 180, draining); l.list(2, 190, e) }, false},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			s := newState(t)
-			s.upstreams = make(map[string]*fleet.Upstream)
+			s := emptyState(t)
 			x.steps(&listSource{s, time.Minute})
 			qt.Check(t, s.pools["llm"] != nil, qt.Equals, x.serves)
 		})
@@ -140,8 +139,7 @@
 // TestNewProcessLearnsWithheldUpstreams guards against a gateway that started after
 // a restoration using upstreams that its peers have seen draining.
 func TestNewProcessLearnsWithheldUpstreams(t *testing.T) {
-	s := newState(t)
-	s.upstreams = make(map[string]*fleet.Upstream)
+	s := emptyState(t)
 	l := &listSource{s, time.Minute}
 	e := registeredAt("e", 50)
 	l.list(2, 100, e)
@@ -152,7 +150,7 @@
 	qt.Check(t, s.pools["llm"], qt.IsNil)
 	qt.Check(t, s.storeNews(l.now).Withheld, qt.HasLen, 1)
 	// Peers get the entry as the store lists it.
-	qt.Check(t, s.listForPeer()[0].State, qt.Equals, fleet.Serving)
+	qt.Check(t, s.list.Entries()[0].State, qt.Equals, fleet.Serving)
 	l.wait(restoration.ReentryTime)
 	qt.Check(t, s.pools["llm"], qt.IsNotNil)
 }
@@ -168,10 +166,10 @@
 	l.list(2, 100, registeredAt("e", 50))
 	_, known = s.peerRevision(0, 190)
 	qt.Check(t, known, qt.IsFalse)
-	s.listDigest = 7
-	s.confirmListAge(&peering.News{ListDigest: 7, ListRevision: 190}, l.now+time.Second)
+	digest := s.list.Digest()
+	s.confirmListAge(&peering.News{ListDigest: digest, ListRevision: 190}, l.now+time.Second)
 	qt.Check(t, s.listedAt, qt.Equals, l.now)
-	s.confirmListAge(&peering.News{ListDigest: 7, ListRevision: 105, Store: peering.StoreNews{ListEra: 2}}, l.now+time.Second)
+	s.confirmListAge(&peering.News{ListDigest: digest, ListRevision: 105, Store: peering.StoreNews{ListEra: 2}}, l.now+time.Second)
 	qt.Check(t, s.listedAt, qt.Equals, l.now+time.Second)
 }
 
@@ -259,8 +257,7 @@
 		m.modelStore = modelStore{revision: 10, entries: make(map[string]*fleet.Upstream)}
 		var gateways []*restorableGateway
 		for range 2 {
-			s := newState(t)
-			s.upstreams = make(map[string]*fleet.Upstream)
+			s := emptyState(t)
 			s.now = func() time.Duration { return now }
 			s.rebuildPools()
 			gateways = append(gateways, &restorableGateway{s: s, left: make(map[string]int), served: make(map[string]int), listedIn: make(map[string]int64)})
@@ -322,8 +319,8 @@
 			},
 			"borrow": func(r *rapid.T) {
 				g, from := pick(), pick()
-				l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: from.s.listRevision, asOf: from.s.listedAt, fromPeer: true}
-				for _, u := range from.s.listForPeer() {
+				l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: from.s.list.Revision(), asOf: from.s.listedAt, fromPeer: true}
+				for _, u := range from.s.list.Entries() {
 					l.upstreams[u.Instance] = u
 				}
 				g.s.eras.ObservePeer(from.s.eras.Era(), from.s.eras.Age(now), now)
@@ -377,7 +374,7 @@
 		generation := int(g.s.upstreams[name].Started)
 		_, retained := g.s.retained[name]
 		if g.left[name] >= generation && !m.serves(name, generation) && !retained {
-			r.Fatalf("%s of generation %d is used again, list %v, store %v", name, generation, g.s.listRevision, m.at())
+			r.Fatalf("%s of generation %d is used again, list %v, store %v", name, generation, g.s.list.Revision(), m.at())
 		}
 		g.served[name] = generation
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -23,6 +23,7 @@
 	"lovageport.example/internal/coordination/zonereport"
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/registry"
 	"lovageport.example/internal/state/revision"
 	"lovageport.example/internal/state/routing"
 )
@@ -35,13 +36,15 @@
 	random         func() float64
 	now            func() time.Duration
 
-	table     *routing.Table
+	table *routing.Table
+	// list is the list of upstreams as it is known of the store, and upstreams those
+	// that this gateway may use: the list with the retained and the withheld ones, and
+	// with the layers that engines have reported since.
+	list      registry.List
 	upstreams map[string]*fleet.Upstream
 	// listedAt is the boot time at which the list of upstreams is known to have
 	// been current.
 	listedAt time.Duration
-	// listRevision is the store revision of the list.
-	listRevision revision.Revision
 	// eras follows the restorations of the store. withheld holds, by instance,
 	// the entries that a restored store lists as serving although the upstream
 	// was seen draining or removed before; s.upstreams holds them as draining.
@@ -50,10 +53,7 @@
 	// changedSince holds the instances whose entries have changed since the
 	// store was restored.
 	changedSince map[string]bool
-	// listDigest is the sum of entryHashes, the hashes of the listed upstreams.
-	listDigest  uint64
-	entryHashes map[string]uint64
-	pools       map[string]*servicePool
+	pools        map[string]*servicePool
 	// formerPools are those of services that running requests were accepted for,
 	// and that the table no longer describes alike.
 	formerPools []*formerPool
@@ -141,9 +141,6 @@
 	// when upstreams are kept that the list no longer contains.
 	outage   outage.Tracker
 	retained map[string]time.Duration
-	// removals holds, by instance, the last entries that were removed from the
-	// list.
-	removals map[string]removal
 	// keptDraining holds, by instance, the list revision at which the upstreams
 	// were known to drain that a later list of a peer shows as serving.
 	keptDraining map[string]revision.Revision
@@ -210,13 +207,11 @@
 		s.waiting.refused, s.waiting.returned = g.metrics.queueRefusals, g.metrics.queuedReturns
 	}
 	s.upstreams = make(map[string]*fleet.Upstream)
-	s.entryHashes = make(map[string]uint64)
 	s.loads = make(map[string]*upstreamLoad)
 	s.linkLimiters = make(map[linkKey]*pathfinding.LinkLimiter)
 	s.listSourcesLeft = make(map[string]time.Duration)
 	s.leaving = make(map[fleet.Incarnation]time.Duration)
 	s.retained = make(map[string]time.Duration)
-	s.removals = make(map[string]removal)
 	s.withheld = make(map[string]*fleet.Upstream)
 	s.changedSince = make(map[string]bool)
 	s.retryWindows = make(map[string]*retry.Window)
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -1,16 +1,15 @@
 package gateway
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/protocol/peering"
 	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/registry"
 	"lovageport.example/internal/state/revision"
 	"lovageport.example/platform"
 )
@@ -34,7 +33,7 @@
 // replaceUpstreams replaces the list of upstreams by l, unless l is of an older
 // revision.
 func (s *state) replaceUpstreams(l upstreamList, now time.Duration) {
-	before := s.listRevision
+	before := s.list.Revision()
 	if l.revision.Before(before) {
 		return
 	}
@@ -46,38 +45,41 @@
 	if before.Era > 0 && l.revision.Era > before.Era {
 		s.beginEra(before, l.revision, now)
 	}
-	all := l.upstreams
-	maps.DeleteFunc(all, func(_ string, u *fleet.Upstream) bool { return s.wasRemoved(u, l.revision.Era) })
-	s.withholdReentering(all, l.revision.Era, l.asOf)
+	all := s.list.Merge(l.upstreams, l.revision)
+	s.withheld = s.reentering(all, l.revision.Era, l.asOf)
 	if l.fromPeer {
 		s.preserveDraining(all)
 	} else {
 		s.keptDraining = nil
 	}
-	if len(all) > len(s.upstreams) {
+	gone := s.list.Replace(all, l.revision, now)
+	s.listedAt = max(s.listedAt, l.asOf)
+	s.useEntries(all, gone, now)
+	s.rebuildPools()
+}
+
+// useEntries uses the entries of a new list, in which others are gone.
+func (s *state) useEntries(all map[string]*fleet.Upstream, gone []*fleet.Upstream, now time.Duration) {
+	old := s.upstreams
+	if len(all) > len(old) {
 		s.listGrewAt = now
 	}
-	s.listDigest = 0
-	s.entryHashes = make(map[string]uint64, len(all))
-	for instance := range all {
-		s.updateDigest(instance, s.listedEntry(all, instance))
+	s.upstreams = maps.Clone(all)
+	for instance, u := range s.withheld {
+		s.upstreams[instance] = drainingCopy(u)
 	}
-	old := s.upstreams
-	s.upstreams = all
-	s.resetRestarted(old, all)
-	s.listedAt = max(s.listedAt, l.asOf)
-	s.listRevision = l.revision
-	for instance, u := range all {
+	s.resetRestarted(old, s.upstreams)
+	for instance, u := range s.upstreams {
 		delete(s.retained, instance)
 		s.forgetEarlierRemoval(instance)
 		s.logUpstreamChange(old[instance], u, now)
 	}
-	for instance, u := range old {
-		if all[instance] == nil {
-			s.removeUpstream(u, before.Era, now)
-		}
+	for instance := range s.retained {
+		s.upstreams[instance] = old[instance]
+	}
+	for _, u := range gone {
+		s.dropOrRetain(old[u.Instance], now)
 	}
-	s.rebuildPools()
 }
 
 // applyChanges applies changes of the list. The list is known to have been
@@ -85,15 +87,16 @@
 // from a peer are skipped, except for those that end draining.
 func (s *state) applyChanges(c platform.UpstreamChanges, at, now time.Duration) {
 	s.outage.RecordAnswer(now)
-	if c.Revision.Era < s.listRevision.Era {
+	known := s.list.Revision()
+	if c.Revision.Era < known.Era {
 		return
 	}
 	s.listedAt = max(s.listedAt, at)
 	changes := c.Changes
-	if !c.Revision.After(s.listRevision) {
+	if !c.Revision.After(known) {
 		changes = slices.DeleteFunc(slices.Clone(changes), func(c platform.UpstreamChange) bool { return !s.endsDraining(c) })
 	}
-	s.listRevision = s.listRevision.Max(c.Revision)
+	s.list.Advance(c.Revision)
 	if len(changes) == 0 {
 		return
 	}
@@ -111,16 +114,14 @@
 }
 
 func (s *state) applyChange(c platform.UpstreamChange, now time.Duration) {
-	era := s.listRevision.Era
-	if c.Upstream != nil && s.wasRemoved(c.Upstream, era) {
+	if !s.list.Apply(registry.Change{Instance: c.Instance, Upstream: c.Upstream}, now) {
 		return
 	}
 	s.endWithholding(c.Instance)
-	s.updateDigest(c.Instance, c.Upstream)
 	old := s.upstreams[c.Instance]
 	if c.Upstream == nil {
 		if old != nil {
-			s.removeUpstream(old, era, now)
+			s.dropOrRetain(old, now)
 		}
 		return
 	}
@@ -138,34 +139,17 @@
 	s.logUpstreamChange(old, c.Upstream, now)
 }
 
-// removal is an entry that was removed from the list.
-type removal struct {
-	// registered is the store revision at which the entry was created.
-	registered revision.Revision
-	// started identifies the incarnation of the upstream.
-	started int64
-	at      time.Duration
-}
-
-// wasRemoved reports whether an entry, as listed in an era of the store, is known
-// to have been removed in that era, so that its source is outdated. An entry that
-// was created again is a different one.
-func (s *state) wasRemoved(u *fleet.Upstream, era int64) bool {
-	r, known := s.removals[u.Instance]
-	return known && u.Registered > 0 && r.registered.Era == era && u.Registered <= r.registered.Number
-}
-
 // preserveDraining keeps upstreams of a peer's list draining if they are known
 // to drain: only the store may return the same incarnation to service.
 func (s *state) preserveDraining(entries map[string]*fleet.Upstream) {
 	kept := make(map[string]revision.Revision)
 	for instance, u := range entries {
 		known := s.upstreams[instance]
-		if u.State == fleet.Draining || known == nil || known.State != fleet.Draining || !isSameEntry(known, u) {
+		if s.withheld[instance] != nil || u.State == fleet.Draining || known == nil || known.State != fleet.Draining || !isSameEntry(known, u) {
 			continue
 		}
 		entries[instance] = drainingCopy(u)
-		kept[instance] = s.listRevision
+		kept[instance] = s.list.Revision()
 		if since, already := s.keptDraining[instance]; already {
 			kept[instance] = since
 		}
@@ -173,33 +157,16 @@
 	s.keptDraining = kept
 }
 
-// pruneRemovals forgets removals that are older than removedRetention.
-func (s *state) pruneRemovals(now time.Duration) {
-	maps.DeleteFunc(s.removals, func(_ string, r removal) bool { return now-r.at > removedRetention })
-}
-
 // logUpstreamChange logs the listed state of an upstream if it differs from
 // old, which is nil if the upstream was not listed.
 func (s *state) logUpstreamChange(old, u *fleet.Upstream, now time.Duration) {
 	if old != nil && old.State == u.State && old.Held == u.Held && old.Started == u.Started {
 		return
 	}
+	at := s.list.Revision()
 	s.log.Info("upstream changed", zap.String("upstream", u.Instance), zap.String("service", u.Service), zap.String("zone", u.Zone), zap.String("accelerator", u.Accelerator),
 		zap.Bool("draining", u.State == fleet.Draining), zap.Int("from", u.Held.From), zap.Int("to", u.Held.To),
-		zap.Int64("started", u.Started), zap.Int64("registered", u.Registered), zap.Int64("era", s.listRevision.Era), zap.Int64("revision", s.listRevision.Number), zap.Duration("list_age", now-s.listedAt))
-}
-
-// removeUpstream records the removal of an upstream that is no longer listed. Its
-// entry was last listed in the given era of the store.
-func (s *state) removeUpstream(u *fleet.Upstream, era int64, now time.Duration) {
-	if _, retained := s.retained[u.Instance]; retained {
-		// The removal is recorded already, maybe of an earlier era.
-		s.dropOrRetain(u, now)
-		return
-	}
-	registered := revision.Revision{Era: era, Number: u.Registered}
-	s.removals[u.Instance] = removal{registered: registered.Max(s.removals[u.Instance].registered), started: u.Started, at: now}
-	s.dropOrRetain(u, now)
+		zap.Int64("started", u.Started), zap.Int64("registered", u.Registered), zap.Int64("era", at.Era), zap.Int64("revision", at.Number), zap.Duration("list_age", now-s.listedAt))
 }
 
 // dropOrRetain drops an upstream that is no longer listed, or retains it for a
@@ -239,42 +206,17 @@
 	}
 }
 
-// listForPeer returns the upstreams as they are listed, ordered by instance.
-// Retained upstreams, which the list no longer contains, are left out.
-func (s *state) listForPeer() []*fleet.Upstream {
-	var out []*fleet.Upstream
-	for _, instance := range slices.Sorted(maps.Keys(s.upstreams)) {
-		if _, retained := s.retained[instance]; !retained {
-			out = append(out, s.listedEntry(s.upstreams, instance))
-		}
-	}
-	return out
-}
-
-// updateDigest updates the digest of the list; u is nil if the upstream was
-// removed.
-func (s *state) updateDigest(instance string, u *fleet.Upstream) {
-	s.listDigest -= s.entryHashes[instance]
-	if u == nil {
-		delete(s.entryHashes, instance)
-		return
-	}
-	hash := xxhash.Sum64String(fmt.Sprintf("%+v", *u))
-	s.entryHashes[instance] = hash
-	s.listDigest += hash
-}
-
 // confirmListAge takes over a peer's more recent confirmation of the list of
 // upstreams, if the peer has the same list.
 func (s *state) confirmListAge(n *peering.News, sent time.Duration) {
 	at, known := s.peerRevision(n.Store.ListEra, n.ListRevision)
-	if !known || at.Era != s.listRevision.Era {
+	if !known || at.Era != s.list.Revision().Era {
 		return
 	}
-	if n.ListAge >= 0 && n.ListDigest == s.listDigest && s.listedAt > 0 {
+	if n.ListAge >= 0 && n.ListDigest == s.list.Digest() && s.listedAt > 0 {
 		s.listedAt = max(s.listedAt, sent-n.ListAge)
 		s.outage.RecordPeerAnswer(sent-n.ListAge, s.now())
-		s.listRevision = s.listRevision.Max(at)
+		s.list.Advance(at)
 	}
 }
 
--- a/internal/gateway/upstreams_test.go
+++ b/internal/gateway/upstreams_test.go
@@ -92,7 +92,8 @@
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			s := newState(t)
-			s.listedAt, s.listRevision = now-x.listAge, numbered(10)
+			s.listedAt = now - x.listAge
+			s.list.Advance(numbered(10))
 			g := &Gateway{}
 			g.routing.Adopt(&routing.Table{Version: 1})
 			g.routing.Confirm(1, now)
@@ -101,7 +102,7 @@
 				n.Zone = max(n.Zone, s.zone)
 				n.Table = max(n.Table, 1)
 				if n.ListDigest == 0 {
-					n.ListDigest = s.listDigest
+					n.ListDigest = s.list.Digest()
 				}
 				s.mergeNews(&n, now)
 			}
--- a/internal/gateway/withheld.go
+++ b/internal/gateway/withheld.go
@@ -10,21 +10,21 @@
 	"lovageport.example/internal/state/fleet"
 )
 
-// withholdReentering replaces upstreams in a list, read in an era of the store,
-// that were seen draining or removed in an earlier one. They stay draining until
-// they report anew or a list that is current after restoration.ReentryTime still
-// contains them. The list was current at the boot time asOf.
-func (s *state) withholdReentering(all map[string]*fleet.Upstream, era int64, asOf time.Duration) {
+// reentering returns the entries of a list, read in an era of the store, whose upstreams
+// were seen draining or removed in an earlier one. They stay draining until they report
+// anew or a list that is current after restoration.ReentryTime still contains them. The
+// list was current at the boot time asOf.
+func (s *state) reentering(all map[string]*fleet.Upstream, era int64, asOf time.Duration) map[string]*fleet.Upstream {
 	withheld := make(map[string]*fleet.Upstream)
-	if s.eras.Reentering(asOf) {
-		for instance, u := range all {
-			if u.State == fleet.Serving && s.reenters(u, era) {
-				withheld[instance] = u
-				all[instance] = drainingCopy(u)
-			}
+	if !s.eras.Reentering(asOf) {
+		return withheld
+	}
+	for instance, u := range all {
+		if u.State == fleet.Serving && s.reenters(u, era) {
+			withheld[instance] = u
 		}
 	}
-	s.withheld = withheld
+	return withheld
 }
 
 // reenters reports whether an entry, as listed in an era of the store, shows an
@@ -37,11 +37,11 @@
 	if w := s.withheld[u.Instance]; w != nil && isSameEntry(w, u) {
 		return true
 	}
-	if era == s.listRevision.Era {
+	if era == s.list.Revision().Era {
 		return false
 	}
-	r, removed := s.removals[u.Instance]
-	if removed && r.registered.Era < era && u.Registered <= r.registered.Number && u.Started <= r.started {
+	r, removed := s.list.Removal(u.Instance)
+	if removed && r.Created.Era < era && u.Registered <= r.Created.Number && u.Started <= r.Started {
 		return true
 	}
 	known := s.upstreams[u.Instance]
@@ -55,8 +55,9 @@
 // forgetEarlierRemoval forgets that an entry was removed in an earlier era of the
 // store, once it is listed anew.
 func (s *state) forgetEarlierRemoval(instance string) {
-	if s.withheld[instance] == nil && s.removals[instance].registered.Era < s.listRevision.Era {
-		delete(s.removals, instance)
+	r, removed := s.list.Removal(instance)
+	if removed && s.withheld[instance] == nil && r.Created.Era < s.list.Revision().Era {
+		s.list.ForgetRemoval(instance)
 	}
 }
 
@@ -73,14 +74,6 @@
 	return &out
 }
 
-// listedEntry returns an upstream of all as the store lists it.
-func (s *state) listedEntry(all map[string]*fleet.Upstream, instance string) *fleet.Upstream {
-	if w := s.withheld[instance]; w != nil {
-		return w
-	}
-	return all[instance]
-}
-
 // endWithholding records that the entry of an upstream has changed in the present
 // era of the store, so that what was known before no longer holds.
 func (s *state) endWithholding(instance string) {
@@ -93,7 +86,7 @@
 // mergeWithheld withholds the upstreams that a peer withholds, unless their
 // entries have changed since.
 func (s *state) mergeWithheld(n *peering.News) {
-	if n.Store.ListEra != s.listRevision.Era || !s.eras.Reentering(s.listedAt) {
+	if n.Store.ListEra != s.list.Revision().Era || !s.eras.Reentering(s.listedAt) {
 		return
 	}
 	changed := false
@@ -124,7 +117,7 @@
 	for instance, u := range s.withheld {
 		s.log.Info("upstream in service again", zap.String("upstream", instance), zap.Duration("after", restoration.ReentryTime))
 		s.upstreams[instance] = u
-		delete(s.removals, instance)
+		s.list.ForgetRemoval(instance)
 	}
 	clear(s.withheld)
 	s.rebuildPools()
