registry: old facts no longer remove upstreams that are registered again

Cause: what is known of an instance at one revision was applied to an entry of the same name that was created later. A gateway learns of the new entries from a peer's list; its watch then goes on from before the outage and brings the old deletions, which removed the new entries and recorded them as removed, so that their creations, which follow, and all lists were taken for outdated. Its list had the highest revision, so peers adopted it.

Change: a fact concerns the entries created up to its revision, and no other (List.concerns), for changes and for lists of the same era.

--- a/internal/gateway/removal_test.go
+++ b/internal/gateway/removal_test.go
@@ -130,6 +130,51 @@
 	}
 }
 
+// TestNewEntryOutlivesEarlierFacts guards against an upstream that has registered again
+// being lost for good, at one gateway and then at all, because what was true of its
+// earlier entry arrives after the new entry: its deletion, its absence or its state.
+func TestNewEntryOutlivesEarlierFacts(t *testing.T) {
+	earlier, again := registeredAt("e", 5), registeredAt("e", 13)
+	set := func(at int64, u *fleet.Upstream) platform.UpstreamChange {
+		return platform.UpstreamChange{Instance: "e", Revision: numbered(at), Upstream: u}
+	}
+	deleted := func(at int64) platform.UpstreamChange { return set(at, nil) }
+	watch := func(to int64, changes ...platform.UpstreamChange) func(*listSource) {
+		return func(l *listSource) {
+			l.s.applyChanges(platform.UpstreamChanges{Changes: changes, Revision: numbered(to)}, 0, l.now)
+		}
+	}
+	store := func(at int64, us ...*fleet.Upstream) func(*listSource) {
+		return func(l *listSource) { l.list(0, at, us...) }
+	}
+	peer := func(at int64, us ...*fleet.Upstream) func(*listSource) {
+		return func(l *listSource) { l.peerList(0, at, us...) }
+	}
+	for _, x := range []struct {
+		name   string
+		steps  []func(*listSource)
+		serves bool
+	}{
+		{"peer's list, then all changes", []func(*listSource){store(10, earlier), peer(14, again), watch(15, deleted(12), set(13, again))}, true},
+		{"peer's list, then changes up to the deletion", []func(*listSource){store(10, earlier), peer(14, again), watch(15, deleted(12))}, true},
+		{"peer's list, then changes, then the store's list", []func(*listSource){store(10, earlier), peer(14, again), watch(15, deleted(12), set(13, again)), store(16, again)}, true},
+		{"peer's list, then the earlier entry draining", []func(*listSource){store(10, earlier), peer(14, again), watch(15, set(11, drainingCopy(earlier)))}, true},
+		{"peer's list, then deleted indeed", []func(*listSource){store(10, earlier), peer(14, again), watch(16, deleted(12), set(13, again), deleted(16))}, false},
+		{"list with a later page, then the changes of its time", []func(*listSource){store(10, again), watch(14, deleted(12), set(13, again))}, true},
+		{"list with a later page, then an equal one of a peer without it", []func(*listSource){store(10, again), peer(10), watch(14, deleted(12), set(13, again))}, true},
+		{"list with a later page, then one of a peer with the earlier entry", []func(*listSource){store(10, again), peer(11, earlier), watch(14, deleted(12), set(13, again))}, true},
+		{"list with a later page, then one of a peer from after its removal", []func(*listSource){store(10, again), peer(14)}, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			s := emptyState(t)
+			for _, step := range x.steps {
+				step(&listSource{s, time.Minute})
+			}
+			qt.Check(t, s.pools["llm"] != nil, qt.Equals, x.serves)
+		})
+	}
+}
+
 // modelStore models the list of upstreams in the store.
 type modelStore struct {
 	revision int64
@@ -145,7 +190,7 @@
 
 func (m *modelStore) change(instance string, u *fleet.Upstream) {
 	m.revision++
-	m.log = append(m.log, modelChange{m.revision, platform.UpstreamChange{Instance: instance, Upstream: u}})
+	m.log = append(m.log, modelChange{m.revision, platform.UpstreamChange{Instance: instance, Revision: numbered(m.revision), Upstream: u}})
 	if u == nil {
 		delete(m.entries, instance)
 		return
@@ -165,8 +210,8 @@
 
 // TestRemovedEntryStaysRemovedInAnyOrder applies watches, lists, peers' lists,
 // outages and expiries in random order. An entry that a gateway has removed
-// must not return, and one that the store has removed must not be kept for
-// longer than retentionTime.
+// must not return, one that the store has removed must not be kept for longer than
+// retentionTime, and a gateway whose list is current must have all that the store lists.
 func TestRemovedEntryStaysRemovedInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		m := &modelStore{revision: 10, entries: make(map[string]*fleet.Upstream)}
@@ -254,6 +299,11 @@
 			r.Fatalf("entry %s is retained until %v at %v, beyond the retention time", u.Instance, until, now)
 		}
 	}
+	for name, u := range m.entries {
+		if g.s.list.Revision().Number == m.revision && !has[u.Registered] {
+			r.Fatalf("entry %s of revision %d is missing at revision %d of the list", name, u.Registered, m.revision)
+		}
+	}
 	for at := range g.present {
 		if !has[at] {
 			g.absent[at] = true
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -114,7 +114,7 @@
 }
 
 func (s *state) applyChange(c platform.UpstreamChange, now time.Duration) {
-	if !s.list.Apply(registry.Change{Instance: c.Instance, Upstream: c.Upstream}, now) {
+	if !s.list.Apply(registry.Change{Instance: c.Instance, Revision: c.Revision, Upstream: c.Upstream}, now) {
 		return
 	}
 	s.endWithholding(c.Instance)
--- a/internal/state/registry/list.go
+++ b/internal/state/registry/list.go
@@ -1,6 +1,11 @@
 // Package registry keeps the list of upstreams that are registered in the platform's
 // store, as a gateway knows it from lists and changes of the store and from the lists of
 // its peers, which arrive in any order.
+//
+// Each of them is a fact at a revision: an instance has an entry, in some state, or has
+// none. An upstream whose entry expired registers again under its instance name, and
+// then has a new entry with a later revision of creation. A fact concerns the entries
+// that were created up to its revision, and says nothing about later ones.
 package registry
 
 import (
@@ -40,6 +45,8 @@
 // Change is a change of the entry of an instance.
 type Change struct {
 	Instance string
+	// Revision is the revision of the change in the era of the list.
+	Revision revision.Revision
 	// Upstream is the new entry, or nil if the entry was deleted.
 	Upstream *fleet.Upstream
 }
@@ -66,13 +73,28 @@
 }
 
 // Merge returns the entries of a list that was read at a revision, without those that are
-// known to have been removed.
+// known to have been removed, and with the known ones that the list does not concern.
 func (l *List) Merge(listed map[string]*fleet.Upstream, at revision.Revision) map[string]*fleet.Upstream {
 	out := maps.Clone(listed)
 	maps.DeleteFunc(out, func(_ string, u *fleet.Upstream) bool { return l.wasRemoved(u, at.Era) })
+	for instance, known := range l.entries {
+		if l.concerns(at, known) {
+			continue
+		}
+		if u := out[instance]; u == nil || u.Registered < known.Registered {
+			out[instance] = known
+		}
+	}
 	return out
 }
 
+// concerns reports whether a fact at a revision concerns a listed entry. Revisions of
+// different eras say nothing about the order of a fact and a creation: a later era's list
+// replaces all entries.
+func (l *List) concerns(at revision.Revision, u *fleet.Upstream) bool {
+	return at.Era != l.revision.Era || u.Registered <= at.Number
+}
+
 // Replace replaces the list by one that is not older, and returns the entries that are no
 // longer listed.
 func (l *List) Replace(entries map[string]*fleet.Upstream, at revision.Revision, now time.Duration) []*fleet.Upstream {
@@ -94,10 +116,13 @@
 	return gone
 }
 
-// Apply applies a change of the era of the list. It returns false if the change says
-// nothing about the upstream, because the entry is known to have been removed.
+// Apply applies a change of the era of the list. It returns false if the change does not
+// count, because its entry is known to have been removed or a later one is listed.
 func (l *List) Apply(c Change, now time.Duration) bool {
 	known := l.entries[c.Instance]
+	if known != nil && !l.concerns(c.Revision, known) {
+		return false
+	}
 	if c.Upstream != nil {
 		if l.wasRemoved(c.Upstream, l.revision.Era) {
 			return false
