gateway: say why an upstream is gone, and how many there are

A gateway that has lost upstreams which the others have shows by lovageport_gateway_upstreams.

TestGoneUpstreamTellsWhy covers the three reasons, also after an outage.

--- a/internal/gateway/listsync.go
+++ b/internal/gateway/listsync.go
@@ -181,7 +181,7 @@
 	}
 	g.Log.Info("lists fetched from peer", zap.String("peer", address), zap.Int64("configuration", lists.InForce), zap.Duration("configuration_age", lists.TableAge),
 		zap.Int64("revision", lists.ListRevision), zap.Duration("list_age", lists.ListAge))
-	l := upstreamList{upstreams: make(map[string]*fleet.Upstream, len(lists.Upstreams)), asOf: sent - lists.ListAge, fromPeer: true}
+	l := upstreamList{upstreams: make(map[string]*fleet.Upstream, len(lists.Upstreams)), asOf: sent - lists.ListAge, peer: address}
 	for _, u := range lists.Upstreams {
 		l.upstreams[u.Instance] = u
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,7 +28,11 @@
 	// listener and reason.
 	closedConns *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
-	orders      *prometheus.CounterVec
+	// upstreams are the upstreams in service, by service, and upstreamsGone counts
+	// those that are no longer listed, by reason.
+	upstreams     *prometheus.GaugeVec
+	upstreamsGone *prometheus.CounterVec
+	orders        *prometheus.CounterVec
 	// lostStages counts the stages that streams have lost, by whether they were
 	// replaced.
 	lostStages *prometheus.CounterVec
@@ -102,6 +106,12 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_store_calls_total", Help: "Calls of the platform's store, by method.",
 		}, []string{"method"}),
+		upstreams: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "lovageport_gateway_upstreams", Help: "Upstreams that may get requests by what is registered, by service.",
+		}, []string{"service"}),
+		upstreamsGone: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lovageport_gateway_upstreams_gone_total", Help: "Upstreams that are no longer registered, by how this gateway learned of it.",
+		}, []string{"reason"}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_orders_total", Help: "Orders to engines, by outcome.",
 		}, []string{"outcome"}),
@@ -182,7 +192,7 @@
 	})
 	m.registry.MustRegister(
 		m.answers, m.refusals, m.queueRefusals, m.queuedReturns, m.retries, m.firstByte, m.requestTime,
-		m.connections, m.closedConns, m.storeCalls, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams,
+		m.connections, m.closedConns, m.storeCalls, m.upstreams, m.upstreamsGone, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams,
 		m.tunnels, m.held, m.rejectedDemand, m.panics, m.containedPanics, m.prefixTokens, m.pauses, m.tableVersion,
 		m.storeRestorations, m.limitedUpstreams, m.limitedRequests, m.invalidLimits, m.peerMessages, inFlight, reporter, invalidReports, dropped,
 	)
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -152,6 +152,7 @@
 	for _, f := range s.formerPools {
 		f.update(serving[f.service.Name])
 	}
+	s.countUpstreams(serving)
 	s.logCoverage(now)
 	live := func(instance string) bool { return s.upstreams[instance] != nil }
 	s.health.Retain(live)
@@ -160,6 +161,17 @@
 	maps.DeleteFunc(s.loads, func(instance string, l *upstreamLoad) bool { return l.requests == 0 && !live(instance) })
 }
 
+// countUpstreams sets the numbers of upstreams in service.
+func (s *state) countUpstreams(serving map[string][]*fleet.Upstream) {
+	if s.metrics == nil {
+		return
+	}
+	s.metrics.upstreams.Reset()
+	for name := range s.table.Services {
+		s.metrics.upstreams.WithLabelValues(name).Set(float64(len(serving[name])))
+	}
+}
+
 // servingUpstreams returns the upstreams that may get new requests, by service
 // and ordered by instance.
 func (s *state) servingUpstreams() map[string][]*fleet.Upstream {
--- a/internal/gateway/removal_test.go
+++ b/internal/gateway/removal_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"pgregory.net/rapid"
 
 	"lovageport.example/internal/state/fleet"
@@ -85,7 +87,7 @@
 	}
 	peerList := func(revision int64, u *fleet.Upstream) func(*state) {
 		return func(s *state) {
-			l := upstreamList{upstreams: map[string]*fleet.Upstream{"e": u}, revision: numbered(revision), asOf: time.Minute, fromPeer: true}
+			l := upstreamList{upstreams: map[string]*fleet.Upstream{"e": u}, revision: numbered(revision), asOf: time.Minute, peer: "p"}
 			s.replaceUpstreams(l, time.Minute)
 		}
 	}
@@ -260,7 +262,7 @@
 			},
 			"borrow": func(r *rapid.T) {
 				g, from := pick(), pick()
-				l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: from.s.list.Revision(), asOf: from.s.listedAt, fromPeer: true}
+				l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: from.s.list.Revision(), asOf: from.s.listedAt, peer: "p"}
 				for _, u := range from.s.list.Entries() {
 					l.upstreams[u.Instance] = u
 				}
@@ -295,8 +297,8 @@
 		if current := m.entries[u.Instance]; g.s.list.Revision().Number == m.revision && !retained && (current == nil || current.Registered != u.Registered) {
 			r.Fatalf("removed entry %s of revision %d is still present at revision %d of the list", u.Instance, u.Registered, m.revision)
 		}
-		if until, retained := g.s.retained[u.Instance]; retained && until > now+retentionTime {
-			r.Fatalf("entry %s is retained until %v at %v, beyond the retention time", u.Instance, until, now)
+		if kept, retained := g.s.retained[u.Instance]; retained && kept.until > now+retentionTime {
+			r.Fatalf("entry %s is retained until %v at %v, beyond the retention time", u.Instance, kept.until, now)
 		}
 	}
 	for name, u := range m.entries {
@@ -323,3 +325,42 @@
 	qt.Assert(t, s.pools["llm"].members, qt.HasLen, 1)
 	qt.Check(t, s.pools["llm"].members[0].Instance, qt.Equals, "e2")
 }
+
+// TestGoneUpstreamTellsWhy guards against a loss of upstreams whose log does not say
+// whether the store or a peer has told of it, and as of which revision.
+func TestGoneUpstreamTellsWhy(t *testing.T) {
+	e := registeredAt("e", 5)
+	for _, x := range []struct {
+		name  string
+		leave func(*listSource)
+		want  map[string]any
+	}{
+		{"deleted", func(l *listSource) { l.change(0, 11, "e", nil) }, map[string]any{"reason": "deleted", "peer": "", "revision": "0/11"}},
+		{"not listed by the store", func(l *listSource) { l.list(0, 12) }, map[string]any{"reason": "not_listed_by_store", "peer": "", "revision": "0/12"}},
+		{"not listed by a peer", func(l *listSource) { l.peerList(0, 13) }, map[string]any{"reason": "not_listed_by_peer", "peer": "p", "revision": "0/13"}},
+		{"deleted around an outage", func(l *listSource) {
+			l.s.recordListResult(errDown, l.now)
+			l.change(0, 11, "e", nil)
+			l.wait(retentionTime)
+		}, map[string]any{"reason": "deleted", "peer": "", "revision": "0/11"}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := emptyState(t)
+			core, lines := observer.New(zap.InfoLevel)
+			s.log = zap.New(core)
+			s.metrics = newMetrics(&Gateway{})
+			l := &listSource{s, time.Minute}
+			l.list(0, 10, e)
+			c.Check(metricValue(t, s.metrics.upstreams.WithLabelValues("llm")), qt.Equals, 1.0)
+			x.leave(l)
+			gone := lines.FilterMessage("upstream gone").All()
+			c.Assert(gone, qt.HasLen, 1)
+			for field, want := range x.want {
+				c.Check(gone[0].ContextMap()[field], qt.Equals, want, qt.Commentf(field))
+			}
+			c.Check(metricValue(t, s.metrics.upstreamsGone.WithLabelValues(x.want["reason"].(string))), qt.Equals, 1.0)
+			c.Check(metricValue(t, s.metrics.upstreams.WithLabelValues("llm")), qt.Equals, 0.0)
+		})
+	}
+}
--- a/internal/gateway/restoration_test.go
+++ b/internal/gateway/restoration_test.go
@@ -27,7 +27,7 @@
 }
 
 func (l *listSource) peerList(era, number int64, us ...*fleet.Upstream) {
-	l.apply(upstreamList{revision: revision.Revision{Era: era, Number: number}, asOf: l.now, fromPeer: true}, us)
+	l.apply(upstreamList{revision: revision.Revision{Era: era, Number: number}, asOf: l.now, peer: "p"}, us)
 }
 
 func (l *listSource) apply(list upstreamList, us []*fleet.Upstream) {
@@ -319,7 +319,7 @@
 			},
 			"borrow": func(r *rapid.T) {
 				g, from := pick(), pick()
-				l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: from.s.list.Revision(), asOf: from.s.listedAt, fromPeer: true}
+				l := upstreamList{upstreams: make(map[string]*fleet.Upstream), revision: from.s.list.Revision(), asOf: from.s.listedAt, peer: "p"}
 				for _, u := range from.s.list.Entries() {
 					l.upstreams[u.Instance] = u
 				}
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -129,7 +129,7 @@
 	resumed.q.attemptHistory.recordEvent(now)
 	s.admit(resumed, now)
 	c.Check(hasTarget(t, resumed), qt.IsTrue, qt.Commentf("a stream that has begun is limited"))
-	c.Check(counterValue(t, s.metrics.held.WithLabelValues("llm", fairshare.ByAccount)), qt.Equals, 1.0)
+	c.Check(metricValue(t, s.metrics.held.WithLabelValues("llm", fairshare.ByAccount)), qt.Equals, 1.0)
 
 	// A request that cannot be served in time is refused as without limits.
 	s.dispatch(now + streamQueueTimeout + testStep)
@@ -181,14 +181,14 @@
 	s.mergeNews(invalid, sharesTime)
 	c.Check(s.peerLoad("e").Requests, qt.Equals, 3.0)
 	c.Check(s.shares, qt.HasLen, 0)
-	c.Check(counterValue(t, s.metrics.rejectedDemand.WithLabelValues(demandInvalid)), qt.Equals, 1.0)
+	c.Check(metricValue(t, s.metrics.rejectedDemand.WithLabelValues(demandInvalid)), qt.Equals, 1.0)
 
 	unknown := newsOfPeer(s, peering.ServiceDemand{Service: "other", Scarcity: 1}, sound)
 	s.mergeNews(unknown, sharesTime)
 	c.Check(s.shares["other"], qt.IsNil)
 	c.Assert(s.shares["llm"], qt.IsNotNil)
 	c.Check(s.shares["llm"].Active(sharesTime), qt.IsTrue)
-	c.Check(counterValue(t, s.metrics.rejectedDemand.WithLabelValues(demandUnknownService)), qt.Equals, 1.0)
+	c.Check(metricValue(t, s.metrics.rejectedDemand.WithLabelValues(demandUnknownService)), qt.Equals, 1.0)
 }
 
 // TestDemandOfZone guards against demand of a zone that other zones do not learn of, or
@@ -257,12 +257,13 @@
 
 func waitingOf(d peering.ServiceDemand, account string) float32 { return classIn(d, account).Waiting }
 
-// counterValue returns the value of a counter.
-func counterValue(t *testing.T, counter prometheus.Counter) float64 {
+// metricValue returns the value of a counter or a gauge.
+func metricValue(t *testing.T, metric prometheus.Collector) float64 {
 	t.Helper()
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(counter)
+	registry.MustRegister(metric)
 	families, err := registry.Gather()
 	qt.Assert(t, err, qt.IsNil)
-	return families[0].Metric[0].Counter.GetValue()
+	m := families[0].Metric[0]
+	return m.Counter.GetValue() + m.Gauge.GetValue()
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -137,10 +137,10 @@
 	// probesAlone reports whether this gateway probes the lost upstreams of its
 	// zone without sharing that work with its peers.
 	probesAlone bool
-	// outage dates the outages of the store. retained holds, by instance, until
-	// when upstreams are kept that the list no longer contains.
+	// outage dates the outages of the store. retained holds, by instance, the upstreams
+	// that are kept although the list no longer contains them.
 	outage   outage.Tracker
-	retained map[string]time.Duration
+	retained map[string]retention
 	// keptDraining holds, by instance, the list revision at which the upstreams
 	// were known to drain that a later list of a peer shows as serving.
 	keptDraining map[string]revision.Revision
@@ -211,7 +211,7 @@
 	s.linkLimiters = make(map[linkKey]*pathfinding.LinkLimiter)
 	s.listSourcesLeft = make(map[string]time.Duration)
 	s.leaving = make(map[fleet.Incarnation]time.Duration)
-	s.retained = make(map[string]time.Duration)
+	s.retained = make(map[string]retention)
 	s.withheld = make(map[string]*fleet.Upstream)
 	s.changedSince = make(map[string]bool)
 	s.retryWindows = make(map[string]*retry.Window)
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -26,8 +26,39 @@
 	revision revision.Revision
 	// asOf is the boot time at which the list is known to have been current.
 	asOf time.Duration
-	// fromPeer reports whether a peer provided the list.
-	fromPeer bool
+	// peer is the address of the peer that provided the list; empty if the store has.
+	peer string
+}
+
+// departure tells why an upstream is no longer listed.
+type departure struct {
+	reason string
+	// peer is the address of the peer whose list lacks the upstream; empty if the store
+	// has told.
+	peer string
+	// revision is the revision of the store at which the upstream was not listed.
+	revision revision.Revision
+}
+
+// Reasons of departures, as labels of metrics and in logs.
+const (
+	reasonDeleted         = "deleted"
+	reasonNotListed       = "not_listed_by_store"
+	reasonNotListedByPeer = "not_listed_by_peer"
+)
+
+// departure returns why an upstream is gone that l lacks.
+func (l *upstreamList) departure() departure {
+	if l.peer != "" {
+		return departure{reasonNotListedByPeer, l.peer, l.revision}
+	}
+	return departure{reason: reasonNotListed, revision: l.revision}
+}
+
+// retention tells until when an upstream is kept that is no longer listed.
+type retention struct {
+	until time.Duration
+	departure
 }
 
 // replaceUpstreams replaces the list of upstreams by l, unless l is of an older
@@ -37,7 +68,7 @@
 	if l.revision.Before(before) {
 		return
 	}
-	if l.fromPeer {
+	if l.peer != "" {
 		s.outage.RecordPeerAnswer(l.asOf, now)
 	} else {
 		s.outage.RecordAnswer(now)
@@ -47,19 +78,23 @@
 	}
 	all := s.list.Merge(l.upstreams, l.revision)
 	s.withheld = s.reentering(all, l.revision.Era, l.asOf)
-	if l.fromPeer {
+	if l.peer != "" {
 		s.preserveDraining(all)
 	} else {
 		s.keptDraining = nil
 	}
 	gone := s.list.Replace(all, l.revision, now)
 	s.listedAt = max(s.listedAt, l.asOf)
-	s.useEntries(all, gone, now)
+	left := s.useEntries(all, gone, now)
+	for _, u := range left {
+		s.dropOrRetain(u, l.departure(), now)
+	}
 	s.rebuildPools()
 }
 
-// useEntries uses the entries of a new list, in which others are gone.
-func (s *state) useEntries(all map[string]*fleet.Upstream, gone []*fleet.Upstream, now time.Duration) {
+// useEntries uses the entries of a new list. It returns the upstreams of the entries
+// that are gone as they were used before.
+func (s *state) useEntries(all map[string]*fleet.Upstream, gone []*fleet.Upstream, now time.Duration) []*fleet.Upstream {
 	old := s.upstreams
 	if len(all) > len(old) {
 		s.listGrewAt = now
@@ -77,9 +112,11 @@
 	for instance := range s.retained {
 		s.upstreams[instance] = old[instance]
 	}
+	var left []*fleet.Upstream
 	for _, u := range gone {
-		s.dropOrRetain(old[u.Instance], now)
+		left = append(left, old[u.Instance])
 	}
+	return left
 }
 
 // applyChanges applies changes of the list. The list is known to have been
@@ -121,7 +158,7 @@
 	old := s.upstreams[c.Instance]
 	if c.Upstream == nil {
 		if old != nil {
-			s.dropOrRetain(old, now)
+			s.dropOrRetain(old, departure{reason: reasonDeleted, revision: c.Revision}, now)
 		}
 		return
 	}
@@ -172,25 +209,29 @@
 // dropOrRetain drops an upstream that is no longer listed, or retains it for a
 // while if its entry may only have expired during an outage of the store or been
 // lost with it.
-func (s *state) dropOrRetain(u *fleet.Upstream, now time.Duration) {
+func (s *state) dropOrRetain(u *fleet.Upstream, d departure, now time.Duration) {
 	ended, was := s.outage.Ended()
 	until := ended + retentionTime
 	if was && now < until && u.State == fleet.Serving {
-		s.retained[u.Instance] = until
+		s.retained[u.Instance] = retention{until, d}
 		s.upstreams[u.Instance] = u
 		return
 	}
 	delete(s.upstreams, u.Instance)
 	delete(s.retained, u.Instance)
-	s.log.Info("upstream gone", zap.String("upstream", u.Instance), zap.String("service", u.Service), zap.Duration("list_age", now-s.listedAt))
+	if s.metrics != nil {
+		s.metrics.upstreamsGone.WithLabelValues(d.reason).Inc()
+	}
+	s.log.Info("upstream gone", zap.String("upstream", u.Instance), zap.String("service", u.Service), zap.String("reason", d.reason), zap.String("peer", d.peer),
+		zap.Stringer("revision", d.revision), zap.Int64("registered", u.Registered), zap.Duration("list_age", now-s.listedAt))
 }
 
 // expireRetained removes retained upstreams that were not registered again in
 // time.
 func (s *state) expireRetained(now time.Duration) {
 	changed := false
-	for instance, until := range s.retained {
-		if now < until {
+	for instance, r := range s.retained {
+		if now < r.until {
 			continue
 		}
 		changed = true
@@ -198,7 +239,7 @@
 		if u := s.upstreams[instance]; u != nil {
 			// The store may have failed and recovered again meanwhile, which
 			// retains the upstream once more.
-			s.dropOrRetain(u, now)
+			s.dropOrRetain(u, r.departure, now)
 		}
 	}
 	if changed {
