gateway: notice a peer's list that lacks what the store has not deleted

A list of a peer with a higher revision is adopted as it is.

An upstream that goes because a peer's list lacks it must also be deleted by the store's own changes up to that revision. If these do not show it, the gateway logs that, counts it (lovageport_gateway_list_contradictions_total), does not ask the peer for a minute, reads the store's list, and lets that overrule the removal. This takes no call of the store as long as no list is wrong.

TestPeersWrongListIsContradicted: without the new code the upstream stays lost.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,10 +29,12 @@
 	closedConns *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
 	// upstreams are the upstreams in service, by service, and upstreamsGone counts
-	// those that are no longer listed, by reason.
-	upstreams     *prometheus.GaugeVec
-	upstreamsGone *prometheus.CounterVec
-	orders        *prometheus.CounterVec
+	// those that are no longer listed, by reason. contradictions counts those that a
+	// peer's list lacked although the store has not deleted them.
+	upstreams      *prometheus.GaugeVec
+	upstreamsGone  *prometheus.CounterVec
+	contradictions prometheus.Counter
+	orders         *prometheus.CounterVec
 	// lostStages counts the stages that streams have lost, by whether they were
 	// replaced.
 	lostStages *prometheus.CounterVec
@@ -112,6 +114,9 @@
 		upstreamsGone: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_upstreams_gone_total", Help: "Upstreams that are no longer registered, by how this gateway learned of it.",
 		}, []string{"reason"}),
+		contradictions: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lovageport_gateway_list_contradictions_total", Help: "Upstreams that a peer's list lacked although the store has not deleted them.",
+		}),
 		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lovageport_gateway_orders_total", Help: "Orders to engines, by outcome.",
 		}, []string{"outcome"}),
@@ -192,7 +197,7 @@
 	})
 	m.registry.MustRegister(
 		m.answers, m.refusals, m.queueRefusals, m.queuedReturns, m.retries, m.firstByte, m.requestTime,
-		m.connections, m.closedConns, m.storeCalls, m.upstreams, m.upstreamsGone, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams,
+		m.connections, m.closedConns, m.storeCalls, m.upstreams, m.upstreamsGone, m.contradictions, m.orders, m.lostStages, m.notices, m.cutStreams, m.keptStreams,
 		m.tunnels, m.held, m.rejectedDemand, m.panics, m.containedPanics, m.prefixTokens, m.pauses, m.tableVersion,
 		m.storeRestorations, m.limitedUpstreams, m.limitedRequests, m.invalidLimits, m.peerMessages, inFlight, reporter, invalidReports, dropped,
 	)
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -14,11 +14,6 @@
 	"lovageport.example/platform"
 )
 
-// retentionTime is how long upstreams that are missing from the list after an
-// outage of the store are kept: entries that expired during the outage are
-// registered again within two seconds if the upstream is alive.
-const retentionTime = 2200 * time.Millisecond
-
 // upstreamList is the complete list of upstreams at a revision of the store.
 type upstreamList struct {
 	upstreams map[string]*fleet.Upstream
@@ -30,37 +25,6 @@
 	peer string
 }
 
-// departure tells why an upstream is no longer listed.
-type departure struct {
-	reason string
-	// peer is the address of the peer whose list lacks the upstream; empty if the store
-	// has told.
-	peer string
-	// revision is the revision of the store at which the upstream was not listed.
-	revision revision.Revision
-}
-
-// Reasons of departures, as labels of metrics and in logs.
-const (
-	reasonDeleted         = "deleted"
-	reasonNotListed       = "not_listed_by_store"
-	reasonNotListedByPeer = "not_listed_by_peer"
-)
-
-// departure returns why an upstream is gone that l lacks.
-func (l *upstreamList) departure() departure {
-	if l.peer != "" {
-		return departure{reasonNotListedByPeer, l.peer, l.revision}
-	}
-	return departure{reason: reasonNotListed, revision: l.revision}
-}
-
-// retention tells until when an upstream is kept that is no longer listed.
-type retention struct {
-	until time.Duration
-	departure
-}
-
 // replaceUpstreams replaces the list of upstreams by l, unless l is of an older
 // revision.
 func (s *state) replaceUpstreams(l upstreamList, now time.Duration) {
@@ -86,6 +50,7 @@
 	gone := s.list.Replace(all, l.revision, now)
 	s.listedAt = max(s.listedAt, l.asOf)
 	left := s.useEntries(all, gone, now)
+	s.recordAbsence(left, l.departure())
 	for _, u := range left {
 		s.dropOrRetain(u, l.departure(), now)
 	}
@@ -206,47 +171,6 @@
 		zap.Int64("started", u.Started), zap.Int64("registered", u.Registered), zap.Int64("era", at.Era), zap.Int64("revision", at.Number), zap.Duration("list_age", now-s.listedAt))
 }
 
-// dropOrRetain drops an upstream that is no longer listed, or retains it for a
-// while if its entry may only have expired during an outage of the store or been
-// lost with it.
-func (s *state) dropOrRetain(u *fleet.Upstream, d departure, now time.Duration) {
-	ended, was := s.outage.Ended()
-	until := ended + retentionTime
-	if was && now < until && u.State == fleet.Serving {
-		s.retained[u.Instance] = retention{until, d}
-		s.upstreams[u.Instance] = u
-		return
-	}
-	delete(s.upstreams, u.Instance)
-	delete(s.retained, u.Instance)
-	if s.metrics != nil {
-		s.metrics.upstreamsGone.WithLabelValues(d.reason).Inc()
-	}
-	s.log.Info("upstream gone", zap.String("upstream", u.Instance), zap.String("service", u.Service), zap.String("reason", d.reason), zap.String("peer", d.peer),
-		zap.Stringer("revision", d.revision), zap.Int64("registered", u.Registered), zap.Duration("list_age", now-s.listedAt))
-}
-
-// expireRetained removes retained upstreams that were not registered again in
-// time.
-func (s *state) expireRetained(now time.Duration) {
-	changed := false
-	for instance, r := range s.retained {
-		if now < r.until {
-			continue
-		}
-		changed = true
-		delete(s.retained, instance)
-		if u := s.upstreams[instance]; u != nil {
-			// The store may have failed and recovered again meanwhile, which
-			// retains the upstream once more.
-			s.dropOrRetain(u, r.departure, now)
-		}
-	}
-	if changed {
-		s.rebuildPools()
-	}
-}
-
 // confirmListAge takes over a peer's more recent confirmation of the list of
 // upstreams, if the peer has the same list.
 func (s *state) confirmListAge(n *peering.News, sent time.Duration) {
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -412,7 +412,15 @@
 	for _, c := range changes.Changes {
 		g.logMalformed(c)
 	}
-	g.control.Do(func(s *state) { s.applyChanges(changes, confirmed, g.Now()) })
+	contradicted := false
+	g.control.Do(func(s *state) {
+		s.applyChanges(changes, confirmed, g.Now())
+		contradicted = s.confirmAbsence(changes, g.Now())
+	})
+	if contradicted {
+		// Read the list next.
+		return revision.Revision{}, nil
+	}
 	return changes.Revision, nil
 }
 
