health: a hold-off outlives the entry of its upstream

Cause: records were kept by instance for as long as the list had an entry of that name, so a hold-off ended with the entry, and an old change that showed the upstream as it was before its restart ended the hold-off of the present incarnation. It belongs to an incarnation, for as long as its time runs.

Change: Tracker keeps the incarnation that asked, and Retain drops a hold-off that has ended or whose upstream is listed as another incarnation. Two places that cleared it, one for lists and one for changes, are gone.

--- a/internal/coordination/health/health.go
+++ b/internal/coordination/health/health.go
@@ -9,6 +9,8 @@
 import (
 	"slices"
 	"time"
+
+	"lovageport.example/internal/state/fleet"
 )
 
 // Fault is the reason for which an upstream is excluded for a while.
@@ -95,8 +97,9 @@
 	paceMeasuredHere        bool
 	// meanLatency is the moving average of the response time.
 	meanLatency, latencyAt time.Duration
-	// holdOff is the hold-off that the upstream has requested.
+	// holdOff is the hold-off that the incarnation heldOff of the upstream has requested.
 	holdOff HoldOff
+	heldOff fleet.Incarnation
 	// failureRate is the moving average of failed attempts, in [0, 1].
 	failureRate float64
 	resultAt    time.Duration
@@ -312,10 +315,18 @@
 	return rec.failureRate
 }
 
-// Retain drops the state of all upstreams for which live returns false.
-func (t *Tracker) Retain(live func(instance string) bool) {
-	for instance := range t.records {
-		if !live(instance) {
+// Retain drops the state of all upstreams that are no longer listed, and the hold-offs of
+// those that are listed as another incarnation now. The hold-off of an upstream whose entry
+// has lapsed is kept to its end: the entry may be created again.
+func (t *Tracker) Retain(listed func(instance string) (fleet.Incarnation, bool), now time.Duration) {
+	for instance, rec := range t.records {
+		incarnation, ok := listed(instance)
+		switch {
+		case ok && rec.heldOff != incarnation:
+			rec.holdOff, rec.heldOff = HoldOff{}, fleet.Incarnation{}
+		case !ok && now < max(rec.holdOff.Calls, rec.holdOff.Work):
+			*rec = record{holdOff: rec.holdOff, heldOff: rec.heldOff}
+		case !ok:
 			delete(t.records, instance)
 		}
 	}
--- a/internal/coordination/health/holdoff.go
+++ b/internal/coordination/health/holdoff.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lovageport.example/internal/state/fleet"
 )
 
 // maxHoldOff bounds the hold-off that an upstream may request. A longer one is
@@ -20,16 +22,24 @@
 
 // HoldOffCalls records that an upstream wants no calls from this VM for the
 // duration wait. It reports whether that extends the known hold-off.
-func (t *Tracker) HoldOffCalls(instance string, wait, now time.Duration) bool {
-	h := &t.record(instance).holdOff
-	return extend(&h.Calls, wait, now)
+func (t *Tracker) HoldOffCalls(u fleet.Incarnation, wait, now time.Duration) bool {
+	return extend(&t.holdOffOf(u).Calls, wait, now)
 }
 
 // HoldOffWork records that an upstream has no room for work for the duration
 // wait. It reports whether that extends the known hold-off.
-func (t *Tracker) HoldOffWork(instance string, wait, now time.Duration) bool {
-	h := &t.record(instance).holdOff
-	return extend(&h.Work, wait, now)
+func (t *Tracker) HoldOffWork(u fleet.Incarnation, wait, now time.Duration) bool {
+	return extend(&t.holdOffOf(u).Work, wait, now)
+}
+
+// holdOffOf returns the hold-off of an incarnation to change it. That of another one is
+// dropped.
+func (t *Tracker) holdOffOf(u fleet.Incarnation) *HoldOff {
+	rec := t.record(u.Instance)
+	if rec.heldOff != u {
+		rec.holdOff, rec.heldOff = HoldOff{}, u
+	}
+	return &rec.holdOff
 }
 
 func extend(until *time.Duration, wait, now time.Duration) bool {
@@ -52,13 +62,6 @@
 	return now >= t.HoldOff(instance).Calls
 }
 
-// ClearHoldOff drops the hold-off of an upstream that has restarted.
-func (t *Tracker) ClearHoldOff(instance string) {
-	if rec := t.records[instance]; rec != nil {
-		rec.holdOff = HoldOff{}
-	}
-}
-
 // HoldingOffWork returns the upstreams that want no work, in order.
 func (t *Tracker) HoldingOffWork(now time.Duration) []string {
 	var out []string
--- a/internal/gateway/choice_test.go
+++ b/internal/gateway/choice_test.go
@@ -65,7 +65,7 @@
 	s := newChoiceState(t)
 	now := 10 * time.Second
 	s.health.RecordFault("e", health.Stalled, now)
-	s.health.HoldOffWork("f", 2*time.Second, now)
+	s.health.HoldOffWork(s.upstreams["f"].Incarnation(), 2*time.Second, now)
 	q, err := choiceRequest(s.table, choiceParameters, now)
 	c.Assert(err, qt.IsNil)
 	got := s.explainChoice(q, now)
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -105,10 +105,28 @@
 	}
 }
 
+// listedAs returns the incarnation as which an instance is listed, and whether it is.
+func (s *state) listedAs(instance string) (fleet.Incarnation, bool) {
+	u := s.upstreams[instance]
+	if u == nil {
+		return fleet.Incarnation{}, false
+	}
+	return u.Incarnation(), true
+}
+
 // isListed reports whether the list contains an incarnation of an upstream.
 func (s *state) isListed(i fleet.Incarnation) bool {
-	u := s.upstreams[i.Instance]
-	return u != nil && u.Incarnation() == i
+	listed, ok := s.listedAs(i.Instance)
+	return ok && listed == i
+}
+
+// listedIncarnation returns the incarnation as which an upstream is listed now, or that of
+// u if it is not listed.
+func (s *state) listedIncarnation(u *fleet.Upstream) fleet.Incarnation {
+	if listed, ok := s.listedAs(u.Instance); ok {
+		return listed
+	}
+	return u.Incarnation()
 }
 
 // recordHoldOff takes an upstream out of use that has refused a request and
@@ -116,13 +134,13 @@
 // stage is the one without capacity, and the upstream that answered may still
 // be used as a later stage.
 func (s *state) recordHoldOff(u *fleet.Upstream, head relay.ResponseHead, now time.Duration) {
-	longer := s.health.HoldOffCalls(u.Instance, head.RetryAfter, now)
+	longer := s.health.HoldOffCalls(s.listedIncarnation(u), head.RetryAfter, now)
 	full := u
 	if head.FaultAddress != "" && head.FaultAddress != u.Address {
 		full = s.upstreamAt(head.FaultAddress)
 	}
 	if full != nil {
-		s.health.HoldOffWork(full.Instance, head.RetryAfter, now)
+		s.health.HoldOffWork(s.listedIncarnation(full), head.RetryAfter, now)
 	}
 	if longer {
 		s.log.Info("upstream holds off requests", zap.String("upstream", u.Instance), zap.String("zone", u.Zone), zap.String("at_fault", head.FaultAddress),
@@ -258,14 +276,3 @@
 	}
 	return verdict.RefuseUntil(at-now, verdict.HeldOff, "the upstreams of %s want no requests for %v", q.service, at-now)
 }
-
-// resetRestarted forgets the hold-offs and the limits of upstreams that have been
-// restarted.
-func (s *state) resetRestarted(old, all map[string]*fleet.Upstream) {
-	for instance, u := range all {
-		if before := old[instance]; before != nil && before.Started != u.Started {
-			s.health.ClearHoldOff(instance)
-		}
-	}
-	s.pruneLimits(s.now())
-}
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -144,6 +144,62 @@
 	c.Assert(s.queue.Len("llm"), qt.Equals, 0)
 }
 
+// TestNoticesOutliveLapsedEntry guards against forgetting the hold-off that an upstream has
+// asked for because its entry lapses and is created again, or because an old
+// change shows it as it was before its restart.
+func TestNoticesOutliveLapsedEntry(t *testing.T) {
+	const now = time.Minute
+	for _, x := range []struct {
+		name string
+		play func(l *listSource, e *fleet.Upstream)
+		kept bool
+	}{
+		{"lapses and is created again", func(l *listSource, e *fleet.Upstream) {
+			l.change(0, 21, "e1", nil)
+			l.change(0, 22, "e1", createdAt(e, 22))
+		}, true},
+		{"lapses and is created again, in lists", func(l *listSource, e *fleet.Upstream) { l.list(0, 21); l.list(0, 22, createdAt(e, 22)) }, true},
+		{"old change", func(l *listSource, e *fleet.Upstream) {
+			before := *e
+			before.Started--
+			set := func(at int64, u *fleet.Upstream) platform.UpstreamChange {
+				return platform.UpstreamChange{Instance: "e1", Revision: numbered(at), Upstream: u}
+			}
+			l.s.applyChanges(platform.UpstreamChanges{Changes: []platform.UpstreamChange{set(18, &before), set(19, e)}, Revision: numbered(21)}, 0, l.now)
+		}, true},
+		{"restart", func(l *listSource, e *fleet.Upstream) {
+			restarted := *e
+			restarted.Started++
+			l.change(0, 21, "e1", &restarted)
+		}, false},
+		{"lapses and is created again after a restart", func(l *listSource, e *fleet.Upstream) {
+			restarted := createdAt(e, 22)
+			restarted.Started++
+			l.change(0, 21, "e1", nil)
+			l.change(0, 22, "e1", restarted)
+		}, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := callState(t, "e1")
+			s.now = func() time.Duration { return now }
+			l := &listSource{s, now}
+			e := createdAt(s.upstreams["e1"], 10)
+			l.list(0, 20, e)
+			s.recordHoldOff(e, refusalHead(20*time.Second, ""), now)
+			x.play(l, e)
+			c.Check(!s.health.MayCall("e1", now), qt.Equals, x.kept, qt.Commentf("hold-off"))
+		})
+	}
+}
+
+// createdAt returns u as an entry that was created at a store revision.
+func createdAt(u *fleet.Upstream, at int64) *fleet.Upstream {
+	again := *u
+	again.Registered = at
+	return &again
+}
+
 // TestQueuedRequestIsRefusedWhenAllHoldOff guards against a queued request
 // waiting in vain after all engines of a half have asked for no requests.
 func TestQueuedRequestIsRefusedWhenAllHoldOff(t *testing.T) {
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -155,7 +155,8 @@
 	s.countUpstreams(serving)
 	s.logCoverage(now)
 	live := func(instance string) bool { return s.upstreams[instance] != nil }
-	s.health.Retain(live)
+	s.health.Retain(s.listedAs, now)
+	s.pruneLimits(now)
 	s.retainPrefixes()
 	s.retainPaths()
 	maps.DeleteFunc(s.loads, func(instance string, l *upstreamLoad) bool { return l.requests == 0 && !live(instance) })
--- a/internal/gateway/refusaltime_test.go
+++ b/internal/gateway/refusaltime_test.go
@@ -32,7 +32,7 @@
 		{verdict.NotReady, "", nil},
 		{verdict.Draining, "", func(g *Gateway, _ *state) { g.drainTimes.Store(&drainTimes{acceptEnd: now, cutOff: now}) }},
 		{verdict.BodyMemoryFull, strings.Repeat("x", 2*buffer.FreeBytes), func(g *Gateway, _ *state) { g.bodyMemory.Max = 1 }},
-		{verdict.HeldOff, "", func(_ *Gateway, s *state) { s.health.HoldOffWork("e", 10*time.Second, now) }},
+		{verdict.HeldOff, "", func(_ *Gateway, s *state) { s.health.HoldOffWork(s.upstreams["e"].Incarnation(), 10*time.Second, now) }},
 	} {
 		b.Run(string(x.reason), func(b *testing.B) {
 			began := time.Now()
--- a/internal/gateway/resumption_test.go
+++ b/internal/gateway/resumption_test.go
@@ -143,7 +143,9 @@
 			}
 		}},
 		{name: "upstream has failed the request", accepted: true, change: func(_ *state, w *waiter) { w.q.exclude("e") }},
-		{name: "upstream wants no calls for longer", accepted: true, change: func(s *state, _ *waiter) { s.health.HoldOffCalls("e", time.Minute, retriedAt) }},
+		{name: "upstream wants no calls for longer", accepted: true, change: func(s *state, _ *waiter) {
+			s.health.HoldOffCalls(s.upstreams["e"].Incarnation(), time.Minute, retriedAt)
+		}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -68,7 +68,6 @@
 	for instance, u := range s.withheld {
 		s.upstreams[instance] = drainingCopy(u)
 	}
-	s.resetRestarted(old, s.upstreams)
 	for instance, u := range s.upstreams {
 		delete(s.retained, instance)
 		s.forgetEarlierRemoval(instance)
@@ -131,10 +130,6 @@
 	delete(s.keptDraining, c.Instance)
 	s.forgetEarlierRemoval(c.Instance)
 	s.upstreams[c.Instance] = c.Upstream
-	if old != nil && old.Started != c.Upstream.Started {
-		s.health.ClearHoldOff(c.Instance)
-		s.pruneLimits(now)
-	}
 	if old == nil {
 		s.listGrewAt = now
 	}
