throttle: a limit outlives the entry of its upstream

Cause: as of the hold-offs before; gateways dropped the limits of upstreams that were not listed at the moment, so that each sent what it had until the next answer.

Change: Limits.Prune drops the limits of upstreams that are listed as another incarnation.

--- a/internal/coordination/throttle/throttle.go
+++ b/internal/coordination/throttle/throttle.go
@@ -120,12 +120,13 @@
 }
 
 // Prune drops limits that have lapsed, those that were lifted a while ago, and those of
-// upstreams that are not listed. It must be called every second or so. Lifted limits are
-// kept while a peer may still report the limit from before.
-func (l *Limits) Prune(listed func(fleet.Incarnation) bool, now time.Duration) {
+// upstreams that have been restarted. It must be called every second or so. Lifted limits are
+// kept while a peer may still report the limit from before, and those of upstreams whose
+// entry has lapsed, which may be created again, until they lapse.
+func (l *Limits) Prune(restarted func(fleet.Incarnation) bool, now time.Duration) {
 	for instance, e := range l.entries {
 		switch {
-		case !listed(e.Upstream):
+		case restarted(e.Upstream):
 			delete(l.entries, instance)
 		case !e.Lifted && now-e.At > lapseTime:
 			// The age stays what it is: gateways that have heard of the limit since know
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -145,13 +145,13 @@
 	s.limitsKnown.Store(!s.limits.Empty())
 }
 
-// pruneLimits drops limits that have ended or lapsed, and those of upstreams that are no
-// longer listed or have been restarted.
+// pruneLimits drops limits that have ended or lapsed, and those of upstreams that have been
+// restarted.
 func (s *state) pruneLimits(now time.Duration) {
 	if s.limits.Empty() {
 		return
 	}
-	s.limits.Prune(s.isListed, now)
+	s.limits.Prune(s.isRestarted, now)
 	for instance := range s.limited {
 		if limit, _, ok := s.limits.Part(instance, now); !ok || limit.Lifted {
 			s.recordLimitChange(instance, "", now)
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -120,6 +120,12 @@
 	return ok && listed == i
 }
 
+// isRestarted reports whether an upstream is listed as another incarnation.
+func (s *state) isRestarted(i fleet.Incarnation) bool {
+	listed, ok := s.listedAs(i.Instance)
+	return ok && listed != i
+}
+
 // listedIncarnation returns the incarnation as which an upstream is listed now, or that of
 // u if it is not listed.
 func (s *state) listedIncarnation(u *fleet.Upstream) fleet.Incarnation {
--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -144,8 +144,8 @@
 	c.Assert(s.queue.Len("llm"), qt.Equals, 0)
 }
 
-// TestNoticesOutliveLapsedEntry guards against forgetting the hold-off that an upstream has
-// asked for because its entry lapses and is created again, or because an old
+// TestNoticesOutliveLapsedEntry guards against forgetting what an upstream has asked for,
+// a hold-off or a limit, because its entry lapses and is created again, or because an old
 // change shows it as it was before its restart.
 func TestNoticesOutliveLapsedEntry(t *testing.T) {
 	const now = time.Minute
@@ -187,8 +187,10 @@
 			e := createdAt(s.upstreams["e1"], 10)
 			l.list(0, 20, e)
 			s.recordHoldOff(e, refusalHead(20*time.Second, ""), now)
+			limit(s, "e1", 2, now)
 			x.play(l, e)
 			c.Check(!s.health.MayCall("e1", now), qt.Equals, x.kept, qt.Commentf("hold-off"))
+			c.Check(!s.limits.Empty(), qt.Equals, x.kept, qt.Commentf("limit"))
 		})
 	}
 }
