--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -23,6 +23,10 @@
 // bodies in chunks and a small retry allowance. Streams over an engine that has ended
 // stall until the gateway orders another chain.
 //
+// Lapses add outages of the store after which upstreams register anew, some of them with
+// gateways that the store turns away for longer. Afterwards each gateway must have all
+// upstreams that are registered.
+//
 // Gateways call each other directly, so network failures between them are not
 // simulated. Nor are steps of the wall clock, since gateways use only the
 // boot-time clock.
--- a/internal/soak/gateway.go
+++ b/internal/soak/gateway.go
@@ -37,6 +37,8 @@
 	// healthAddress and peerAddress are the addresses at which the gateway
 	// listens for health checks and for peers.
 	healthAddress, peerAddress string
+	// metricsAddress is the address at which it listens for readers of its metrics.
+	metricsAddress string
 
 	// binDir is the directory of the binary of the next process, otherBinDir
 	// that of the other build, if there is one. Guarded by mu.
@@ -83,7 +85,7 @@
 		settingsPath: filepath.Join(dir, name+".toml"), logPath: filepath.Join(dir, name+".log"),
 	}
 	var listen string
-	for _, address := range []*string{&listen, &g.healthAddress, &g.peerAddress} {
+	for _, address := range []*string{&listen, &g.healthAddress, &g.peerAddress, &g.metricsAddress} {
 		free, err := program.FreeAddress()
 		if err != nil {
 			return nil, err
@@ -115,6 +117,9 @@
 		b.WriteString("FirstStart = true\n")
 	}
 	fmt.Fprintf(&b, "[Listen]\nCallers = %q\nHealth = %q\nPeers = %q\n", g.callerProxy.target, g.healthAddress, g.peerAddress)
+	if !g.earlierSettings {
+		fmt.Fprintf(&b, "Metrics = %q\n", g.metricsAddress)
+	}
 	fmt.Fprintf(&b, "[Platform]\nAddress = %q\n", g.storeProxy.Address)
 	fmt.Fprintf(&b, "[Peers]\nSeeds = [\"%s\"]\n", strings.Join(seeds, "\", \""))
 	fmt.Fprintf(&b, "[Bounds]\nGrace = %q\nRevocation = %q\n", stopGracePeriod, revocationBound)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -31,6 +31,10 @@
 	Releases bool
 	// Limits lets upstreams state for a while how many calls a second they take.
 	Limits bool
+	// Lapses adds outages of the store in which entries of upstreams lapse, some with
+	// gateways that the store turns away for longer. At the end all gateways must have all
+	// upstreams.
+	Lapses bool
 	// Standstills adds short standstills of processes. With MaintenanceOnly they are
 	// the only faults.
 	Standstills bool
@@ -113,10 +117,16 @@
 	if p.Limits {
 		actions = append(actions, drawLimits(p, s)...)
 	}
+	if p.Lapses {
+		actions = append(actions, drawLapses(p, s)...)
+	}
 	slices.SortStableFunc(actions, func(a, b action) int { return cmp.Compare(a.at, b.at) })
 	s.began = time.Now()
 	d.runSchedule(actions, s.began)
 	s.checkRecovery(p.Seed)
+	if p.Lapses && !p.EarlierSettings && p.EarlierBinDir == "" {
+		s.checkListed()
+	}
 	cancel()
 	calling.Wait()
 	s.close()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,6 +29,7 @@
 	build         = flag.String("soak.build", "", "commit of the gateways; empty for the present one")
 	storms        = flag.Bool("soak.storms", false, "store configurations in series")
 	limits        = flag.Bool("soak.limits", false, "let upstreams state limits, which runs with even seeds check")
+	lapses        = flag.Bool("soak.lapses", false, "let entries lapse in outages of the store in runs with odd seeds")
 	standstills   = flag.Bool("soak.standstills", false, "have processes stand still for a short time; the only fault in runs with even seeds")
 	releases      = flag.Bool("soak.releases", false, "release engines beside configurations and signals, with bodies in chunks and a small retry allowance")
 	maxProcs      = flag.Int("soak.maxprocs", 0, "number of processors that a gateway uses at a time; 0 for no limit")
@@ -57,7 +58,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			p := Config{Seed: seed, MaintenanceOnly: seed%2 == 0, Gateways: *gateways, Callers: *callers, Duration: *faultDuration}
-			p.Restorations = *restorations && !p.MaintenanceOnly
+			p.Restorations, p.Lapses = *restorations && !p.MaintenanceOnly, *lapses && !p.MaintenanceOnly
 			p.Storms, p.Standstills, p.Limits, p.MaxProcs, p.Releases = *storms, *standstills, *limits, *maxProcs, *releases
 			if *build != "" {
 				p.BinDir, p.EarlierSettings = buildCommit(t, *build), true
@@ -108,6 +109,12 @@
 	runAndCheck(t, Config{Seed: 3, Restorations: true, Gateways: 4, Callers: 4, Duration: 8 * time.Second})
 }
 
+// TestLapses performs a run in which entries of upstreams lapse in outages of the store.
+func TestLapses(t *testing.T) {
+	t.Parallel()
+	runAndCheck(t, Config{Seed: 7, Lapses: true, Gateways: 4, Callers: 4, Duration: 8 * time.Second})
+}
+
 // TestLimits performs runs in which upstreams state limits.
 func TestLimits(t *testing.T) {
 	for _, x := range []struct {
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -40,9 +40,10 @@
 	// Started is the start time of the upstream's process in Unix milliseconds
 	// by the upstream's clock; 0 if unknown.
 	Started int64
-	// Registered is the revision of the platform's store at which the
-	// registration was created; 0 if unknown. A registration that expired and
-	// was created again has a later revision.
+	// Registered is the number of the revision of the platform's store at which
+	// the registration was created; 0 if unknown. A registration that expired and
+	// was created again has a later one. The number is of the era in which the
+	// upstream is listed; numbers of different eras are not comparable.
 	Registered int64
 	// Accelerator is the kind of the accelerator, a key of
 	// [Engine.Accelerators]; empty for plain services.
