gateway: compare each list with the store's changes by entry, also new ones

A list of the store that arrives too late to be used still confirms what it lacks: the changes after it do not tell of that again.

TestPeersWrongListIsContradicted has the cases.

--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -91,43 +91,85 @@
 	}
 }
 
-// recordAbsence records the upstreams that a list lacks. The store's changes must show the
-// deletion of those that a peer's list lacks.
+// absence is an upstream that the list lacks although the store's changes have not shown
+// its deletion yet.
+type absence struct {
+	departure
+	// registered is the revision number at which its entry was created.
+	registered int64
+}
+
+// recordAbsence records the upstreams that a new list lacks. The store's changes must show
+// the deletion of those that a peer's list lacks.
 func (s *state) recordAbsence(gone []*fleet.Upstream, d departure) {
 	if d.peer == "" {
 		clear(s.unconfirmed)
 		return
 	}
 	for _, u := range gone {
-		s.unconfirmed[u.Instance] = d
+		s.unconfirmed[u.Instance] = absence{d, u.Registered}
 	}
 }
 
-// confirmAbsence compares changes of the store with what lists of peers have lacked. It
-// reports whether such a list has lacked an upstream that the store has not deleted up to
-// its revision, so that the store's list must be read. The peer is left alone for a while.
+// confirmByList drops the absences that a list of the store shows too, also if it is older
+// than the present list: the changes that follow do not tell of them again.
+func (s *state) confirmByList(l upstreamList) {
+	for instance, a := range s.unconfirmed {
+		u := l.upstreams[instance]
+		if a.registered <= l.revision.Number && (u == nil || u.Registered != a.registered) {
+			delete(s.unconfirmed, instance)
+		}
+	}
+}
+
+// confirmAbsence compares changes of the store, which have been applied, with what lists of
+// peers have lacked. It reports whether such a list has lacked an upstream that the store has
+// not deleted up to its revision, so that the store's list must be read.
 func (s *state) confirmAbsence(c platform.UpstreamChanges, now time.Duration) bool {
+	if c.Revision.Era != s.list.Revision().Era {
+		return false
+	}
 	for _, change := range c.Changes {
-		if change.Upstream == nil {
-			delete(s.unconfirmed, change.Instance)
-		}
+		s.compareWithList(change)
 	}
 	contradicted := false
-	for instance, d := range s.unconfirmed {
-		if d.revision.Era == c.Revision.Era && d.revision.After(c.Revision) {
-			continue
-		}
-		delete(s.unconfirmed, instance)
-		if d.revision.Era != c.Revision.Era {
-			continue
-		}
-		contradicted = true
-		s.list.ForgetRemoval(instance)
-		s.listSourcesLeft[d.peer] = now + contradictedPause
-		s.log.Warn("peer's list contradicts the store", zap.String("upstream", instance), zap.String("peer", d.peer), zap.Stringer("revision", d.revision), zap.Stringer("store_revision", c.Revision))
-		if s.metrics != nil {
-			s.metrics.contradictions.Inc()
+	for instance, a := range s.unconfirmed {
+		switch {
+		case a.revision.Era != c.Revision.Era:
+			delete(s.unconfirmed, instance)
+		case !a.revision.After(c.Revision):
+			delete(s.unconfirmed, instance)
+			s.recordContradiction(instance, a, c.Revision, now)
+			contradicted = true
 		}
 	}
 	return contradicted
 }
+
+// compareWithList records whether a change shows an upstream that the list lacks, or the
+// deletion of one.
+func (s *state) compareWithList(c platform.UpstreamChange) {
+	a, lacking := s.unconfirmed[c.Instance]
+	switch {
+	case c.Upstream == nil:
+		if lacking && a.registered <= c.Revision.Number {
+			delete(s.unconfirmed, c.Instance)
+		}
+	case s.list.Entry(c.Instance) == nil && !(lacking && a.registered == c.Upstream.Registered):
+		s.unconfirmed[c.Instance] = absence{departure{revision: s.list.Revision()}, c.Upstream.Registered}
+	}
+}
+
+// recordContradiction lets the store's list, which is read next, overrule the removal of an
+// upstream, and leaves the peer alone for a while whose list lacked it.
+func (s *state) recordContradiction(instance string, a absence, at revision.Revision, now time.Duration) {
+	s.list.ForgetRemoval(instance)
+	if a.peer != "" {
+		s.listSourcesLeft[a.peer] = now + contradictedPause
+	}
+	if s.metrics != nil {
+		s.metrics.contradictions.Inc()
+	}
+	s.log.Warn("list contradicts the store", zap.String("upstream", instance), zap.Int64("registered", a.registered), zap.String("peer", a.peer),
+		zap.Stringer("revision", a.revision), zap.Stringer("store_revision", at))
+}
--- a/internal/gateway/departures_test.go
+++ b/internal/gateway/departures_test.go
@@ -11,55 +11,78 @@
 )
 
 // TestPeersWrongListIsContradicted guards against an upstream that a peer has lost being
-// lost here as well, for good, although the store shows no deletion of it.
+// lost here as well, for good, although the store's changes show no deletion of it, and
+// against reading the store's list although no list is wrong.
 func TestPeersWrongListIsContradicted(t *testing.T) {
-	e := registeredAt("e", 5)
 	type change = platform.UpstreamChange
-	deleted := change{Instance: "e", Revision: numbered(11)}
+	set := func(at int64) change {
+		return change{Instance: "e", Revision: numbered(at), Upstream: registeredAt("e", at)}
+	}
+	deleted := func(at int64) change { return change{Instance: "e", Revision: numbered(at)} }
 	other := change{Instance: "o", Revision: numbered(12), Upstream: registeredAt("o", 12)}
+	contradicted := false
+	watch := func(to int64, changes ...change) func(*listSource) {
+		return func(l *listSource) {
+			all := platform.UpstreamChanges{Changes: changes, Revision: numbered(to)}
+			l.s.applyChanges(all, 0, l.now)
+			contradicted = l.s.confirmAbsence(all, l.now)
+		}
+	}
+	peer := func(at int64, us ...*fleet.Upstream) func(*listSource) {
+		return func(l *listSource) { l.peerList(0, at, us...) }
+	}
 	for _, x := range []struct {
 		name string
-		// known is what the store's changes show at revision 11, before the peer's list.
-		known []change
-		// to is the revision up to which the store's changes show what follows.
-		to      int64
-		changes []change
-		want    bool
+		// steps follow a list of the store at revision 10 with the entry created at 5.
+		steps []func(*listSource)
+		// kept is the revision at which the entry was created that the list lacks although
+		// the store has it; 0 for none.
+		kept int64
 	}{
-		{name: "deleted", to: 13, changes: []change{deleted}},
-		{name: "deleted and registered again", to: 14, changes: []change{deleted, {Instance: "e", Revision: numbered(13), Upstream: registeredAt("e", 13)}}},
-		{name: "not so far", to: 11, changes: nil},
-		{name: "deletion known before", known: []change{deleted}, to: 13},
-		{name: "not deleted", to: 12, want: true},
-		{name: "another change", to: 13, changes: []change{other}, want: true},
+		{"deleted", []func(*listSource){peer(12), watch(13, deleted(11))}, 0},
+		{"deleted and created again", []func(*listSource){peer(12), watch(14, deleted(11), set(13))}, 0},
+		{"deletion not yet due", []func(*listSource){peer(12), watch(11)}, 0},
+		{"deletion known before", []func(*listSource){watch(11, deleted(11)), peer(12), watch(13)}, 0},
+		{"deletion of the new entry", []func(*listSource){watch(12, deleted(11), set(12)), peer(14), watch(15, deleted(13))}, 0},
+		{"new entry, known only from the changes, deleted", []func(*listSource){peer(15), watch(13, deleted(12), set(13)), watch(16, deleted(14))}, 0},
+		{"not deleted", []func(*listSource){peer(12), watch(12)}, 5},
+		{"another change", []func(*listSource){peer(12), watch(13, other)}, 5},
+		{"new entry not deleted", []func(*listSource){watch(12, deleted(11), set(12)), peer(14), watch(15)}, 12},
+		{"only the earlier entry deleted", []func(*listSource){peer(14, registeredAt("e", 13)), peer(15), watch(16, deleted(12), set(13))}, 13},
+		{"new entry, known only from the changes", []func(*listSource){peer(15), watch(13, deleted(12), set(13)), watch(15)}, 13},
 	} {
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
 			s := emptyState(t)
 			l := &listSource{s, time.Minute}
-			watch := func(to int64, changes []change) bool {
-				all := platform.UpstreamChanges{Changes: changes, Revision: numbered(to)}
-				s.applyChanges(all, 0, l.now)
-				return s.confirmAbsence(all, l.now)
+			l.list(0, 10, registeredAt("e", 5))
+			for _, step := range x.steps {
+				step(l)
 			}
-			l.list(0, 10, e)
-			if x.known != nil {
-				c.Assert(watch(11, x.known), qt.IsFalse)
-			}
-			l.peerList(0, 12)
-			c.Assert(s.upstreams, qt.HasLen, 0)
-			c.Check(watch(x.to, x.changes), qt.Equals, x.want)
-			c.Check(l.now < s.listSourcesLeft["p"], qt.Equals, x.want, qt.Commentf("the peer is left alone"))
-			if !x.want {
+			c.Check(contradicted, qt.Equals, x.kept > 0)
+			if x.kept == 0 {
+				c.Check(s.listSourcesLeft, qt.HasLen, 0)
 				return
 			}
-			l.list(0, 15, e)
+			l.list(0, 20, registeredAt("e", x.kept))
 			c.Check(s.upstreams["e"], qt.IsNotNil, qt.Commentf("the store's list counts"))
-			c.Check(watch(16, nil), qt.IsFalse)
+			watch(21)(l)
+			c.Check(contradicted, qt.IsFalse)
 		})
 	}
 }
 
+// TestWrongSourceIsLeftAlone guards against taking the list of a peer that has lost an
+// upstream again and again.
+func TestWrongSourceIsLeftAlone(t *testing.T) {
+	s := emptyState(t)
+	l := &listSource{s, time.Minute}
+	l.list(0, 10, registeredAt("e", 5))
+	l.peerList(0, 12)
+	qt.Check(t, s.confirmAbsence(platform.UpstreamChanges{Revision: numbered(12)}, l.now), qt.IsTrue)
+	qt.Check(t, s.listSourcesLeft["p"], qt.Equals, l.now+contradictedPause)
+}
+
 // TestStoresListConfirmsAbsence guards against reading the store's list again and again
 // for an upstream that it has shown to be gone.
 func TestStoresListConfirmsAbsence(t *testing.T) {
@@ -67,6 +90,6 @@
 	l := &listSource{s, time.Minute}
 	l.list(0, 10, registeredAt("e", 5))
 	l.peerList(0, 12)
-	l.list(0, 13, []*fleet.Upstream{}...)
+	l.list(0, 13)
 	qt.Check(t, s.confirmAbsence(platform.UpstreamChanges{Revision: numbered(14)}, l.now), qt.IsFalse)
 }
--- a/internal/gateway/removal_test.go
+++ b/internal/gateway/removal_test.go
@@ -205,6 +205,9 @@
 type modelGateway struct {
 	s       *state
 	watched int64
+	// listed is a list of the store at the revision listedAt that has not arrived yet.
+	listed   map[string]*fleet.Upstream
+	listedAt int64
 	// present and absent are the entries, by registration, that the gateway has
 	// and those that it has removed.
 	present, absent map[int64]bool
@@ -214,6 +217,7 @@
 // outages and expiries in random order. An entry that a gateway has removed
 // must not return, one that the store has removed must not be kept for longer than
 // retentionTime, and a gateway whose list is current must have all that the store lists.
+// No list may be said to contradict the store.
 func TestRemovedEntryStaysRemovedInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		m := &modelStore{revision: 10, entries: make(map[string]*fleet.Upstream)}
@@ -225,11 +229,6 @@
 		}
 		pick := func() *modelGateway { return gateways[rapid.IntRange(0, 2).Draw(r, "gateway")] }
 		instance := func() string { return rapid.SampledFrom([]string{"e1", "e2"}).Draw(r, "instance") }
-		read := func(g *modelGateway) {
-			g.s.replaceUpstreams(upstreamList{upstreams: maps.Clone(m.entries), revision: numbered(m.revision), asOf: now}, now)
-			g.s.recordListResult(nil, now)
-			g.watched = m.revision
-		}
 		r.Repeat(map[string]func(*rapid.T){
 			"register": func(r *rapid.T) {
 				name := instance()
@@ -242,10 +241,21 @@
 					m.change(name, nil)
 				}
 			},
-			"list": func(r *rapid.T) { read(pick()) },
+			"list": func(r *rapid.T) {
+				g := pick()
+				if g.listed == nil {
+					g.listed, g.listedAt = maps.Clone(m.entries), m.revision
+				}
+				if rapid.Bool().Draw(r, "late") {
+					return
+				}
+				g.s.replaceUpstreams(upstreamList{upstreams: g.listed, revision: numbered(g.listedAt), asOf: now}, now)
+				g.s.recordListResult(nil, now)
+				g.watched, g.listed = g.listedAt, nil
+			},
 			"watch": func(r *rapid.T) {
 				g := pick()
-				if g.watched == 0 {
+				if g.watched == 0 || g.listed != nil {
 					return
 				}
 				// A watch may respond with an earlier state of the store.
@@ -257,6 +267,9 @@
 					}
 				}
 				g.s.applyChanges(changes, 0, now)
+				if g.s.confirmAbsence(changes, now) {
+					r.Fatalf("a list is said to contradict the store")
+				}
 				g.s.recordListResult(nil, now)
 				g.watched = until
 			},
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -141,8 +141,9 @@
 	// that are kept although the list no longer contains them.
 	outage   outage.Tracker
 	retained map[string]retention
-	// unconfirmed holds, by instance, the departures that only a peer's list has shown.
-	unconfirmed map[string]departure
+	// unconfirmed holds, by instance, the upstreams that the list lacks without a
+	// deletion in the store's changes.
+	unconfirmed map[string]absence
 	// keptDraining holds, by instance, the list revision at which the upstreams
 	// were known to drain that a later list of a peer shows as serving.
 	keptDraining map[string]revision.Revision
@@ -214,7 +215,7 @@
 	s.listSourcesLeft = make(map[string]time.Duration)
 	s.leaving = make(map[fleet.Incarnation]time.Duration)
 	s.retained = make(map[string]retention)
-	s.unconfirmed = make(map[string]departure)
+	s.unconfirmed = make(map[string]absence)
 	s.withheld = make(map[string]*fleet.Upstream)
 	s.changedSince = make(map[string]bool)
 	s.retryWindows = make(map[string]*retry.Window)
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -28,6 +28,9 @@
 // replaceUpstreams replaces the list of upstreams by l, unless l is of an older
 // revision.
 func (s *state) replaceUpstreams(l upstreamList, now time.Duration) {
+	if l.peer == "" {
+		s.confirmByList(l)
+	}
 	before := s.list.Revision()
 	if l.revision.Before(before) {
 		return
