entry: look twice at the own links before a request is made suspect

Seen by callers: a request whose engines the entry had lost its links to was refused as quarantined, although nothing had crashed.

Cause, traced at the review: a refused connection counts as a crash if the entry reaches another engine. Links that are lost together are lost one after the other, so an engine whose link is cut a little later answers that question.

Change: confirmCrash asks again after 50 ms. A stream over an engine that has really ended goes on that much later. Cutting all links at once in the test, which was considered, would only have hidden it.

--- a/internal/entry/reach.go
+++ b/internal/entry/reach.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovageport.example/internal/coordination/dispatch"
+	"lovageport.example/internal/loop"
 	"lovageport.example/internal/transport/upstream"
 	"lovageport.example/pkg/declaration"
 )
@@ -20,6 +21,9 @@
 	witnessesPerZone = 2
 	// maxWitnesses is how many are probed in all zones together.
 	maxWitnesses = 8
+	// linkLossTime is the time between two looks at the own links: those that are lost
+	// together are not lost at the same moment.
+	linkLossTime = 50 * time.Millisecond
 )
 
 // doubt has the upstreams probed that peers report as failed. A peer that has lost
@@ -69,16 +73,20 @@
 }
 
 // confirmCrash returns the fault of an engine of a request. A refusal shows that the
-// engine has ended only if this entry reaches another one; otherwise its own links
-// may be at fault, and the request is no suspect.
+// engine has ended only if this entry reaches another one, and still does a little later;
+// otherwise its own links may be at fault, and the request is no suspect.
 func (g *generator) confirmCrash(ctx context.Context, fault dispatch.Fault, name string) dispatch.Fault {
 	if fault != dispatch.Crashed {
 		return fault
 	}
-	if all := g.witnesses(name); len(all) > 0 && !g.entry.reachesAny(ctx, all) {
-		return dispatch.ConnectionLost
+	all := g.witnesses(name)
+	if len(all) == 0 {
+		return fault
+	}
+	if g.entry.reachesAny(ctx, all) && loop.Sleep(ctx, linkLossTime) && g.entry.reachesAny(ctx, all) {
+		return fault
 	}
-	return fault
+	return dispatch.ConnectionLost
 }
 
 // witnesses returns engines that can serve the request, other than the one called
--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -48,8 +48,14 @@
 
 // cutOff cuts an entry from all upstreams. Callers, peers and the platform reach it.
 func (f *fleet) cutOff(entry string, cut func(n *network.Network, entry, upstream string)) {
+	f.cutOffInTurn(entry, cut, 0)
+}
+
+// cutOffInTurn is like cutOff, with a pause after each link.
+func (f *fleet) cutOffInTurn(entry string, cut func(n *network.Network, entry, upstream string), pause time.Duration) {
 	for _, u := range f.set.Upstreams {
 		cut(f.net, entry, u.Name)
+		time.Sleep(pause)
 	}
 }
 
@@ -192,14 +198,19 @@
 
 // TestLostLinksMakeNoRequestSuspect guards against the quarantine of a request that
 // was in flight when an entry lost its links: a refused connection looks like a crash.
-// Copies of it run on several chains, or it is sent again and cut off once more.
+// Copies of it run on several chains, or it is sent again and cut off once more. The links
+// of an entry are not lost at the same moment.
 func TestLostLinksMakeNoRequestSuspect(t *testing.T) {
 	for _, x := range []struct {
 		name         string
 		copies, cuts int
+		// pause is the time between the losses of two links.
+		pause time.Duration
 	}{
-		{"copies", 12, 1},
-		{"repeated", 1, 3},
+		{"copies", 12, 1, 0},
+		{"repeated", 1, 3, 0},
+		{"copies, one link after the other", 12, 1, time.Millisecond},
+		{"repeated, one link after the other", 1, 3, time.Millisecond},
 	} {
 		for _, c := range reachCuts {
 			t.Run(x.name+"/"+c.name, func(t *testing.T) {
@@ -207,7 +218,7 @@
 				withFleet(t, func(t *testing.T, f *fleet) {
 					for range x.cuts {
 						results := f.startCopies(x.copies)
-						f.cutOff("wien-entry", c.cut)
+						f.cutOffInTurn("wien-entry", c.cut, x.pause)
 						for _, got := range results() {
 							qt.Check(t, got.reason, qt.Not(qt.Equals), verdict.Quarantined)
 						}
