--- a/internal/state/registry/list.go
+++ b/internal/state/registry/list.go
@@ -88,9 +88,8 @@
 	return out
 }
 
-// concerns reports whether a fact at a revision concerns a listed entry. Revisions of
-// different eras say nothing about the order of a fact and a creation: a later era's list
-// replaces all entries.
+// concerns reports whether a fact at a revision concerns a listed entry. A list of another
+// era concerns all entries: its revision is not comparable with that of their creation.
 func (l *List) concerns(at revision.Revision, u *fleet.Upstream) bool {
 	return at.Era != l.revision.Era || u.Registered <= at.Number
 }
