gateway: an entry that a restoration has lost contradicts no list

The check of a peer's list compared numbers of different eras: an upstream whose entry was lost when the store was restored, and which a peer's list of the new era lacked, was taken for one that the peer had lost, if the own list of the store arrived too late to be used. That cost a read of the list, and the peer was not asked for a minute.

What a fact concerns is one function now, registry.Concerns, for the list and for the check; both compare revisions with their era.

TestRestorationIsNoContradiction failed before. TestNothingReturnsThroughCopy, in which the store is restored, demands that no list is said to contradict the store, in 20,000 checks.

--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/registry"
 	"lovageport.example/internal/state/revision"
 	"lovageport.example/platform"
 )
@@ -95,19 +96,19 @@
 // its deletion yet.
 type absence struct {
 	departure
-	// registered is the revision number at which its entry was created.
-	registered int64
+	// created is the revision at which its entry was created.
+	created revision.Revision
 }
 
-// recordAbsence records the upstreams that a new list lacks. The store's changes must show
-// the deletion of those that a peer's list lacks.
-func (s *state) recordAbsence(gone []*fleet.Upstream, d departure) {
+// recordAbsence records the upstreams that a new list lacks and that were listed in an era
+// of the store. The store's changes must show the deletion of those that a peer's list lacks.
+func (s *state) recordAbsence(gone []*fleet.Upstream, era int64, d departure) {
 	if d.peer == "" {
 		clear(s.unconfirmed)
 		return
 	}
 	for _, u := range gone {
-		s.unconfirmed[u.Instance] = absence{d, u.Registered}
+		s.unconfirmed[u.Instance] = absence{d, revision.Revision{Era: era, Number: u.Registered}}
 	}
 }
 
@@ -116,7 +117,7 @@
 func (s *state) confirmByList(l upstreamList) {
 	for instance, a := range s.unconfirmed {
 		u := l.upstreams[instance]
-		if a.registered <= l.revision.Number && (u == nil || u.Registered != a.registered) {
+		if registry.Concerns(l.revision, a.created) && (u == nil || u.Registered != a.created.Number) {
 			delete(s.unconfirmed, instance)
 		}
 	}
@@ -152,11 +153,11 @@
 	a, lacking := s.unconfirmed[c.Instance]
 	switch {
 	case c.Upstream == nil:
-		if lacking && a.registered <= c.Revision.Number {
+		if lacking && registry.Concerns(c.Revision, a.created) {
 			delete(s.unconfirmed, c.Instance)
 		}
-	case s.list.Entry(c.Instance) == nil && !(lacking && a.registered == c.Upstream.Registered):
-		s.unconfirmed[c.Instance] = absence{departure{revision: s.list.Revision()}, c.Upstream.Registered}
+	case s.list.Entry(c.Instance) == nil && !(lacking && a.created == s.list.Created(c.Upstream)):
+		s.unconfirmed[c.Instance] = absence{departure{revision: s.list.Revision()}, s.list.Created(c.Upstream)}
 	}
 }
 
@@ -170,6 +171,6 @@
 	if s.metrics != nil {
 		s.metrics.contradictions.Inc()
 	}
-	s.log.Warn("list contradicts the store", zap.String("upstream", instance), zap.Int64("registered", a.registered), zap.String("peer", a.peer),
+	s.log.Warn("list contradicts the store", zap.String("upstream", instance), zap.Int64("registered", a.created.Number), zap.String("peer", a.peer),
 		zap.Stringer("revision", a.revision), zap.Stringer("store_revision", at))
 }
--- a/internal/gateway/departures_test.go
+++ b/internal/gateway/departures_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lovageport.example/internal/state/fleet"
+	"lovageport.example/internal/state/revision"
 	"lovageport.example/platform"
 )
 
@@ -83,6 +84,19 @@
 	qt.Check(t, s.listSourcesLeft["p"], qt.Equals, l.now+contradictedPause)
 }
 
+// TestRestorationIsNoContradiction guards against taking a peer's list for wrong that lacks
+// an upstream whose entry was lost when the store was restored: no change tells of that.
+func TestRestorationIsNoContradiction(t *testing.T) {
+	s := emptyState(t)
+	l := &listSource{s, time.Minute}
+	l.list(1, 190, registeredAt("e", 185))
+	l.peerList(2, 110)
+	l.list(2, 100)
+	all := platform.UpstreamChanges{Revision: revision.Revision{Era: 2, Number: 120}}
+	s.applyChanges(all, 0, l.now)
+	qt.Check(t, s.confirmAbsence(all, l.now), qt.IsFalse)
+}
+
 // TestStoresListConfirmsAbsence guards against reading the store's list again and again
 // for an upstream that it has shown to be gone.
 func TestStoresListConfirmsAbsence(t *testing.T) {
--- a/internal/gateway/restoration_test.go
+++ b/internal/gateway/restoration_test.go
@@ -315,6 +315,9 @@
 					}
 				}
 				g.s.applyChanges(changes, now, now)
+				if g.s.confirmAbsence(changes, now) {
+					r.Fatalf("a list is said to contradict the store")
+				}
 				g.see(m)
 			},
 			"borrow": func(r *rapid.T) {
--- a/internal/gateway/upstreams.go
+++ b/internal/gateway/upstreams.go
@@ -53,7 +53,7 @@
 	gone := s.list.Replace(all, l.revision, now)
 	s.listedAt = max(s.listedAt, l.asOf)
 	left := s.useEntries(all, gone, now)
-	s.recordAbsence(left, l.departure())
+	s.recordAbsence(left, before.Era, l.departure())
 	for _, u := range left {
 		s.dropOrRetain(u, l.departure(), now)
 	}
--- a/internal/state/registry/list.go
+++ b/internal/state/registry/list.go
@@ -78,7 +78,7 @@
 	out := maps.Clone(listed)
 	maps.DeleteFunc(out, func(_ string, u *fleet.Upstream) bool { return l.wasRemoved(u, at.Era) })
 	for instance, known := range l.entries {
-		if l.concerns(at, known) {
+		if Concerns(at, l.Created(known)) {
 			continue
 		}
 		if u := out[instance]; u == nil || u.Registered < known.Registered {
@@ -88,16 +88,27 @@
 	return out
 }
 
-// concerns reports whether a fact at a revision concerns a listed entry. A list of another
-// era concerns all entries: its revision is not comparable with that of their creation.
-func (l *List) concerns(at revision.Revision, u *fleet.Upstream) bool {
-	return at.Era != l.revision.Era || u.Registered <= at.Number
+// Concerns reports whether a fact at a revision concerns an entry that was created at
+// another one. A fact of another era concerns all entries: the revisions are not comparable.
+func Concerns(at, created revision.Revision) bool {
+	return at.Era != created.Era || created.Number <= at.Number
+}
+
+// Created returns the revision at which an entry of the list was created.
+func (l *List) Created(u *fleet.Upstream) revision.Revision {
+	return revision.Revision{Era: l.revision.Era, Number: u.Registered}
 }
 
 // Replace replaces the list by one that is not older, and returns the entries that are no
 // longer listed.
 func (l *List) Replace(entries map[string]*fleet.Upstream, at revision.Revision, now time.Duration) []*fleet.Upstream {
-	old, era := l.entries, l.revision.Era
+	var gone []*fleet.Upstream
+	for instance, u := range l.entries {
+		if entries[instance] == nil {
+			l.recordRemoval(u, now)
+			gone = append(gone, u)
+		}
+	}
 	l.revision = at
 	l.entries = make(map[string]*fleet.Upstream, len(entries))
 	l.hashes = make(map[string]uint64, len(entries))
@@ -105,13 +116,6 @@
 	for _, u := range entries {
 		l.set(u)
 	}
-	var gone []*fleet.Upstream
-	for instance, u := range old {
-		if entries[instance] == nil {
-			l.recordRemoval(u, era, now)
-			gone = append(gone, u)
-		}
-	}
 	return gone
 }
 
@@ -119,7 +123,7 @@
 // count, because its entry is known to have been removed or a later one is listed.
 func (l *List) Apply(c Change, now time.Duration) bool {
 	known := l.entries[c.Instance]
-	if known != nil && !l.concerns(c.Revision, known) {
+	if known != nil && !Concerns(c.Revision, l.Created(known)) {
 		return false
 	}
 	if c.Upstream != nil {
@@ -130,7 +134,7 @@
 		return true
 	}
 	if known != nil {
-		l.recordRemoval(known, l.revision.Era, now)
+		l.recordRemoval(known, now)
 		l.unset(c.Instance)
 	}
 	return true
@@ -144,13 +148,13 @@
 	return known && u.Registered > 0 && r.Created.Era == era && u.Registered <= r.Created.Number
 }
 
-// recordRemoval records the removal of an entry that was last listed in an era.
-func (l *List) recordRemoval(u *fleet.Upstream, era int64, now time.Duration) {
+// recordRemoval records the removal of an entry of the list.
+func (l *List) recordRemoval(u *fleet.Upstream, now time.Duration) {
 	if l.removals == nil {
 		l.removals = make(map[string]Removal)
 	}
-	created := revision.Revision{Era: era, Number: u.Registered}
-	l.removals[u.Instance] = Removal{Created: created.Max(l.removals[u.Instance].Created), Started: u.Started, At: now}
+	created := l.Created(u).Max(l.removals[u.Instance].Created)
+	l.removals[u.Instance] = Removal{Created: created, Started: u.Started, At: now}
 }
 
 // Removal returns the newest removed entry of an instance, and whether there is one.
