--- a/internal/soak/lapse.go
+++ b/internal/soak/lapse.go
@@ -89,7 +89,7 @@
 func (s *system) checkListed() {
 	want := make(map[string]int)
 	for _, u := range s.upstreams {
-		if s.store.Has("servers", u.Instance) {
+		if u.Registered() {
 			want[u.Service()]++
 		}
 	}
